--- /dev/null
+++ b/src/coltsfootstair/admission/_messages.py
@@ -0,0 +1,138 @@
+"""Events that go into the admission decisions, and the effects that come out."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from coltsfootstair.results import Refusal
+
+__all__ = [
+    'Cancelled',
+    'Dispatch',
+    'DrainChanged',
+    'Effect',
+    'Event',
+    'Finished',
+    'InheritedWork',
+    'LimitsChanged',
+    'Observed',
+    'Outcome',
+    'Refuse',
+    'RightsChanged',
+    'Submitted',
+    'Tick',
+]
+
+
+class Outcome(enum.StrEnum):
+    """How an exchange with the backend server ended."""
+
+    ANSWERED = 'answered'
+    SHED = 'shed'
+    FAILED = 'failed'
+    NOT_SENT = 'not sent'
+
+
+class Submitted(NamedTuple):
+    """A request asks for a slot.
+
+    :param caller: whom fairness counts it against
+    :param key: the key, or an empty string
+    :param deadline: monotonic seconds by which the caller wants the answer
+    :param long: whether it is an upload, whose running time says nothing of the server
+    """
+
+    request_id: str
+    caller: str
+    key: str
+    deadline: float
+    idempotent: bool
+    long: bool = False
+
+
+class Finished(NamedTuple):
+    """A dispatched request no longer occupies its slot.
+
+    :param seconds: how long the exchange took
+    """
+
+    request_id: str
+    outcome: Outcome
+    seconds: float
+
+
+class Cancelled(NamedTuple):
+    """The caller of a waiting request has gone."""
+
+    request_id: str
+
+
+class LimitsChanged(NamedTuple):
+    """The operators' document gives other limits."""
+
+    slots: int
+    connections: int
+
+
+class Observed(NamedTuple):
+    """A probe of the backend server was answered, or failed.
+
+    :param instance: the server's process; another one than before means a restart
+    :param cold: the server's own word; advice only
+    """
+
+    ok: bool
+    instance: str = ''
+    cold: bool = False
+    reported_load: float = 0.0
+
+
+class DrainChanged(NamedTuple):
+    """Operators take the backend server out, or bring it back."""
+
+    draining: bool
+
+
+class RightsChanged(NamedTuple):
+    """The coordinator has gained or lost the right to act."""
+
+    may_act: bool
+
+
+class InheritedWork(NamedTuple):
+    """Requests of an earlier coordinator may still run there until ``until``."""
+
+    count: int
+    until: float
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+class Dispatch(NamedTuple):
+    """Send the request to the backend server now."""
+
+    request_id: str
+
+
+class Refuse(NamedTuple):
+    """Answer the request with a refusal now; it has not been sent."""
+
+    request_id: str
+    refusal: Refusal
+
+
+Event = (
+    Submitted
+    | Finished
+    | Cancelled
+    | LimitsChanged
+    | Observed
+    | DrainChanged
+    | RightsChanged
+    | InheritedWork
+    | Tick
+)
+Effect = Dispatch | Refuse
--- /dev/null
+++ b/src/coltsfootstair/cli/__init__.py
@@ -0,0 +1,7 @@
+"""The command line of coltsfootstair."""
+
+from __future__ import annotations
+
+from coltsfootstair.cli._app import app, main
+
+__all__ = ['app', 'main']
--- /dev/null
+++ b/src/coltsfootstair/cli/_app.py
@@ -0,0 +1,14 @@
+"""The application that commands register themselves with."""
+
+from __future__ import annotations
+
+import cyclopts
+
+__all__ = ['app', 'main']
+
+app = cyclopts.App(name='coltsfootstair', help='A router for backend servers that own keys.')
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/src/coltsfootstair/results/_codes.py
@@ -0,0 +1,93 @@
+"""Result codes, their titles, and the HTTP status each is sent with."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+__all__ = ['Ran', 'Refusal', 'ResultCode', 'http_status', 'title']
+
+
+class Ran(enum.StrEnum):
+    """Whether a refused request was run by a backend server."""
+
+    NO = 'no'
+    UNKNOWN = 'unknown'
+
+
+class ResultCode(enum.IntEnum):
+    """Why a request was answered as it was; the numbers never change their meaning."""
+
+    ANSWERED = 0
+    UNKNOWN_SERVICE = 100
+    KEY_MISSING = 101
+    BAD_HEADER = 102
+    BODY_TOO_LARGE = 103
+    OPERATION_ID_REUSED = 104
+    BODY_CUT = 105
+    OVERLOADED = 200
+    QUEUE_DEADLINE = 201
+    CALLER_OVER_SHARE = 202
+    UPLOAD_MEMORY_FULL = 203
+    SHED = 204
+    NO_OWNER = 300
+    COORDINATOR_UNREACHABLE = 301
+    NOT_COORDINATOR = 302
+    KEY_MOVING = 303
+    SERVICE_OUT = 304
+    SHUTTING_DOWN = 305
+    OUTCOME_UNKNOWN = 400
+    OPERATION_RUNNING = 401
+    ANSWER_INCOMPLETE = 402
+    OPERATION_TOO_OLD = 403
+    INTERNAL = 500
+
+
+class Refusal(NamedTuple):
+    """An honest answer in place of a backend server's.
+
+    :param retry_after_s: when the caller may come back, in seconds; ``None`` if that
+        would not help
+    """
+
+    code: ResultCode
+    ran: Ran
+    detail: str
+    retry_after_s: float | None = None
+
+
+_TABLE: dict[ResultCode, tuple[int, str]] = {
+    ResultCode.ANSWERED: (200, 'Answered by a backend server'),
+    ResultCode.UNKNOWN_SERVICE: (404, 'No such service'),
+    ResultCode.KEY_MISSING: (400, 'The key header is missing'),
+    ResultCode.BAD_HEADER: (400, 'A header has a value that is not allowed'),
+    ResultCode.BODY_TOO_LARGE: (413, 'The body is larger than the service takes'),
+    ResultCode.OPERATION_ID_REUSED: (422, 'The operation id was used for another request'),
+    ResultCode.BODY_CUT: (400, 'The body ended before its announced length'),
+    ResultCode.OVERLOADED: (503, 'The backend server has no room'),
+    ResultCode.QUEUE_DEADLINE: (503, 'The request can not be answered in time'),
+    ResultCode.CALLER_OVER_SHARE: (429, 'The caller has more than its share of the queue'),
+    ResultCode.UPLOAD_MEMORY_FULL: (503, 'No memory is free for another upload'),
+    ResultCode.SHED: (503, 'The backend server refused the request'),
+    ResultCode.NO_OWNER: (503, 'The key has no owner at present'),
+    ResultCode.COORDINATOR_UNREACHABLE: (503, 'The coordinator can not be reached'),
+    ResultCode.NOT_COORDINATOR: (503, 'The coordinator has changed'),
+    ResultCode.KEY_MOVING: (503, 'The key is moving to another backend server'),
+    ResultCode.SERVICE_OUT: (503, 'The service has no backend server in'),
+    ResultCode.SHUTTING_DOWN: (503, 'The daemon is shutting down'),
+    ResultCode.OUTCOME_UNKNOWN: (504, 'It is not known whether the request ran'),
+    ResultCode.OPERATION_RUNNING: (409, 'The operation is already running'),
+    ResultCode.ANSWER_INCOMPLETE: (502, 'The backend server cut off its answer'),
+    ResultCode.OPERATION_TOO_OLD: (409, 'The operation id is older than is remembered'),
+    ResultCode.INTERNAL: (500, 'The daemon failed'),
+}
+
+
+def http_status(code: ResultCode) -> int:
+    """Return the HTTP status that ``code`` is sent with."""
+    return _TABLE[code][0]
+
+
+def title(code: ResultCode) -> str:
+    """Return a short English title for ``code``."""
+    return _TABLE[code][1]
--- /dev/null
+++ b/src/coltsfootstair/store/_types.py
@@ -0,0 +1,67 @@
+"""What the rest of the package may ask of the platform."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+__all__ = ['ABSENT', 'Store', 'Versioned', 'VirtualMachine', 'VmList']
+
+ABSENT = 0
+"""The version of an object that does not exist."""
+
+
+class Versioned(NamedTuple):
+    """An object of the store at one version.
+
+    :param version: rises with each change of the store; ``ABSENT`` if there is none
+    :param value: the bytes; empty if the object does not exist
+    """
+
+    key: str
+    version: int
+    value: bytes
+
+
+class VirtualMachine(NamedTuple):
+    """A VM as the platform lists it; the list lags.
+
+    :param inner: ``IP:PORT`` of the daemon's inner address
+    :param leaving: whether the platform has announced its end
+    """
+
+    name: str
+    data_centre: str
+    inner: str
+    leaving: bool
+
+
+class Store(Protocol):
+    """The object store: versions, conditional updates and watches.
+
+    Every call raises ``StoreUnavailableError`` when no answer came in time.
+    """
+
+    def get(self, key: str) -> Versioned:
+        """Read one object; version ``ABSENT`` if it does not exist."""
+
+    def scan(self, prefix: str) -> tuple[list[Versioned], int]:
+        """Read all objects below ``prefix``, and the store's revision at that read."""
+
+    def put(self, key: str, value: bytes, *, expected: int) -> int:
+        """Write ``key`` if it is at version ``expected``; return the new version.
+
+        :raises StoreConflictError: it is at another version
+        """
+
+    def delete(self, key: str, *, expected: int) -> int:
+        """Delete ``key`` if it is at version ``expected``; return the store's revision."""
+
+    def watch(self, prefix: str, after: int, timeout_s: float) -> tuple[list[Versioned], int]:
+        """Wait for changes past revision ``after``; an empty value means deleted."""
+
+
+class VmList(Protocol):
+    """The platform's lagging list of VMs."""
+
+    def list(self) -> dict[str, VirtualMachine]:
+        """Return the listed VMs by name."""
