--- a/src/coltsfootstair/admission/_messages.py
+++ b/src/coltsfootstair/admission/_messages.py
@@ -103,7 +103,7 @@
 class InheritedWork(NamedTuple):
     """Requests of an earlier coordinator may still run there until ``until``."""
 
-    count: int
+    requests: int
     until: float
 
 
