Add admission: limits, deadline-aware fair queue, drain, rights and cold-start ramp

Cause: a backend server must never hold more than its slots, also while requests of an earlier coordinator or broken-off exchanges may still run there. The state is changed in place by one task instead of copied for each event, as copying the queue would cost more than the decision.

--- a/src/coltsfootstair/admission/__init__.py
+++ b/src/coltsfootstair/admission/__init__.py
@@ -1,3 +1,45 @@
 """Decides when a backend server may be given which request."""
 
 from __future__ import annotations
+
+from coltsfootstair.admission._messages import (
+    Abandoned,
+    Cancelled,
+    Dispatch,
+    DrainChanged,
+    Effect,
+    Event,
+    Finished,
+    InheritedWork,
+    LimitsChanged,
+    Observed,
+    Outcome,
+    Refuse,
+    RightsChanged,
+    Submitted,
+    Tick,
+)
+from coltsfootstair.admission._policy import AdmissionPolicy
+from coltsfootstair.admission._state import AdmissionState, handle, new_state
+
+__all__ = [
+    'Abandoned',
+    'AdmissionPolicy',
+    'AdmissionState',
+    'Cancelled',
+    'Dispatch',
+    'DrainChanged',
+    'Effect',
+    'Event',
+    'Finished',
+    'InheritedWork',
+    'LimitsChanged',
+    'Observed',
+    'Outcome',
+    'Refuse',
+    'RightsChanged',
+    'Submitted',
+    'Tick',
+    'handle',
+    'new_state',
+]
--- a/src/coltsfootstair/admission/_messages.py
+++ b/src/coltsfootstair/admission/_messages.py
@@ -8,6 +8,7 @@
 from coltsfootstair.results import Refusal
 
 __all__ = [
+    'Abandoned',
     'Cancelled',
     'Dispatch',
     'DrainChanged',
@@ -41,6 +42,7 @@
     :param key: the key, or an empty string
     :param deadline: monotonic seconds by which the caller wants the answer
     :param long: whether it is an upload, whose running time says nothing of the server
+    :param shed_before: whether the backend server has shed it already; set by admission
     """
 
     request_id: str
@@ -49,11 +51,15 @@
     deadline: float
     idempotent: bool
     long: bool = False
+    shed_before: bool = False
 
 
 class Finished(NamedTuple):
     """A dispatched request no longer occupies its slot.
 
+    On ``SHED`` admission either dispatches the request again later or refuses it; the
+    coordinator answers it itself on the other outcomes.
+
     :param seconds: how long the exchange took
     """
 
@@ -62,6 +68,17 @@
     seconds: float
 
 
+class Abandoned(NamedTuple):
+    """A dispatched request broke off or was given up; the server may still run it.
+
+    Its caller has its final answer, but it occupies its slot until ``until`` (monotonic
+    seconds), or until ``Finished`` tells that the server no longer runs it.
+    """
+
+    request_id: str
+    until: float
+
+
 class Cancelled(NamedTuple):
     """The caller of a waiting request has gone."""
 
@@ -127,6 +144,7 @@
 Event = (
     Submitted
     | Finished
+    | Abandoned
     | Cancelled
     | LimitsChanged
     | Observed
--- /dev/null
+++ b/src/coltsfootstair/admission/_policy.py
@@ -0,0 +1,29 @@
+"""The settings of admission, so that two versions can be measured against each other."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = ['AdmissionPolicy']
+
+
+class AdmissionPolicy(NamedTuple):
+    """How a backend server's queue and ramp behave.
+
+    :param waiting_per_slot: requests that may wait for each slot
+    :param growth_answers: answers at a full window before it grows by one slot
+    :param growth_answers_max: bound on ``growth_answers`` as failed growth doubles it
+    :param latency_jump: factor over the usual latency that counts as a jump
+    :param latency_jump_floor_s: seconds below which no latency counts as a jump
+    :param latency_jump_answers: answers in a row that must show the jump
+    :param cold_word_trust_s: seconds for which a standing report of a cold start stops
+        growth, if the server answers all the same
+    """
+
+    waiting_per_slot: int = 16
+    growth_answers: int = 4
+    growth_answers_max: int = 256
+    latency_jump: float = 5.0
+    latency_jump_floor_s: float = 0.05
+    latency_jump_answers: int = 3
+    cold_word_trust_s: float = 60.0
