--- /dev/null
+++ b/tests/ownership/test_table.py
@@ -0,0 +1,72 @@
+"""Tests of the assignment table."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coltsfootstair.errors import ProtocolError
+from coltsfootstair.ownership import (
+    HOT_ROWS_PER_SHARD,
+    SHARDS_PER_TABLE,
+    SLOTS_PER_TABLE,
+    UNASSIGNED,
+    Row,
+    Shard,
+    Table,
+    decode_shard,
+    encode_shard,
+    initial_assignment,
+    shard_of,
+    slot_of,
+    token_of,
+)
+
+ROWS = st.builds(Row, st.text(), st.integers(0, 2**39 - 1), st.text(), st.text())
+
+
+@given(st.dictionaries(st.integers(0, 255), ROWS))
+def test_shard_survives_encoding(rows: dict[int, Row]) -> None:
+    shard = Shard(0, rows)
+    assert decode_shard(encode_shard(shard)) == shard
+
+
+@given(st.binary())
+def test_other_bytes_are_refused(value: bytes) -> None:
+    with pytest.raises(ProtocolError):
+        decode_shard(value)
+
+
+@given(st.integers(1, 60))
+def test_first_assignment_is_even_and_whole(servers: int) -> None:
+    names = [f's{i}' for i in range(servers)]
+    shards = initial_assignment('lookups', names)
+    owners = Counter(row.owner for shard in shards for row in shard.rows_by_number.values())
+    assert owners.total() == SLOTS_PER_TABLE
+    assert max(owners.values()) - min(owners.values()) <= 1
+    assert shards == initial_assignment('lookups', reversed(names))
+    assert len(initial_assignment('lookups', [])) == SHARDS_PER_TABLE
+
+
+def test_table_never_goes_back_and_knows_hot_keys() -> None:
+    slot = slot_of('k')
+    shard = shard_of(slot)
+    hot = SLOTS_PER_TABLE + shard * HOT_ROWS_PER_SHARD
+    table = Table('lookups')
+    assert table.owner_of('k') == (slot, UNASSIGNED)
+    rows = {slot: Row('a', 1), hot: Row('b', 1, key='k')}
+    assert table.update(Shard(shard, rows), 7)
+    assert not table.update(Shard(shard, {slot: Row('old', 1)}), 7)
+    assert table.owner_of('k') == (hot, Row('b', 1, key='k'))
+    assert table.shard(shard) == (Shard(shard, rows), 7)
+    assert table.update(Shard(shard, {slot: Row('a', 1), hot: Row('', 2)}), 8)
+    assert table.owner_of('k') == (slot, Row('a', 1))
+
+
+def test_token_rises_with_the_owner_before_the_coordinator() -> None:
+    assert token_of(1, 5) < token_of(1, 6) < token_of(2, 1) <= 2**63
+    with pytest.raises(ProtocolError):
+        token_of(1, 2**24)
