--- /dev/null
+++ b/src/coltsfootstair/backend/_client.py
@@ -0,0 +1,199 @@
+"""A backend server spoken to over HTTP/1.1 with kept connections."""
+
+from __future__ import annotations
+
+import collections
+import http.client
+import json
+import select
+import socket
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from coltsfootstair.backend._types import BackendAnswer, GrantReply, Health
+from coltsfootstair.errors import CallFailedError
+
+if TYPE_CHECKING:
+    from coltsfootstair.backend._types import AnswerSink, BackendRequest, Grant
+
+__all__ = ['HttpBackendServer']
+
+CONNECT_TIMEOUT_S = 1.0
+READ_BYTES = 64 * 1024
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+
+
+class HttpBackendServer:
+    """Keeps idle connections to one server; one with a half-read answer is closed."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        self._host = host
+        self._port = int(port)
+        self._idle: collections.deque[http.client.HTTPConnection] = collections.deque()
+        self._control: collections.deque[http.client.HTTPConnection] = collections.deque()
+
+    def exchange(self, request: BackendRequest, sink: AnswerSink) -> None:
+        """Send a request and pass its whole answer to ``sink``."""
+        connection = self._connect(self._idle)
+        connection.sock.settimeout(request.deadline_s)
+        try:
+            _send(connection, request)
+            response = connection.getresponse()
+            _pass_on(response, sink)
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            raise CallFailedError(
+                f'{type(error).__name__}: {error}', dispatched=True
+            ) from error
+        except BaseException:
+            connection.close()
+            raise
+        self._keep(self._idle, connection, response)
+
+    def probe(self, timeout_s: float) -> Health:
+        """Ask for the server's health."""
+        _, content = self._call('GET', '/-/health', None, timeout_s)
+        return _parse(content, Health)
+
+    def grant(
+        self, grants: list[Grant], until: float, instance: str, timeout_s: float
+    ) -> GrantReply:
+        """Replace all grants of the server by ``grants``, which lapse at ``until``."""
+        order = {'until': until, 'ranges': grants, 'instance': instance}
+        status, content = self._call('POST', '/-/grants', order, timeout_s)
+        fields = json.loads(content) if content else {}
+        return GrantReply(
+            status == STATUS_OK,
+            str(fields.get('instance', '')),
+            float(fields.get('clock', 0.0)),
+        )
+
+    def cancel(self, request_id: str, timeout_s: float) -> bool:
+        """Ask the server to stop a request; true if it is known not to run any more."""
+        _, content = self._call('POST', '/-/cancel', {'request_id': request_id}, timeout_s)
+        return not json.loads(content).get('running', True)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in (self._idle, self._control):
+            while pool:
+                pool.popleft().close()
+
+    def _call(
+        self, method: str, path: str, order: object, timeout_s: float
+    ) -> tuple[int, bytes]:
+        connection = self._connect(self._control, timeout_s)
+        connection.sock.settimeout(timeout_s)
+        try:
+            body = None if order is None else json.dumps(order).encode()
+            connection.request(method, path, body, {'Content-Type': 'application/json'})
+            response = connection.getresponse()
+            content = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            raise CallFailedError(
+                f'{type(error).__name__}: {error}', dispatched=True
+            ) from error
+        if response.status not in (STATUS_OK, STATUS_CONFLICT):
+            connection.close()
+            raise CallFailedError(f'{path} gave status {response.status}', dispatched=True)
+        self._keep(self._control, connection, response)
+        return response.status, content
+
+    def _connect(
+        self,
+        pool: collections.deque[http.client.HTTPConnection],
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> http.client.HTTPConnection:
+        while True:
+            try:
+                connection = pool.pop()
+            except IndexError:
+                break
+            if not _is_closed_by_peer(connection):
+                return connection
+            connection.close()
+        connection = http.client.HTTPConnection(self._host, self._port, timeout=timeout_s)
+        try:
+            connection.connect()
+        except OSError as error:
+            raise CallFailedError(f'can not connect: {error}', dispatched=False) from error
+        connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return connection
+
+    @staticmethod
+    def _keep(
+        pool: collections.deque[http.client.HTTPConnection],
+        connection: http.client.HTTPConnection,
+        response: http.client.HTTPResponse,
+    ) -> None:
+        if response.will_close or connection.sock is None:
+            connection.close()
+        else:
+            pool.append(connection)
+
+
+def _is_closed_by_peer(connection: http.client.HTTPConnection) -> bool:
+    """Return whether bytes or an end wait on an idle connection, where none may be."""
+    if connection.sock is None:
+        return True
+    readable, _, _ = select.select([connection.sock], [], [], 0)
+    return bool(readable)
+
+
+def _send(connection: http.client.HTTPConnection, request: BackendRequest) -> None:
+    connection.putrequest(
+        request.method, request.path, skip_host=False, skip_accept_encoding=True
+    )
+    for name, value in request.headers:
+        connection.putheader(name, value)
+    chunked = request.body_length < 0
+    if chunked:
+        connection.putheader('Transfer-Encoding', 'chunked')
+    elif request.body_length > 0 or request.method in ('POST', 'PUT', 'PATCH'):
+        connection.putheader('Content-Length', str(request.body_length))
+    body = b''.join(request.body) if 0 <= request.body_length <= READ_BYTES else None
+    connection.endheaders(body)
+    if body is not None:
+        return
+    for portion in request.body:
+        if portion:
+            connection.send(_chunk(portion) if chunked else portion)
+    if chunked:
+        connection.send(b'0\r\n\r\n')
+
+
+def _chunk(portion: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(portion), portion)
+
+
+def _pass_on(response: http.client.HTTPResponse, sink: AnswerSink) -> None:
+    length = response.length if response.length is not None else -1
+    sink.start(BackendAnswer(response.status, response.getheaders(), length))
+    left = length
+    while left != 0:
+        portion = response.read(READ_BYTES if left < 0 else min(left, READ_BYTES))
+        if not portion and left > 0:
+            raise http.client.IncompleteRead(b'', left)
+        if not portion:
+            break
+        left = left - len(portion) if left > 0 else left
+        sink.write(portion, last=left == 0)
+    response.read()
+    if left != 0 or length == 0:
+        sink.write(b'', last=True)
+
+
+def _parse(content: bytes, expected: type[Health]) -> Health:
+    try:
+        return msgspec.convert(list(_in_order(content, expected)), expected)
+    except (ValueError, KeyError, msgspec.ValidationError) as error:
+        raise CallFailedError(f'malformed health: {error}', dispatched=True) from error
+
+
+def _in_order(content: bytes, expected: type[Health]) -> list[object]:
+    fields = json.loads(content)
+    return [fields[name] for name in expected._fields]
--- /dev/null
+++ b/src/coltsfootstair/inner/__init__.py
@@ -0,0 +1,41 @@
+"""The protocol between daemons: typed messages in msgpack streams over TCP."""
+
+from __future__ import annotations
+
+from coltsfootstair.inner._codec import MAX_FRAME_BYTES, Decoder, encode
+from coltsfootstair.inner._hub import Hub, HubListener, Stream
+from coltsfootstair.inner._messages import (
+    AnswerChunk,
+    AnswerHead,
+    AnswerMessage,
+    BodyAborted,
+    BodyChunk,
+    BodyMessage,
+    CancelRequest,
+    Credit,
+    Hello,
+    Message,
+    Refused,
+    RequestHead,
+)
+
+__all__ = [
+    'MAX_FRAME_BYTES',
+    'AnswerChunk',
+    'AnswerHead',
+    'AnswerMessage',
+    'BodyAborted',
+    'BodyChunk',
+    'BodyMessage',
+    'CancelRequest',
+    'Credit',
+    'Decoder',
+    'Hello',
+    'Hub',
+    'HubListener',
+    'Message',
+    'Refused',
+    'RequestHead',
+    'Stream',
+    'encode',
+]
--- a/src/coltsfootstair/store/__init__.py
+++ b/src/coltsfootstair/store/__init__.py
@@ -2,6 +2,18 @@
 
 from __future__ import annotations
 
+from coltsfootstair.store._client import HttpStore, RevisionTooOldError, StoreIdentity
+from coltsfootstair.store._replica import Replica
 from coltsfootstair.store._types import ABSENT, Store, Versioned, VirtualMachine, VmList
 
-__all__ = ['ABSENT', 'Store', 'Versioned', 'VirtualMachine', 'VmList']
+__all__ = [
+    'ABSENT',
+    'HttpStore',
+    'Replica',
+    'RevisionTooOldError',
+    'Store',
+    'StoreIdentity',
+    'Versioned',
+    'VirtualMachine',
+    'VmList',
+]
--- /dev/null
+++ b/src/coltsfootstair/store/_client.py
@@ -0,0 +1,177 @@
+"""The store and VM list of the platform, spoken to over HTTP."""
+
+from __future__ import annotations
+
+import http.client
+import threading
+import urllib.parse
+from typing import TYPE_CHECKING, NamedTuple, TypedDict, TypeVar
+
+import msgpack
+import msgspec
+
+from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
+from coltsfootstair.store._types import ABSENT, Versioned, VirtualMachine
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ['HttpStore', 'RevisionTooOldError', 'StoreIdentity']
+
+T = TypeVar('T')
+
+CALL_TIMEOUT_S = 2.0
+"""How long a call that is no watch may take, in seconds."""
+
+STATUS_GONE = 410
+STATUS_CONFLICT = 409
+STATUS_NOT_FOUND = 404
+STATUS_OK = 200
+
+
+class RevisionTooOldError(StoreUnavailableError):
+    """A watch asked for changes that the store no longer remembers; scan again."""
+
+
+class StoreIdentity(NamedTuple):
+    """What a daemon says of itself in each call, so that the platform lists its VM."""
+
+    name: str
+    data_centre: str
+    inner: str
+
+
+class _Listing(TypedDict):
+    """The body of a scan's or watch's answer."""
+
+    revision: int
+    objects: list[tuple[str, int, bytes]]
+
+
+_VmRows = list[tuple[str, str, str, bool]]
+
+
+class _Reply(NamedTuple):
+    status: int
+    version: int
+    body: bytes
+
+
+class HttpStore:
+    """A client of the platform's store; each thread that calls keeps a connection."""
+
+    def __init__(self, url: str, identity: StoreIdentity) -> None:
+        parts = urllib.parse.urlsplit(url)
+        self._host = parts.hostname or ''
+        self._port = parts.port or 80
+        self._headers = {
+            'Platform-Vm': identity.name,
+            'Platform-Data-Centre': identity.data_centre,
+            'Platform-Inner': identity.inner,
+        }
+        self._local = threading.local()
+
+    def get(self, key: str) -> Versioned:
+        """Read one object; version ``ABSENT`` if it does not exist."""
+        reply = self._call('GET', _object_path(key))
+        if reply.status == STATUS_NOT_FOUND:
+            return Versioned(key, ABSENT, b'')
+        _expect_ok(reply)
+        return Versioned(key, reply.version, reply.body)
+
+    def scan(self, prefix: str) -> tuple[list[Versioned], int]:
+        """Read all objects below ``prefix``, and the store's revision at that read."""
+        query = urllib.parse.urlencode({'prefix': prefix})
+        reply = self._call('GET', f'/objects?{query}')
+        _expect_ok(reply)
+        return _listing(reply.body)
+
+    def put(self, key: str, value: bytes, *, expected: int) -> int:
+        """Write ``key`` if it is at version ``expected``; return the new version."""
+        return self._change('PUT', key, value, expected)
+
+    def delete(self, key: str, *, expected: int) -> int:
+        """Delete ``key`` if it is at version ``expected``; return the revision."""
+        return self._change('DELETE', key, b'', expected)
+
+    def watch(self, prefix: str, after: int, timeout_s: float) -> tuple[list[Versioned], int]:
+        """Wait for changes past revision ``after``; an empty value means deleted.
+
+        :raises RevisionTooOldError: the store no longer knows what came after ``after``
+        """
+        query = urllib.parse.urlencode(
+            {'prefix': prefix, 'after': after, 'timeout_ms': int(timeout_s * 1000)}
+        )
+        reply = self._call('GET', f'/watch?{query}', extra_s=timeout_s)
+        if reply.status == STATUS_GONE:
+            raise RevisionTooOldError('the store no longer knows the changes asked for')
+        _expect_ok(reply)
+        return _listing(reply.body)
+
+    def list(self) -> dict[str, VirtualMachine]:
+        """Return the listed VMs by name."""
+        reply = self._call('GET', '/vms')
+        _expect_ok(reply)
+        rows = _decode(reply.body, _VmRows)
+        return {row[0]: VirtualMachine(*row) for row in rows}
+
+    def _change(self, method: str, key: str, value: bytes, expected: int) -> int:
+        headers = {'Expected-Version': str(expected)}
+        reply = self._call(method, _object_path(key), value, headers)
+        if reply.status in (STATUS_CONFLICT, STATUS_NOT_FOUND):
+            raise StoreConflictError(f'{key} is at version {reply.version}, not {expected}')
+        _expect_ok(reply)
+        return reply.version
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        headers: Mapping[str, str] | None = None,
+        extra_s: float = 0.0,
+    ) -> _Reply:
+        connection = self._connection(CALL_TIMEOUT_S + extra_s)
+        try:
+            connection.request(
+                method, path, body or None, {**self._headers, **(headers or {})}
+            )
+            response = connection.getresponse()
+            content = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            raise StoreUnavailableError(f'the store gave no answer: {error}') from None
+        return _Reply(response.status, int(response.getheader('Version', '0')), content)
+
+    def _connection(self, timeout_s: float) -> http.client.HTTPConnection:
+        connection: http.client.HTTPConnection | None = getattr(
+            self._local, 'connection', None
+        )
+        if connection is None:
+            connection = http.client.HTTPConnection(self._host, self._port)
+            self._local.connection = connection
+        connection.timeout = timeout_s
+        if connection.sock is not None:
+            connection.sock.settimeout(timeout_s)
+        return connection
+
+
+def _object_path(key: str) -> str:
+    return '/objects/' + urllib.parse.quote(key)
+
+
+def _expect_ok(reply: _Reply) -> None:
+    if reply.status != STATUS_OK:
+        raise StoreUnavailableError(f'the store answered with status {reply.status}')
+
+
+def _listing(body: bytes) -> tuple[list[Versioned], int]:
+    listing = _decode(body, _Listing)
+    return [Versioned(*row) for row in listing['objects']], listing['revision']
+
+
+def _decode(body: bytes, expected: type[T]) -> T:
+    try:
+        return msgspec.convert(msgpack.unpackb(body), expected)
+    except (ValueError, msgpack.UnpackException, msgspec.ValidationError) as error:
+        raise StoreUnavailableError(f'the store sent a malformed answer: {error}') from None
--- /dev/null
+++ b/src/coltsfootstair/store/_replica.py
@@ -0,0 +1,61 @@
+"""A daemon's copy of the store's objects, in which versions never go back."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from coltsfootstair.store._types import ABSENT, Versioned
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+__all__ = ['Replica']
+
+
+class Replica:
+    """Objects by key as last heard of, from the store or from peers.
+
+    It is a hint: whatever must be certain is a conditional update or a read of the
+    store itself. A deleted object stays as an empty value at the deletion's version,
+    so that an older word of it is still refused.
+    """
+
+    def __init__(self) -> None:
+        self._object_by_key: dict[str, Versioned] = {}
+        self._lock = threading.Lock()
+        self._listeners: list[Callable[[Versioned], None]] = []
+
+    def subscribe(self, listener: Callable[[Versioned], None]) -> None:
+        """Call ``listener`` after each change, on the thread that brought it."""
+        self._listeners.append(listener)
+
+    def get(self, key: str) -> Versioned:
+        """Return the object, or one at version ``ABSENT``."""
+        return self._object_by_key.get(key, Versioned(key, ABSENT, b''))
+
+    def below(self, prefix: str) -> list[Versioned]:
+        """Return the objects whose key starts with ``prefix``, without deleted ones."""
+        with self._lock:
+            objects = list(self._object_by_key.values())
+        return [item for item in objects if item.value and item.key.startswith(prefix)]
+
+    def version_by_key(self) -> dict[str, int]:
+        """Return the version of each object, the digest that peers compare."""
+        with self._lock:
+            return {key: item.version for key, item in self._object_by_key.items()}
+
+    def apply(self, items: Iterable[Versioned]) -> list[Versioned]:
+        """Take in what is newer than what is known; return just that."""
+        with self._lock:
+            newer = [item for item in items if self._is_newer(item)]
+            for item in newer:
+                self._object_by_key[item.key] = item
+        for item in newer:
+            for listener in self._listeners:
+                listener(item)
+        return newer
+
+    def _is_newer(self, item: Versioned) -> bool:
+        known = self._object_by_key.get(item.key)
+        return known is None or item.version > known.version
