--- a/src/coltsfootstair/backend/_client.py
+++ b/src/coltsfootstair/backend/_client.py
@@ -140,8 +140,9 @@
     """Return whether bytes or an end wait on an idle connection, where none may be."""
     if connection.sock is None:
         return True
-    readable, _, _ = select.select([connection.sock], [], [], 0)
-    return bool(readable)
+    poller = select.poll()
+    poller.register(connection.sock, select.POLLIN)
+    return bool(poller.poll(0))
 
 
 def _send(connection: http.client.HTTPConnection, request: BackendRequest) -> None:
--- a/src/coltsfootstair/backend/_types.py
+++ b/src/coltsfootstair/backend/_types.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple, Protocol
-
-if TYPE_CHECKING:
-    from collections.abc import Iterator
+from collections.abc import Iterator
+from typing import NamedTuple, Protocol
 
 __all__ = [
     'AnswerSink',
--- /dev/null
+++ b/src/coltsfootstair/cli/_daemon.py
@@ -0,0 +1,57 @@
+"""The command that runs one daemon."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+from pathlib import Path
+from typing import Annotated
+
+import structlog
+from cyclopts import Parameter
+
+from coltsfootstair.cli._app import app
+from coltsfootstair.clock import SystemClock
+from coltsfootstair.errors import BadInputError
+from coltsfootstair.logs import configure
+from coltsfootstair.settings import load
+
+__all__ = ['daemon']
+
+logger = structlog.get_logger()
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+
+
+@app.command
+def daemon(*, settings: Annotated[Path, Parameter(help='Settings file in TOML')]) -> int:
+    """Run one daemon until SIGTERM."""
+    # Importing the servers takes a while that other commands need not spend.
+    from coltsfootstair.daemon import Daemon
+
+    try:
+        loaded = load(settings)
+    except (BadInputError, ExceptionGroup) as error:
+        _print_faults(error)
+        return EXIT_BAD_INPUT
+    configure(daemon=loaded.name)
+    ended = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: ended.set())
+    try:
+        running = Daemon(loaded, SystemClock())
+        running.start()
+    except OSError as error:
+        print(f'coltsfootstair: can not take an address: {error}', file=sys.stderr)
+        return EXIT_FAILED
+    ended.wait()
+    return EXIT_DONE if running.stop() else EXIT_FAILED
+
+
+def _print_faults(error: BaseException) -> None:
+    faults = error.exceptions if isinstance(error, BaseExceptionGroup) else (error,)
+    for fault in faults:
+        print(fault, file=sys.stderr)
--- /dev/null
+++ b/src/coltsfootstair/coordinator/_exchange.py
@@ -0,0 +1,157 @@
+"""One request at its coordinator, from the entry daemon's message to the answer."""
+
+from __future__ import annotations
+
+import queue
+from typing import TYPE_CHECKING
+
+from coltsfootstair.backend import BackendRequest
+from coltsfootstair.errors import ColtsfootstairError
+from coltsfootstair.inner import (
+    AnswerChunk,
+    AnswerHead,
+    BodyAborted,
+    BodyChunk,
+    Credit,
+    Refused,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from coltsfootstair.backend import BackendAnswer
+    from coltsfootstair.clock import Clock
+    from coltsfootstair.inner import AnswerMessage, BodyMessage, RequestHead
+    from coltsfootstair.results import Refusal
+
+__all__ = [
+    'CREDIT_WINDOW_BYTES',
+    'BodyCutError',
+    'Exchange',
+    'ShedError',
+]
+
+CREDIT_WINDOW_BYTES = 512 * 1024
+"""Bytes of one body or answer that may be on their way between two daemons."""
+
+SHED_HEADER = 'coltsfootstair-shed'
+
+
+class BodyCutError(ColtsfootstairError):
+    """The caller's body ended early, or came too slowly."""
+
+
+class ShedError(ColtsfootstairError):
+    """The backend server refused the request without running it.
+
+    :param reason: the server's word
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f'the backend server refused: {reason}')
+        self.reason = reason
+
+
+class Exchange:
+    """Carries a request's body in and its answer out, in portions under credit.
+
+    :param reply: passes a message to the entry daemon; from any thread
+    """
+
+    def __init__(
+        self, head: RequestHead, reply: Callable[[AnswerMessage], object], clock: Clock
+    ) -> None:
+        self.head = head
+        self.inbox: queue.SimpleQueue[BodyMessage] = queue.SimpleQueue()
+        self.deadline = clock.monotonic() + head.timeout_ms / 1000
+        self.answer_started = False
+        self._reply = reply
+        self._clock = clock
+        self._credit = CREDIT_WINDOW_BYTES
+        self._answer: BackendAnswer | None = None
+
+    def remaining_s(self) -> float:
+        """Return the seconds left for the answer; never below zero."""
+        return max(0.0, self.deadline - self._clock.monotonic())
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Answer with a refusal; it must be the last word on this request."""
+        retry_after_s = refusal.retry_after_s
+        self._reply(
+            Refused(
+                self.head.request_id,
+                refusal.code,
+                refusal.ran,
+                refusal.detail,
+                -1 if retry_after_s is None else int(retry_after_s * 1000),
+            )
+        )
+
+    def request(self, headers: list[tuple[str, str]]) -> BackendRequest:
+        """Return the request for the backend server with ``headers`` added."""
+        return BackendRequest(
+            self.head.method,
+            self.head.path,
+            [*self.head.headers, *headers],
+            self._body(),
+            len(self.head.body) if self.head.complete else self.head.body_length,
+            max(self.remaining_s(), 0.001),
+        )
+
+    def start(self, answer: BackendAnswer) -> None:
+        """Take the head of the answer.
+
+        :raises ShedError: the server refused without running the request
+        """
+        for name, value in answer.headers:
+            if name.lower() == SHED_HEADER:
+                raise ShedError(value)
+        self._answer = answer
+
+    def write(self, data: bytes, *, last: bool) -> None:
+        """Pass a portion of the answer on, when the entry daemon has room for it."""
+        if self._answer is not None:
+            self._send_head(self._answer, data, last=last)
+            return
+        self._await_credit()
+        self._credit -= len(data)
+        self._reply(AnswerChunk(self.head.request_id, data, last))
+
+    def _send_head(self, answer: BackendAnswer, data: bytes, *, last: bool) -> None:
+        self._answer = None
+        self.answer_started = True
+        self._credit -= len(data)
+        self._reply(
+            AnswerHead(
+                self.head.request_id, answer.status, answer.headers, data, last, answer.length
+            )
+        )
+
+    def _await_credit(self) -> None:
+        while self._credit <= 0:
+            message = self._next_message()
+            if isinstance(message, Credit):
+                self._credit += message.size
+            elif isinstance(message, BodyAborted):
+                raise BodyCutError('the caller has gone')
+
+    def _body(self) -> Iterator[bytes]:
+        yield self.head.body
+        complete = self.head.complete
+        while not complete:
+            message = self._next_message()
+            match message:
+                case BodyChunk(_, data, last):
+                    self._reply(Credit(self.head.request_id, len(data)))
+                    complete = last
+                    yield data
+                case BodyAborted():
+                    raise BodyCutError('the caller cut its body off')
+                case _:
+                    continue
+
+    def _next_message(self) -> BodyMessage:
+        try:
+            return self.inbox.get(timeout=max(self.remaining_s(), 0.001))
+        except queue.Empty:
+            raise BodyCutError('the body did not come in time') from None
--- /dev/null
+++ b/src/coltsfootstair/coordinator/_messages.py
@@ -0,0 +1,84 @@
+"""Events that the coordinator task takes from other tasks."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from coltsfootstair.admission._messages import Observed, Outcome
+from coltsfootstair.coordinator._exchange import Exchange
+from coltsfootstair.document import BackendServer, Service
+
+__all__ = [
+    'CancelExchange',
+    'CoordinatorEvent',
+    'ExchangeEnded',
+    'RightsGiven',
+    'RightsTaken',
+    'RowsGranted',
+    'ServerObserved',
+    'SubmitExchange',
+]
+
+
+class SubmitExchange(NamedTuple):
+    """A request for a backend server that this daemon is thought to coordinate."""
+
+    exchange: Exchange
+
+
+class CancelExchange(NamedTuple):
+    """The caller has gone."""
+
+    request_id: str
+
+
+class ExchangeEnded(NamedTuple):
+    """A dispatched request no longer occupies its slot."""
+
+    backend_server: str
+    request_id: str
+    outcome: Outcome
+    seconds: float
+
+
+class RightsGiven(NamedTuple):
+    """This daemon may act as the server's coordinator, under the document's limits."""
+
+    server: BackendServer
+    service: Service
+
+
+class RightsTaken(NamedTuple):
+    """This daemon may no longer act as the server's coordinator."""
+
+    backend_server: str
+
+
+class RowsGranted(NamedTuple):
+    """The rows that the server holds for certain until ``valid_until``.
+
+    :param token_by_row: the fencing token of each row
+    :param valid_until: local monotonic seconds
+    """
+
+    backend_server: str
+    token_by_row: dict[int, int]
+    valid_until: float
+
+
+class ServerObserved(NamedTuple):
+    """A probe was answered, or failed."""
+
+    backend_server: str
+    observed: Observed
+
+
+CoordinatorEvent = (
+    SubmitExchange
+    | CancelExchange
+    | ExchangeEnded
+    | RightsGiven
+    | RightsTaken
+    | RowsGranted
+    | ServerObserved
+)
--- /dev/null
+++ b/src/coltsfootstair/daemon/__init__.py
@@ -0,0 +1,7 @@
+"""The daemon: one process of the router, wired together."""
+
+from __future__ import annotations
+
+from coltsfootstair.daemon._application import Daemon
+
+__all__ = ['Daemon']
--- /dev/null
+++ b/src/coltsfootstair/daemon/_application.py
@@ -0,0 +1,165 @@
+"""The central object that wires a daemon's parts together."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import structlog
+
+from coltsfootstair.backend import HttpBackendServer
+from coltsfootstair.coordinator import Coordinator, Exchange
+from coltsfootstair.daemon._inbound import Inbound
+from coltsfootstair.daemon._ownership import OwnershipTask
+from coltsfootstair.daemon._peers import PeerDirectory, PeerLink
+from coltsfootstair.daemon._store_watch import StoreWatch
+from coltsfootstair.document import ServiceKind
+from coltsfootstair.entry import CallerServer, PendingAnswers, Relay
+from coltsfootstair.inner import Hello, Hub
+from coltsfootstair.inner._messages import PROTOCOL_VERSION
+from coltsfootstair.metrics import DaemonMetrics
+from coltsfootstair.routing import Router
+from coltsfootstair.store import HttpStore, Replica, StoreIdentity
+
+if TYPE_CHECKING:
+    from coltsfootstair.backend import BackendServerPort
+    from coltsfootstair.clock import Clock
+    from coltsfootstair.document import BackendServer
+    from coltsfootstair.inner import AnswerMessage, RequestHead
+    from coltsfootstair.settings import DaemonSettings
+
+__all__ = ['Daemon']
+
+logger = structlog.get_logger()
+
+EXCHANGE_THREADS = 256
+"""Requests that one daemon has in flight at all its backend servers together."""
+
+FIRST_READ_TIMEOUT_S = 3.0
+DRAIN_POLL_S = 0.05
+DRAIN_TIMEOUT_S = 900.0
+BALANCER_NOTICE_S = 1.0
+"""How long a daemon still takes requests after it stops being ready, in seconds."""
+
+
+class Daemon:
+    """One process of the router: it serves callers, and coordinates backend servers."""
+
+    def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = uuid.uuid4().hex
+        self.metrics = DaemonMetrics(settings.name)
+        self.replica = Replica()
+        self.router = Router(random.Random())
+        self.replica.subscribe(self.router.take)
+        self.pending = PendingAnswers()
+        self._executor = ThreadPoolExecutor(EXCHANGE_THREADS, 'exchange')
+        self.coordinator = Coordinator(clock, self._executor, _open_port)
+        self.inbound = Inbound(clock, self.coordinator, self.pending)
+        hello = Hello(PROTOCOL_VERSION, settings.name, settings.data_centre, self.incarnation)
+        self.hub = Hub(hello, settings.inner, self.inbound)
+        identity = StoreIdentity(settings.name, settings.data_centre, self.hub.address)
+        self.store = HttpStore(settings.store_url, identity)
+        self.store_watch = StoreWatch(self.store, self.replica)
+        self.peers = PeerDirectory(self.store)
+        self.ownership = OwnershipTask(
+            settings.name,
+            settings.data_centre,
+            self.incarnation,
+            clock,
+            self.store,
+            self.router,
+            self.peers,
+            self.coordinator,
+            _open_port,
+        )
+        link = PeerLink(
+            settings.name, self.hub, self.peers, self._open_exchange, self.coordinator.cancel
+        )
+        self.callers = CallerServer(
+            settings.callers,
+            Relay(clock, self.router, link, self.pending),
+            self.is_ready,
+            self._upload_services,
+            self.metrics.count_request,
+        )
+        self._ready = False
+        self._leaving = threading.Event()
+
+    def start(self) -> None:
+        """Begin to serve.
+
+        :raises OSError: an address is in use
+        """
+        self.callers.open()
+        self.hub.start()
+        self.coordinator.start()
+        self.store_watch.start()
+        if not self.store_watch.wait_first(FIRST_READ_TIMEOUT_S):
+            logger.warning('store unreachable at start', url=self.settings.store_url)
+        self.peers.poll()
+        self.peers.start()
+        self.ownership.start()
+        self.callers.start()
+        self._ready = True
+        logger.info(
+            'ready',
+            name=self.settings.name,
+            callers=self.callers.address,
+            inner=self.hub.address,
+        )
+
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self._ready and self.router.document_version > 0
+
+    def stop(self) -> bool:
+        """Shut down gracefully; true if nothing was left in flight."""
+        self._ready = False
+        self._leaving.wait(BALANCER_NOTICE_S)
+        clean = self._drain()
+        self.callers.stop()
+        self.ownership.stop()
+        self.peers.stop()
+        self.store_watch.stop()
+        self.coordinator.stop()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+        self.hub.stop()
+        self.metrics.close()
+        logger.info('stopped', clean=clean)
+        return clean
+
+    def _drain(self) -> bool:
+        give_up = self.clock.monotonic() + DRAIN_TIMEOUT_S
+        while self.callers.active() or self._in_flight():
+            if self.clock.monotonic() >= give_up:
+                return False
+            time.sleep(DRAIN_POLL_S)
+        return True
+
+    def _in_flight(self) -> int:
+        return sum(self.coordinator.in_flight_by_server().values())
+
+    def _open_exchange(self, head: RequestHead) -> Exchange:
+        def reply(message: AnswerMessage) -> None:
+            self.pending.deliver(None, message)
+
+        exchange = Exchange(head, reply, self.clock)
+        self.coordinator.submit(exchange)
+        return exchange
+
+    def _upload_services(self) -> frozenset[str]:
+        return frozenset(
+            service.name
+            for service in self.router.document.services
+            if service.kind is ServiceKind.UPLOAD
+        )
+
+
+def _open_port(server: BackendServer) -> BackendServerPort:
+    return HttpBackendServer(server.address)
--- /dev/null
+++ b/src/coltsfootstair/daemon/_inbound.py
@@ -0,0 +1,113 @@
+"""Hands messages from inner streams to the tasks that they are for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from coltsfootstair.coordinator import Exchange
+from coltsfootstair.inner import (
+    AnswerChunk,
+    AnswerHead,
+    BodyAborted,
+    BodyChunk,
+    CancelRequest,
+    Credit,
+    Refused,
+    RequestHead,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coltsfootstair.clock import Clock
+    from coltsfootstair.coordinator import Coordinator
+    from coltsfootstair.entry import PendingAnswers
+    from coltsfootstair.inner import AnswerMessage, Message, Stream
+
+__all__ = ['Inbound']
+
+
+class Inbound:
+    """The daemon's listener on its hub; other parts add handlers by message type."""
+
+    def __init__(
+        self, clock: Clock, coordinator: Coordinator, pending: PendingAnswers
+    ) -> None:
+        self._clock = clock
+        self._coordinator = coordinator
+        self._pending = pending
+        self._exchange_by_id: dict[tuple[Stream, str], Exchange] = {}
+        self._handler_by_type: dict[type, Callable[[Stream, Message], None]] = {}
+        self._on_closed: list[Callable[[Stream], None]] = []
+
+    def add_handler(
+        self, message_type: type, handler: Callable[[Stream, Message], None]
+    ) -> None:
+        """Have messages of ``message_type`` handled, on the hub's thread."""
+        self._handler_by_type[message_type] = handler
+
+    def add_closed_handler(self, handler: Callable[[Stream], None]) -> None:
+        """Call ``handler`` for each stream that ends, on the hub's thread."""
+        self._on_closed.append(handler)
+
+    def received(self, stream: Stream, message: Message) -> None:
+        """Hand a message on."""
+        match message:
+            case RequestHead():
+                self._open(stream, message)
+            case BodyChunk(request_id) | BodyAborted(request_id):
+                self._to_exchange(stream, request_id, message)
+            case Credit(request_id, _):
+                self._to_exchange(stream, request_id, message)
+                self._pending.deliver(stream, message)
+            case AnswerHead() | AnswerChunk() | Refused():
+                self._pending.deliver(stream, message)
+            case CancelRequest(request_id):
+                self._coordinator.cancel(request_id)
+            case _:
+                self._to_handler(stream, message)
+
+    def closed(self, stream: Stream) -> None:
+        """Let all that depended on ``stream`` know."""
+        self._pending.lost(stream)
+        for owner, request_id in list(self._exchange_by_id):
+            if owner is stream:
+                exchange = self._exchange_by_id.pop((owner, request_id))
+                exchange.inbox.put(BodyAborted(request_id))
+        for handler in self._on_closed:
+            handler(stream)
+
+    def _open(self, stream: Stream, head: RequestHead) -> None:
+        key = (stream, head.request_id)
+
+        def reply(message: AnswerMessage) -> None:
+            if _is_last(message):
+                self._exchange_by_id.pop(key, None)
+            stream.send(message)
+
+        exchange = Exchange(head, reply, self._clock)
+        self._exchange_by_id[key] = exchange
+        self._coordinator.submit(exchange)
+
+    def _to_exchange(
+        self, stream: Stream, request_id: str, message: BodyChunk | BodyAborted | Credit
+    ) -> None:
+        exchange = self._exchange_by_id.get((stream, request_id))
+        if exchange is not None:
+            exchange.inbox.put(message)
+
+    def _to_handler(self, stream: Stream, message: Message) -> None:
+        handler = self._handler_by_type.get(type(message))
+        if handler is not None:
+            handler(stream, message)
+
+
+def _is_last(message: AnswerMessage) -> bool:
+    match message:
+        case AnswerHead():
+            return message.complete
+        case AnswerChunk():
+            return message.last
+        case Refused():
+            return True
+    return False
--- /dev/null
+++ b/src/coltsfootstair/entry/_relay.py
@@ -0,0 +1,360 @@
+"""Carries one request from its caller to the coordinator, and the answer back."""
+
+from __future__ import annotations
+
+import queue
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from coltsfootstair.document import ServiceKind
+from coltsfootstair.entry._pending import LinkLost
+from coltsfootstair.inner import (
+    AnswerChunk,
+    AnswerHead,
+    BodyAborted,
+    BodyChunk,
+    CancelRequest,
+    Credit,
+    Refused,
+    RequestHead,
+)
+from coltsfootstair.results import Ran, Refusal, ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from coltsfootstair.clock import Clock
+    from coltsfootstair.entry._pending import Mailbox, PendingAnswers
+    from coltsfootstair.inner import Message, Stream
+    from coltsfootstair.routing import Route, Router
+
+__all__ = ['CallerRequest', 'CoordinatorLink', 'Relay', 'RelayedAnswer']
+
+INLINE_BODY_BYTES = 64 * 1024
+"""A body up to this size travels with the head of its request, and can be sent again."""
+
+CHUNK_BYTES = 64 * 1024
+RETRY_PAUSE_S = 0.02
+ANSWER_GRACE_S = 0.25
+"""How long after the deadline a coordinator's own last word is still waited for."""
+
+CREDIT_WINDOW_BYTES = 512 * 1024
+
+RETRIED = frozenset(
+    {
+        ResultCode.NOT_COORDINATOR,
+        ResultCode.KEY_MOVING,
+        ResultCode.NO_OWNER,
+        ResultCode.COORDINATOR_UNREACHABLE,
+    }
+)
+"""Refusals that tell of a change under way, so that another try soon may be served."""
+
+
+class CallerRequest(NamedTuple):
+    """A caller's request as it came in.
+
+    :param read: gives the next bytes of the body, up to a size; empty at the end
+    :param body_length: the announced length in bytes, or -1 if it is not known
+    """
+
+    request_id: str
+    operation_id: str
+    service: str
+    key: str
+    caller: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    timeout_s: float
+    read: Callable[[int], bytes]
+    body_length: int
+
+
+class RelayedAnswer(NamedTuple):
+    """A backend server's answer on its way to the caller.
+
+    :param portions: the body; raises ``AnswerCutError`` if the rest can't be had
+    """
+
+    head: AnswerHead
+    portions: Iterator[bytes]
+
+
+class AnswerCutError(Exception):
+    """The rest of an answer that has begun is lost; the caller must see it as cut."""
+
+
+class CoordinatorLink(Protocol):
+    """Opens the way to a coordinator, which may be this daemon itself."""
+
+    def connect(self, coordinator: str) -> LinkEnd | None:
+        """Return the way to ``coordinator``, or ``None`` if it can't be reached."""
+
+
+class LinkEnd(Protocol):
+    """The sending end of the way to one coordinator."""
+
+    @property
+    def stream(self) -> Stream | None:
+        """The inner stream that answers come in on; ``None`` within this daemon."""
+
+    def send(self, message: Message) -> bool:
+        """Send a message; false if the way is closed and nothing was sent."""
+
+
+class Relay:
+    """Routes, sends, waits and tries again, for each request on its caller's thread."""
+
+    def __init__(
+        self, clock: Clock, router: Router, link: CoordinatorLink, pending: PendingAnswers
+    ) -> None:
+        self._clock = clock
+        self._router = router
+        self._link = link
+        self._pending = pending
+
+    def serve(self, request: CallerRequest) -> RelayedAnswer | Refusal:
+        """Return the whole way's outcome: an answer that streams, or a refusal."""
+        deadline = self._clock.monotonic() + request.timeout_s
+        body = _read_inline(request)
+        if body is None:
+            return Refusal(ResultCode.BODY_CUT, Ran.NO, 'the body ended early')
+        attempt = 0
+        while True:
+            route = self._router.route(request.service, request.key, request.operation_id)
+            if isinstance(route, Refusal):
+                outcome: RelayedAnswer | Refusal = route
+            else:
+                job = _Job(self, request, route, body, deadline, attempt)
+                outcome = job.run()
+            attempt += 1
+            if not self._may_retry(request, body, outcome, deadline):
+                return outcome
+            self._pause()
+
+    def _may_retry(
+        self,
+        request: CallerRequest,
+        body: _InlineBody,
+        outcome: RelayedAnswer | Refusal,
+        deadline: float,
+    ) -> bool:
+        if not isinstance(outcome, Refusal) or not body.complete:
+            return False
+        if self._clock.monotonic() + RETRY_PAUSE_S >= deadline:
+            return False
+        if outcome.ran is Ran.NO:
+            return outcome.code in RETRIED
+        return outcome.code is ResultCode.OUTCOME_UNKNOWN and self._idempotent(request.service)
+
+    def _idempotent(self, service: str) -> bool:
+        known = {item.name: item for item in self._router.document.services}
+        return service in known and known[service].kind is ServiceKind.LOOKUP
+
+    def _pause(self) -> None:
+        queue_never_filled: queue.SimpleQueue[None] = queue.SimpleQueue()
+        try:
+            queue_never_filled.get(timeout=RETRY_PAUSE_S)
+        except queue.Empty:
+            return
+
+
+class _InlineBody(NamedTuple):
+    data: bytes
+    complete: bool
+
+
+def _read_inline(request: CallerRequest) -> _InlineBody | None:
+    """Read the first part of the body; ``None`` if it ended before its length."""
+    length = request.body_length
+    if length == 0:
+        return _InlineBody(b'', True)
+    wanted = INLINE_BODY_BYTES if length < 0 else min(length, INLINE_BODY_BYTES)
+    data = _read_exactly(request, wanted)
+    if length < 0:
+        return _InlineBody(data, len(data) < wanted)
+    if len(data) < wanted:
+        return None
+    return _InlineBody(data, length == wanted)
+
+
+def _read_exactly(request: CallerRequest, size: int) -> bytes:
+    parts: list[bytes] = []
+    while size > 0:
+        part = request.read(size)
+        if not part:
+            break
+        parts.append(part)
+        size -= len(part)
+    return b''.join(parts)
+
+
+class _Job:
+    """One try of a request with one coordinator."""
+
+    def __init__(
+        self,
+        relay: Relay,
+        request: CallerRequest,
+        route: Route,
+        body: _InlineBody,
+        deadline: float,
+        attempt: int,
+    ) -> None:
+        self._relay = relay
+        self._request = request
+        self._route = route
+        self._body = body
+        self._deadline = deadline
+        # Each try has an id of its own, so that a late answer to an earlier one is not
+        # taken for the answer to this one.
+        self._id = request.request_id if attempt == 0 else f'{request.request_id}.{attempt}'
+        self._mailbox: Mailbox = queue.SimpleQueue()
+        self._credit = CREDIT_WINDOW_BYTES
+
+    def run(self) -> RelayedAnswer | Refusal:
+        """Send the request and wait for the head of an answer, or a refusal."""
+        link = self._relay._link.connect(self._route.coordinator)
+        if link is None:
+            return _unreachable()
+        self._link = link
+        self._relay._pending.expect(self._id, self._mailbox, link.stream)
+        self._relay._router.sent(self._route.backend_server)
+        outcome: RelayedAnswer | Refusal | None = None
+        try:
+            outcome = self._send_and_wait()
+            return outcome
+        finally:
+            if not isinstance(outcome, RelayedAnswer):
+                self._end()
+
+    def _send_and_wait(self) -> RelayedAnswer | Refusal:
+        if not self._link.send(self._head()):
+            return _unreachable()
+        if not self._body.complete:
+            refusal = self._send_rest()
+            if refusal is not None:
+                return refusal
+        while True:
+            message = self._next()
+            match message:
+                case AnswerHead():
+                    return RelayedAnswer(message, self._portions(message))
+                case Refused():
+                    return _refusal(message)
+                case LinkLost():
+                    return Refusal(
+                        ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, 'the coordinator was lost'
+                    )
+                case None:
+                    return self._give_up()
+                case _:
+                    continue
+
+    def _give_up(self) -> Refusal:
+        self._link.send(CancelRequest(self._id))
+        return Refusal(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, 'no answer came in time')
+
+    def _head(self) -> RequestHead:
+        request = self._request
+        left_s = max(0.0, self._deadline - self._relay._clock.monotonic())
+        return RequestHead(
+            self._id,
+            request.operation_id,
+            request.service,
+            self._route.backend_server,
+            request.key,
+            self._route.slot,
+            self._route.row_epoch,
+            request.caller,
+            request.method,
+            request.path,
+            request.headers,
+            int(left_s * 1000),
+            self._body.data,
+            self._body.complete,
+            request.body_length,
+        )
+
+    def _send_rest(self) -> Refusal | None:
+        """Send the body behind its first part as the coordinator gives credit."""
+        left = self._request.body_length - len(self._body.data)
+        announced = self._request.body_length >= 0
+        while True:
+            refusal = self._await_credit()
+            if refusal is not None:
+                return refusal
+            wanted = min(CHUNK_BYTES, left) if announced else CHUNK_BYTES
+            data = self._request.read(wanted)
+            left -= len(data)
+            if announced and not data and left > 0:
+                self._link.send(BodyAborted(self._id))
+                return Refusal(ResultCode.BODY_CUT, Ran.UNKNOWN, 'the body ended early')
+            last = left == 0 if announced else not data
+            self._credit -= len(data)
+            if not self._link.send(BodyChunk(self._id, data, last)):
+                return Refusal(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, 'the stream broke')
+            if last:
+                return None
+
+    def _await_credit(self) -> Refusal | None:
+        """Wait until a chunk may be sent; a refusal that comes instead is returned."""
+        while True:
+            try:
+                message = self._mailbox.get(block=False)
+            except queue.Empty:
+                if self._credit > 0:
+                    return None
+                message = self._next()
+            match message:
+                case Credit(_, size):
+                    self._credit += size
+                case Refused():
+                    return _refusal(message)
+                case AnswerHead():
+                    # An answer before the end of the body; it is taken up afterwards.
+                    self._mailbox.put(message)
+                    return None
+                case LinkLost():
+                    return Refusal(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, 'the link broke')
+                case _:
+                    return self._give_up()
+
+    def _portions(self, head: AnswerHead) -> Iterator[bytes]:
+        try:
+            yield head.body
+            complete = head.complete
+            while not complete:
+                message = self._next()
+                if not isinstance(message, AnswerChunk):
+                    if isinstance(message, Credit):
+                        continue
+                    raise AnswerCutError('the rest of the answer is lost')
+                self._link.send(Credit(self._id, len(message.data)))
+                complete = message.last
+                yield message.data
+        finally:
+            self._end()
+
+    def _next(self) -> object:
+        """Return the next message, or ``None`` when the time for it is over."""
+        left_s = self._deadline + ANSWER_GRACE_S - self._relay._clock.monotonic()
+        try:
+            return self._mailbox.get(timeout=max(left_s, 0.001))
+        except queue.Empty:
+            return None
+
+    def _end(self) -> None:
+        self._relay._pending.forget(self._id)
+        self._relay._router.done(self._route.backend_server)
+
+
+def _unreachable() -> Refusal:
+    return Refusal(
+        ResultCode.COORDINATOR_UNREACHABLE, Ran.NO, 'nothing was sent to it', RETRY_PAUSE_S * 10
+    )
+
+
+def _refusal(message: Refused) -> Refusal:
+    retry_after_s = None if message.retry_after_ms < 0 else message.retry_after_ms / 1000
+    return Refusal(message.code, message.ran, message.detail, retry_after_s)
--- a/src/coltsfootstair/inner/_messages.py
+++ b/src/coltsfootstair/inner/_messages.py
@@ -34,7 +34,7 @@
     protocol: int
     name: str
     data_centre: str
-    incarnation: int
+    incarnation: str
 
 
 class RequestHead(NamedTuple):
--- /dev/null
+++ b/src/coltsfootstair/logs/_setup.py
@@ -0,0 +1,38 @@
+"""Configures structlog for a process."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import structlog
+
+__all__ = ['configure']
+
+
+def configure(level: int = logging.INFO, **context: str) -> None:
+    """Write JSON lines on standard error, each with ``context`` added."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.dict_tracebacks,
+            _context_adder(context),
+            structlog.processors.JSONRenderer(default=str),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+def _context_adder(context: dict[str, str]) -> structlog.types.Processor:
+    def add(
+        _logger: structlog.types.WrappedLogger,
+        _method: str,
+        event: structlog.types.EventDict,
+    ) -> structlog.types.EventDict:
+        return {**event, **context}
+
+    return add
--- /dev/null
+++ b/src/coltsfootstair/metrics/__init__.py
@@ -0,0 +1,7 @@
+"""What a daemon counts, by OpenTelemetry, readable on its /metrics page."""
+
+from __future__ import annotations
+
+from coltsfootstair.metrics._metrics import DaemonMetrics
+
+__all__ = ['DaemonMetrics']
