Add the operators' document, daemon settings and the time line

The document and the settings are read field by field, so that all faults of a file are shown at once, each with its file, field and line. tomllib gives no line numbers and msgspec treats a NamedTuple as an array, so the fields are converted one by one and lines are found by a scan of the text that is used for messages only. Ruled out: a TOML library that keeps lines, as a second parser could disagree with the first.

The time line stamps events with a hybrid logical clock, and keeps events of single requests in a ring of their own, so that a flood of refusals does not push out who owned what.

--- /dev/null
+++ b/src/coltsfootstair/cli/_failures.py
@@ -0,0 +1,38 @@
+"""Turns errors into one line each on standard error, and an exit code."""
+
+from __future__ import annotations
+
+import sys
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from coltsfootstair.errors import BadInputError, ColtsfootstairError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ['EXIT_BAD_INPUT', 'EXIT_FAILED', 'reported_errors']
+
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+
+
+@contextmanager
+def reported_errors() -> Iterator[None]:
+    """Report errors of this package without a traceback and exit."""
+    try:
+        yield
+    except* BadInputError as group:
+        _print_each(group)
+        sys.exit(EXIT_BAD_INPUT)
+    except* ColtsfootstairError as group:
+        _print_each(group)
+        sys.exit(EXIT_FAILED)
+
+
+def _print_each(group: BaseExceptionGroup[ColtsfootstairError]) -> None:
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            _print_each(error)
+        else:
+            print(' '.join(str(error).split()), file=sys.stderr)
--- a/src/coltsfootstair/document/__init__.py
+++ b/src/coltsfootstair/document/__init__.py
@@ -2,6 +2,15 @@
 
 from __future__ import annotations
 
+from coltsfootstair.document._changes import (
+    Change,
+    ChangeKind,
+    difference,
+    with_backend_server,
+    with_data_centre,
+)
+from coltsfootstair.document._dangers import Danger, DangerKind, dangers, servers_in
+from coltsfootstair.document._toml import parse, render
 from coltsfootstair.document._types import (
     BackendServer,
     DataCentre,
@@ -11,4 +20,22 @@
     State,
 )
 
-__all__ = ['BackendServer', 'DataCentre', 'Document', 'Service', 'ServiceKind', 'State']
+__all__ = [
+    'BackendServer',
+    'Change',
+    'ChangeKind',
+    'Danger',
+    'DangerKind',
+    'DataCentre',
+    'Document',
+    'Service',
+    'ServiceKind',
+    'State',
+    'dangers',
+    'difference',
+    'parse',
+    'render',
+    'servers_in',
+    'with_backend_server',
+    'with_data_centre',
+]
--- /dev/null
+++ b/src/coltsfootstair/document/_changes.py
@@ -0,0 +1,128 @@
+"""Pure changes of a document, and what differs between two of them."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, NamedTuple
+
+from coltsfootstair.document._types import BackendServer, DataCentre, Document, Service, State
+from coltsfootstair.errors import BadInputError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = [
+    'Change',
+    'ChangeKind',
+    'difference',
+    'with_backend_server',
+    'with_data_centre',
+]
+
+_Entry = DataCentre | Service | BackendServer
+
+
+class ChangeKind(enum.StrEnum):
+    """What happened to an entry between two documents."""
+
+    ADDED = 'added'
+    REMOVED = 'removed'
+    CHANGED = 'changed'
+
+
+class Change(NamedTuple):
+    """One difference between two documents.
+
+    :param entry: the kind of entry, such as ``backend server``
+    :param field: the field that changed; empty if the whole entry came or went
+    """
+
+    kind: ChangeKind
+    entry: str
+    name: str
+    field: str = ''
+    old: str = ''
+    new: str = ''
+
+    def __str__(self) -> str:
+        if self.kind is ChangeKind.CHANGED:
+            return f'{self.entry} {self.name}: {self.field} {self.old} -> {self.new}'
+        return f'{self.entry} {self.name}: {self.kind}'
+
+
+def difference(old: Document, new: Document) -> list[Change]:
+    """Return what has to change in ``old`` to make it ``new``."""
+    return [
+        *_entries('data centre', old.data_centres, new.data_centres),
+        *_entries('service', old.services, new.services),
+        *_entries('backend server', old.backend_servers, new.backend_servers),
+    ]
+
+
+def with_data_centre(document: Document, name: str, state: State) -> Document:
+    """Return ``document`` with the data centre ``name`` in ``state``.
+
+    :raises BadInputError: there is no such data centre
+    """
+    _check_known('data centre', name, document.data_centres)
+    return document._replace(
+        data_centres=tuple(
+            one._replace(state=state) if one.name == name else one
+            for one in document.data_centres
+        )
+    )
+
+
+def with_backend_server(document: Document, name: str, state: State) -> Document:
+    """Return ``document`` with the backend server ``name`` in ``state``.
+
+    :raises BadInputError: there is no such backend server
+    """
+    _check_known('backend server', name, document.backend_servers)
+    return document._replace(
+        backend_servers=tuple(
+            one._replace(state=state) if one.name == name else one
+            for one in document.backend_servers
+        )
+    )
+
+
+def _check_known(entry: str, name: str, entries: Sequence[_Entry]) -> None:
+    names = [one.name for one in entries]
+    if name not in names:
+        known = ', '.join(names) or 'none'
+        raise BadInputError('document', entry, f'"{name}" is unknown; known are {known}')
+
+
+def _entries(entry: str, old: Sequence[_Entry], new: Sequence[_Entry]) -> list[Change]:
+    old_by_name = {one.name: one for one in old}
+    new_by_name = {one.name: one for one in new}
+    changes = [
+        Change(ChangeKind.REMOVED, entry, name)
+        for name in old_by_name
+        if name not in new_by_name
+    ]
+    for name, one in new_by_name.items():
+        if name not in old_by_name:
+            changes.append(Change(ChangeKind.ADDED, entry, name))
+        else:
+            changes.extend(_fields(entry, old_by_name[name], one))
+    return changes
+
+
+def _fields(entry: str, old: _Entry, new: _Entry) -> list[Change]:
+    return [
+        Change(ChangeKind.CHANGED, entry, new.name, field, _text(before), _text(after))
+        for field, before, after in zip(new._fields, old, new, strict=True)
+        if before != after
+    ]
+
+
+def _text(value: object) -> str:
+    match value:
+        case bool():
+            return 'true' if value else 'false'
+        case tuple():
+            return ', '.join(value)
+        case _:
+            return str(value)
--- /dev/null
+++ b/src/coltsfootstair/document/_checks.py
@@ -0,0 +1,93 @@
+"""Checks that the entries of a document fit each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from coltsfootstair.typed_toml import Path, TomlReader
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+__all__ = ['check_references']
+
+_Entries = list[tuple[Path, dict[str, Any]]]
+
+
+def check_references(reader: TomlReader) -> None:
+    """Note a fault for each duplicate and for each name that is not in the document."""
+    data_centres = _tables(reader, 'data_centres')
+    services = _tables(reader, 'services')
+    servers = _tables(reader, 'backend_servers')
+    for entries in (data_centres, services, servers):
+        _check_distinct(reader, entries, 'name')
+    _check_distinct(reader, servers, 'address')
+    for path, service in services:
+        _check_hosts(reader, path, service, _names(data_centres))
+    for path, server in servers:
+        _check_server(reader, path, server, services)
+
+
+def _check_hosts(
+    reader: TomlReader, path: Path, service: dict[str, Any], known: Collection[str]
+) -> None:
+    hosts = service.get('data_centres')
+    if not isinstance(hosts, list):
+        return
+    field = (*path, 'data_centres')
+    if not hosts:
+        reader.fault(field, 'must name at least one data centre')
+    if len({str(host) for host in hosts}) != len(hosts):
+        reader.fault(field, 'must name each data centre once')
+    for host in hosts:
+        if isinstance(host, str) and host not in known:
+            reader.fault(field, f'"{host}" is not a data centre; {_choices(known)}')
+
+
+def _check_server(
+    reader: TomlReader, path: Path, server: dict[str, Any], services: _Entries
+) -> None:
+    service = server.get('service')
+    if isinstance(service, str):
+        hosts = next(
+            (one.get('data_centres') for _, one in services if one.get('name') == service),
+            None,
+        )
+        if service not in _names(services):
+            choices = _choices(_names(services))
+            reader.fault((*path, 'service'), f'"{service}" is not a service; {choices}')
+        elif isinstance(hosts, list) and server.get('data_centre') not in hosts:
+            choices = _choices([str(host) for host in hosts])
+            reader.fault(
+                (*path, 'data_centre'),
+                f'must be a data centre of service "{service}"; {choices}',
+            )
+    slots, connections = server.get('slots'), server.get('connections')
+    if isinstance(slots, int) and isinstance(connections, int) and connections < slots:
+        reader.fault((*path, 'connections'), f'must not be less than its slots ({slots})')
+
+
+def _check_distinct(reader: TomlReader, entries: _Entries, field: str) -> None:
+    first_by_value: dict[str, Path] = {}
+    for path, entry in entries:
+        value = entry.get(field)
+        if not isinstance(value, str):
+            continue
+        if first_by_value.setdefault(value, path) is not path:
+            number = int(first_by_value[value][1]) + 1
+            reader.fault((*path, field), f'"{value}" stands already in entry {number}')
+
+
+def _tables(reader: TomlReader, kind: str) -> _Entries:
+    value = reader.root.get(kind)
+    if not isinstance(value, list):
+        return []
+    return [((kind, number), one) for number, one in enumerate(value) if isinstance(one, dict)]
+
+
+def _names(entries: _Entries) -> list[str]:
+    return [entry['name'] for _, entry in entries if isinstance(entry.get('name'), str)]
+
+
+def _choices(names: Collection[str]) -> str:
+    return f'known are {", ".join(names)}' if names else 'the document has none'
--- /dev/null
+++ b/src/coltsfootstair/document/_dangers.py
@@ -0,0 +1,83 @@
+"""Changes that need an explicit word because they can take a service away."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, NamedTuple
+
+from coltsfootstair.document._types import BackendServer, Document, State
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ['Danger', 'DangerKind', 'dangers', 'servers_in']
+
+MAX_UTILISATION = 0.8
+"""The part of a service's slots that its present load may fill after a change."""
+
+
+class DangerKind(enum.StrEnum):
+    """Why a change is dangerous."""
+
+    LAST_DATA_CENTRE = 'last data centre'
+    LAST_BACKEND_SERVER = 'last backend server'
+    CAPACITY = 'capacity'
+
+
+class Danger(NamedTuple):
+    """A service that a change would harm."""
+
+    kind: DangerKind
+    service: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f'service {self.service}: {self.detail}'
+
+
+def servers_in(document: Document, service: str) -> list[BackendServer]:
+    """Return the backend servers of ``service`` that may have new work."""
+    centres_in = {one.name for one in document.data_centres if one.state is State.IN}
+    return [
+        server
+        for server in document.backend_servers
+        if server.service == service
+        and server.state is State.IN
+        and server.data_centre in centres_in
+    ]
+
+
+def dangers(old: Document, new: Document, load: Mapping[str, float]) -> list[Danger]:
+    """Return what is dangerous about putting ``new`` in place of ``old``.
+
+    :param load: slots in use at present, by service
+    """
+    found = (_danger(old, new, one.name, load.get(one.name, 0.0)) for one in old.services)
+    return [danger for danger in found if danger]
+
+
+def _danger(old: Document, new: Document, service: str, in_use: float) -> Danger | None:
+    before, after = servers_in(old, service), servers_in(new, service)
+    if not before:
+        return None
+    if not after:
+        return _none_left(old, new, service)
+    slots_before = sum(server.slots for server in before)
+    slots_after = sum(server.slots for server in after)
+    if slots_after >= slots_before or in_use <= slots_after * MAX_UTILISATION:
+        return None
+    return Danger(
+        DangerKind.CAPACITY,
+        service,
+        f'{in_use:g} slots are in use now, and {slots_after} of {slots_before} would be left',
+    )
+
+
+def _none_left(old: Document, new: Document, service: str) -> Danger:
+    hosts = {server.data_centre for server in servers_in(old, service)}
+    centres_in = {one.name for one in new.data_centres if one.state is State.IN}
+    if not hosts & centres_in:
+        detail = 'its last data centre would be out'
+        return Danger(DangerKind.LAST_DATA_CENTRE, service, detail)
+    detail = 'its last backend server would be out'
+    return Danger(DangerKind.LAST_BACKEND_SERVER, service, detail)
--- /dev/null
+++ b/src/coltsfootstair/document/_toml.py
@@ -0,0 +1,91 @@
+"""Reads and writes the document as TOML."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import tomli_w
+
+from coltsfootstair.document._checks import check_references
+from coltsfootstair.document._types import (
+    BackendServer,
+    DataCentre,
+    Document,
+    Service,
+    ServiceKind,
+    State,
+)
+from coltsfootstair.typed_toml import Address, Name, PositiveInt, TomlReader
+
+__all__ = ['MAX_DOCUMENT_BYTES', 'parse', 'render']
+
+MAX_DOCUMENT_BYTES = 1_048_576
+"""What the store holds in one object."""
+
+_DATA_CENTRE_FIELDS = {'name': Name, 'state': State}
+_SERVICE_FIELDS = {
+    'name': Name,
+    'divided_by_key': bool,
+    'kind': ServiceKind,
+    'data_centres': tuple[Name, ...],
+}
+_BACKEND_SERVER_FIELDS = {
+    'name': Name,
+    'service': Name,
+    'data_centre': Name,
+    'address': Address,
+    'slots': PositiveInt,
+    'connections': PositiveInt,
+    'checks_grants': bool,
+    'state': State,
+}
+_DEFAULTS = {'state': State.IN}
+
+
+def parse(text: str, where: str) -> Document:
+    """Read the document out of TOML.
+
+    :param where: the file or address to name in errors
+    :raises ExceptionGroup: of ``BadInputError``, one for each fault
+    """
+    reader = TomlReader(text, where)
+    if len(text.encode()) > MAX_DOCUMENT_BYTES:
+        reader.fault(('document',), f'must not be longer than {MAX_DOCUMENT_BYTES} bytes')
+    reader.finish()
+    reader.known_only((), reader.root, dict.fromkeys(Document._fields))
+    data_centres = _read(reader, 'data_centres', _DATA_CENTRE_FIELDS, _DEFAULTS)
+    services = _read(reader, 'services', _SERVICE_FIELDS, {})
+    servers = _read(reader, 'backend_servers', _BACKEND_SERVER_FIELDS, _DEFAULTS)
+    check_references(reader)
+    reader.finish()
+    return Document(
+        tuple(DataCentre(**fields) for fields in data_centres),
+        tuple(Service(**fields) for fields in services),
+        tuple(BackendServer(**fields) for fields in servers),
+    )
+
+
+def render(document: Document) -> str:
+    """Return the canonical TOML of ``document``; comments of its source are not kept."""
+    return tomli_w.dumps(
+        {
+            kind: [_plain(entry) for entry in entries]
+            for kind, entries in document._asdict().items()
+        }
+    )
+
+
+def _plain(entry: Any) -> dict[str, Any]:
+    return {
+        field: str(value) if isinstance(value, str) else value
+        for field, value in entry._asdict().items()
+    }
+
+
+def _read(
+    reader: TomlReader, kind: str, types: dict[str, Any], defaults: dict[str, Any]
+) -> list[dict[str, Any]]:
+    converted = [
+        reader.fields(path, entry, types, defaults) for path, entry in reader.entries(kind)
+    ]
+    return [fields for fields in converted if fields is not None]
--- /dev/null
+++ b/src/coltsfootstair/settings/_settings.py
@@ -0,0 +1,102 @@
+"""Reads a daemon's settings file and checks it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+from coltsfootstair.errors import BadInputError
+from coltsfootstair.typed_toml import ListenAddress, Name, PositiveInt, TomlReader
+
+__all__ = ['DaemonSettings', 'load', 'parse', 'read_text']
+
+DEFAULT_UPLOAD_MEMORY_MIB = 64
+
+_LISTEN_FIELDS = dict.fromkeys(('callers', 'operators', 'inner'), ListenAddress)
+
+
+class DaemonSettings(NamedTuple):
+    """What one daemon is told of itself.
+
+    :param callers: ``IP:PORT`` on which callers are served
+    :param operators: ``IP:PORT`` of the console and the operators' interface
+    :param inner: ``IP:PORT`` for the streams of other daemons
+    :param upload_memory_mib: memory that uploads under way may fill, in MiB
+    """
+
+    name: str
+    data_centre: str
+    callers: str
+    operators: str
+    inner: str
+    store_url: str
+    upload_memory_mib: int = DEFAULT_UPLOAD_MEMORY_MIB
+
+
+def load(path: Path | str) -> DaemonSettings:
+    """Read the settings in the file ``path``.
+
+    :raises ExceptionGroup: of ``BadInputError``, one for each fault
+    """
+    return parse(read_text(Path(path)), str(path))
+
+
+def read_text(path: Path) -> str:
+    """Return the text of a file that a user named.
+
+    :raises BadInputError: it can't be read
+    """
+    try:
+        return path.read_text(encoding='utf-8')
+    except OSError as error:
+        reason = error.strerror or 'can not be read'
+        raise BadInputError(str(path), 'file', f'must be readable: {reason}') from error
+    except UnicodeDecodeError as error:
+        raise BadInputError(str(path), 'file', 'must be UTF-8 text') from error
+
+
+def parse(text: str, where: str) -> DaemonSettings:
+    """Read settings out of TOML.
+
+    :raises ExceptionGroup: of ``BadInputError``, one for each fault
+    """
+    reader = TomlReader(text, where)
+    reader.finish()
+    known = dict.fromkeys(('name', 'data_centre', 'listen', 'store', 'limits'))
+    reader.known_only((), reader.root, known)
+    names: dict[str, str] = {
+        field: reader.root[field] for field in ('name', 'data_centre') if field in reader.root
+    }
+    own = reader.fields((), names, {'name': Name, 'data_centre': Name})
+    listen = reader.fields(('listen',), reader.table(('listen',)), _LISTEN_FIELDS)
+    store = reader.fields(('store',), reader.table(('store',)), {'url': str})
+    limits = reader.fields(
+        ('limits',),
+        reader.table(('limits',)),
+        {'upload_memory_mib': PositiveInt},
+        {'upload_memory_mib': DEFAULT_UPLOAD_MEMORY_MIB},
+    )
+    if store and not _is_http_url(store['url']):
+        reader.fault(('store', 'url'), 'must be http://IP:PORT')
+    if listen:
+        _check_distinct(reader, listen)
+    reader.finish()
+    return DaemonSettings(
+        **(own or {}), **(listen or {}), store_url=(store or {})['url'], **(limits or {})
+    )
+
+
+def _check_distinct(reader: TomlReader, listen: dict[str, str]) -> None:
+    seen: dict[str, str] = {}
+    for field, address in listen.items():
+        if not address.endswith(':0') and seen.setdefault(address, field) != field:
+            reader.fault(('listen', field), f'must be another address than {seen[address]}')
+
+
+def _is_http_url(url: str) -> bool:
+    try:
+        parts = urlsplit(url)
+        return parts.scheme == 'http' and bool(parts.hostname) and bool(parts.port)
+    except ValueError:
+        return False
--- /dev/null
+++ b/src/coltsfootstair/timeline/__init__.py
@@ -0,0 +1,20 @@
+"""The time line: events of all processes in one causal order."""
+
+from __future__ import annotations
+
+from coltsfootstair.timeline._clock import HybridClock, HybridTime
+from coltsfootstair.timeline._events import EventName, FieldValue, TimelineEvent
+from coltsfootstair.timeline._merge import merge, owner_at, refusal_of
+from coltsfootstair.timeline._timeline import Timeline
+
+__all__ = [
+    'EventName',
+    'FieldValue',
+    'HybridClock',
+    'HybridTime',
+    'Timeline',
+    'TimelineEvent',
+    'merge',
+    'owner_at',
+    'refusal_of',
+]
--- /dev/null
+++ b/src/coltsfootstair/timeline/_merge.py
@@ -0,0 +1,70 @@
+"""Merges the time lines of several daemons, and answers questions about them."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from coltsfootstair.timeline._events import EventName, TimelineEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from coltsfootstair.timeline._clock import HybridTime
+
+__all__ = ['merge', 'owner_at', 'refusal_of']
+
+_REFUSALS = (EventName.REQUEST_REFUSED, EventName.REQUEST_BROKEN)
+
+
+def merge(by_daemon: Iterable[Sequence[TimelineEvent]]) -> list[TimelineEvent]:
+    """Return all events in causal order; each daemon's own are in order already.
+
+    An event that two daemons report (one passed the other's on) appears once.
+    """
+    merged: list[TimelineEvent] = []
+    for event in heapq.merge(*by_daemon, key=_order):
+        if not merged or _order(merged[-1]) != _order(event):
+            merged.append(event)
+    return merged
+
+
+def owner_at(
+    events: Iterable[TimelineEvent], service: str, slot: int, moment: HybridTime
+) -> str | None:
+    """Return the backend server that owned ``slot`` at ``moment``.
+
+    :return: its name; an empty string if none did; ``None`` if the events don't reach
+        back far enough to tell
+    """
+    owner: str | None = None
+    for event in events:
+        if event.time > moment:
+            break
+        if not _covers(event, service, slot):
+            continue
+        if event.name is EventName.OWNER_ASSIGNED:
+            owner = str(event.fields['server'])
+        if event.name is EventName.OWNER_RELEASED:
+            owner = ''
+    return owner
+
+
+def refusal_of(events: Iterable[TimelineEvent], request_id: str) -> list[TimelineEvent]:
+    """Return what the daemons noted about a request that got no whole answer."""
+    return [
+        event
+        for event in events
+        if event.name in _REFUSALS and event.fields.get('request_id') == request_id
+    ]
+
+
+def _covers(event: TimelineEvent, service: str, slot: int) -> bool:
+    if event.name not in (EventName.OWNER_ASSIGNED, EventName.OWNER_RELEASED):
+        return False
+    fields = event.fields
+    return fields['service'] == service and int(fields['first']) <= slot <= int(fields['last'])
+
+
+def _order(event: TimelineEvent) -> tuple[HybridTime, str]:
+    return event.time, event.daemon
--- /dev/null
+++ b/src/coltsfootstair/typed_toml/__init__.py
@@ -0,0 +1,22 @@
+"""Reads TOML into typed values and names each fault by file, field and line."""
+
+from __future__ import annotations
+
+from coltsfootstair.typed_toml._reader import Path, TomlReader
+from coltsfootstair.typed_toml._types import (
+    Address,
+    ListenAddress,
+    Name,
+    PositiveInt,
+    parse_address,
+)
+
+__all__ = [
+    'Address',
+    'ListenAddress',
+    'Name',
+    'Path',
+    'PositiveInt',
+    'TomlReader',
+    'parse_address',
+]
--- /dev/null
+++ b/tests/document/test_changes.py
@@ -0,0 +1,70 @@
+"""Tests of changes, differences and dangers."""
+
+from __future__ import annotations
+
+import pytest
+from tests.document.examples import EXAMPLE
+
+from coltsfootstair.document import (
+    DangerKind,
+    Document,
+    State,
+    dangers,
+    difference,
+    parse,
+    with_backend_server,
+    with_data_centre,
+)
+from coltsfootstair.errors import BadInputError
+
+DOCUMENT = parse(EXAMPLE, 'example')
+
+
+def test_difference_names_each_field_and_entry() -> None:
+    new = with_data_centre(DOCUMENT, 'north', State.OUT)
+    new = new._replace(backend_servers=new.backend_servers[1:])
+    assert [str(change) for change in difference(DOCUMENT, new)] == [
+        'data centre north: state in -> out',
+        'backend server slots-1: removed',
+    ]
+    assert [str(change) for change in difference(Document(), DOCUMENT)][:2] == [
+        'data centre north: added',
+        'data centre south: added',
+    ]
+    assert difference(DOCUMENT, DOCUMENT) == []
+
+
+def test_unknown_names_are_refused_with_the_known_ones() -> None:
+    with pytest.raises(BadInputError, match='known are north, south'):
+        with_data_centre(DOCUMENT, 'nrth', State.OUT)
+    with pytest.raises(BadInputError, match='known are slots-1, slots-2'):
+        with_backend_server(DOCUMENT, 'x', State.OUT)
+
+
+NORTH_OUT = with_data_centre(DOCUMENT, 'north', State.OUT)
+ONE_OUT = with_backend_server(DOCUMENT, 'slots-1', State.OUT)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'in_use', 'expected'),
+    [
+        (DOCUMENT, NORTH_OUT, 3.2, None),
+        (DOCUMENT, NORTH_OUT, 3.3, DangerKind.CAPACITY),
+        (DOCUMENT, ONE_OUT, 3.3, DangerKind.CAPACITY),
+        (NORTH_OUT, DOCUMENT, 9.0, None),
+        (DOCUMENT, DOCUMENT, 9.0, None),
+        (NORTH_OUT, with_data_centre(NORTH_OUT, 'south', State.OUT), 0.0, 'last data centre'),
+        (
+            ONE_OUT,
+            with_backend_server(ONE_OUT, 'slots-2', State.OUT),
+            0.0,
+            'last backend server',
+        ),
+        (DOCUMENT, Document(), 0.0, DangerKind.LAST_DATA_CENTRE),
+        (Document(), DOCUMENT, 0.0, None),
+    ],
+)
+def test_dangers(old: Document, new: Document, in_use: float, expected: str | None) -> None:
+    found = dangers(old, new, {'slots': in_use})
+    assert [danger.kind for danger in found] == ([expected] if expected else [])
+    assert all(str(danger).startswith('service slots: ') for danger in found)
--- /dev/null
+++ b/tests/timeline/test_timeline.py
@@ -0,0 +1,104 @@
+"""Tests of the time line."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coltsfootstair.clock import ManualClock
+from coltsfootstair.timeline import (
+    EventName,
+    HybridClock,
+    HybridTime,
+    Timeline,
+    merge,
+    owner_at,
+    refusal_of,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+Step = tuple[int, int, int]
+STEPS = st.lists(
+    st.tuples(st.integers(0, 2), st.integers(0, 2), st.integers(-3, 3)), max_size=40
+)
+
+
+class WallClockOnly(HybridClock):
+    """A broken variant: it doesn't remember what it heard."""
+
+    def tick(self, now_ms: int) -> HybridTime:
+        return HybridTime(now_ms, 0)
+
+
+def check_causality(make: Callable[[], HybridClock], steps: list[Step]) -> None:
+    clocks = [make() for _ in range(3)]
+    now_ms = [1000, 1005, 900]
+    last = [HybridTime(0, 0)] * 3
+    for sender, receiver, drift in steps:
+        now_ms[sender] += drift
+        sent = clocks[sender].tick(now_ms[sender])
+        assert sent > last[sender]
+        last[sender] = sent
+        assert clocks[receiver].receive(sent, now_ms[receiver])
+        received = clocks[receiver].tick(now_ms[receiver])
+        assert received > sent
+        last[receiver] = received
+
+
+@given(STEPS)
+def test_effects_come_after_causes_whatever_the_clocks_say(
+    steps: list[Step],
+) -> None:
+    check_causality(HybridClock, steps)
+
+
+def test_the_property_catches_a_clock_without_memory() -> None:
+    with pytest.raises(AssertionError):
+        check_causality(WallClockOnly, [(1, 0, 0), (0, 0, -1)])
+
+
+def test_a_clock_far_ahead_is_not_followed() -> None:
+    clock = HybridClock()
+    assert not clock.receive(HybridTime(61_001, 0), 1000)
+    assert clock.tick(1000) == HybridTime(1000, 0)
+
+
+@given(st.integers(0, 2**47), st.integers(0, 2**16 - 1))
+def test_packed_stamps_read_back(wall_ms: int, counter: int) -> None:
+    stamp = HybridTime(wall_ms, counter)
+    assert HybridTime.unpacked(stamp.packed()) == stamp
+
+
+def test_a_flood_of_refusals_does_not_push_out_owners() -> None:
+    timeline = Timeline('a', ManualClock(), capacity=4)
+    timeline.record(EventName.OWNER_ASSIGNED, service='s', first=0, last=9, server='b-1')
+    for number in range(9):
+        timeline.record(EventName.REQUEST_REFUSED, request_id=f'r{number}', detail='x' * 999)
+    events = timeline.events()
+    assert [event.name for event in events] == ['owner assigned'] + ['request refused'] * 4
+    assert len(str(events[-1].fields['detail'])) == 200
+    assert refusal_of(events, 'r8') == [events[-1]]
+    assert refusal_of(events, 'r0') == []
+
+
+def test_merged_events_tell_who_owned_a_slot() -> None:
+    here, there = Timeline('a', ManualClock(1000.0)), Timeline('b', ManualClock(950.0))
+    before = here.stamp()
+    here.record(EventName.OWNER_ASSIGNED, service='s', first=0, last=9, server='b-1')
+    released = here.record(
+        EventName.OWNER_RELEASED, service='s', first=5, last=5, server='b-1'
+    )
+    there.receive(released)
+    moved = there.record(EventName.OWNER_ASSIGNED, service='s', first=5, last=5, server='b-2')
+    events = merge([here.events(), there.events(), here.events()])
+    assert [event.daemon for event in events] == ['a', 'a', 'b']
+    assert owner_at(events, 's', 5, before) is None
+    assert owner_at(events, 's', 5, released) == ''
+    assert owner_at(events, 's', 5, moved) == 'b-2'
+    assert owner_at(events, 's', 4, moved) == 'b-1'
+    assert owner_at(events, 't', 4, moved) is None
