--- a/src/coltsfootstair/cli/__init__.py
+++ b/src/coltsfootstair/cli/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootstair.cli import _daemon as _daemon
 from coltsfootstair.cli import _settings as _settings
 from coltsfootstair.cli._app import app, main
 
--- a/src/coltsfootstair/coordinator/_task.py
+++ b/src/coltsfootstair/coordinator/_task.py
@@ -130,12 +130,11 @@
         while True:
             try:
                 event = self._mailbox.get(timeout=TICK_S)
-            except queue.Empty:
-                event = Tick()
-            if event is None:
-                return
-            if not isinstance(event, Tick):
+                if event is None:
+                    return
                 self._take(event)
+            except queue.Empty:
+                pass
             if self._clock.monotonic() >= next_tick:
                 self._tick_all()
                 next_tick = self._clock.monotonic() + TICK_S
@@ -162,7 +161,9 @@
         head = exchange.head
         coordinated = self._server_by_name.get(head.backend_server)
         if coordinated is None:
-            exchange.refuse(_not_run(ResultCode.NOT_COORDINATOR, 'another daemon coordinates it'))
+            exchange.refuse(
+                _not_run(ResultCode.NOT_COORDINATOR, 'another daemon coordinates it')
+            )
             return
         if coordinated.service.divided_by_key and self._token(coordinated, head.slot) is None:
             exchange.refuse(_not_run(ResultCode.KEY_MOVING, 'the key is not granted to it'))
@@ -204,7 +205,9 @@
             coordinated = None
         if coordinated is None:
             admission = new_state(server.slots, server.connections, now)
-            coordinated = CoordinatedServer(server, service, self._open_port(server), admission)
+            coordinated = CoordinatedServer(
+                server, service, self._open_port(server), admission
+            )
             self._server_by_name[server.name] = coordinated
         coordinated.server = server
         coordinated.service = service
--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -18,7 +18,7 @@
 from coltsfootstair.daemon._peers import PeerDirectory, PeerLink
 from coltsfootstair.daemon._store_watch import StoreWatch
 from coltsfootstair.document import ServiceKind
-from coltsfootstair.entry import CallerServer, PendingAnswers, Relay
+from coltsfootstair.entry import CallerServer, PendingAnswers, Relay, RelayParts
 from coltsfootstair.inner import Hello, Hub
 from coltsfootstair.inner._messages import PROTOCOL_VERSION
 from coltsfootstair.metrics import DaemonMetrics
@@ -83,7 +83,7 @@
         )
         self.callers = CallerServer(
             settings.callers,
-            Relay(clock, self.router, link, self.pending),
+            Relay(RelayParts(clock, self.router, link, self.pending)),
             self.is_ready,
             self._upload_services,
             self.metrics.count_request,
--- a/src/coltsfootstair/daemon/_ownership.py
+++ b/src/coltsfootstair/daemon/_ownership.py
@@ -8,13 +8,13 @@
 import structlog
 
 from coltsfootstair.admission import Observed
+from coltsfootstair.backend import BackendServerPort, Grant
 from coltsfootstair.coordinator import (
     RightsGiven,
     RightsTaken,
     RowsGranted,
     ServerObserved,
 )
-from coltsfootstair.backend import Grant
 from coltsfootstair.errors import (
     CallFailedError,
     StoreConflictError,
@@ -34,7 +34,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from coltsfootstair.backend import BackendServerPort
     from coltsfootstair.clock import Clock
     from coltsfootstair.coordinator import Coordinator
     from coltsfootstair.daemon._peers import PeerDirectory
--- a/src/coltsfootstair/entry/__init__.py
+++ b/src/coltsfootstair/entry/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from coltsfootstair.entry._pending import PendingAnswers
-from coltsfootstair.entry._relay import CoordinatorLink, Relay
+from coltsfootstair.entry._relay import CoordinatorLink, Relay, RelayParts
 from coltsfootstair.entry._server import CallerServer
 
-__all__ = ['CallerServer', 'CoordinatorLink', 'PendingAnswers', 'Relay']
+__all__ = ['CallerServer', 'CoordinatorLink', 'PendingAnswers', 'Relay', 'RelayParts']
--- a/src/coltsfootstair/entry/_pending.py
+++ b/src/coltsfootstair/entry/_pending.py
@@ -6,8 +6,10 @@
 import threading
 from typing import TYPE_CHECKING, NamedTuple
 
+from coltsfootstair.inner import Stream
+
 if TYPE_CHECKING:
-    from coltsfootstair.inner import AnswerMessage, Stream
+    from coltsfootstair.inner import AnswerMessage
 
 __all__ = ['LinkLost', 'Mailbox', 'PendingAnswers']
 
--- a/src/coltsfootstair/entry/_relay.py
+++ b/src/coltsfootstair/entry/_relay.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import queue
+from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
+from coltsfootstair.clock import Clock
 from coltsfootstair.document import ServiceKind
-from coltsfootstair.entry._pending import LinkLost
+from coltsfootstair.entry._pending import LinkLost, PendingAnswers
 from coltsfootstair.inner import (
     AnswerChunk,
     AnswerHead,
@@ -18,16 +20,14 @@
     RequestHead,
 )
 from coltsfootstair.results import Ran, Refusal, ResultCode
+from coltsfootstair.routing import Router
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from coltsfootstair.entry._pending import Mailbox
+    from coltsfootstair.inner import AnswerMessage, Message, Stream
+    from coltsfootstair.routing import Route
 
-    from coltsfootstair.clock import Clock
-    from coltsfootstair.entry._pending import Mailbox, PendingAnswers
-    from coltsfootstair.inner import Message, Stream
-    from coltsfootstair.routing import Route, Router
-
-__all__ = ['CallerRequest', 'CoordinatorLink', 'Relay', 'RelayedAnswer']
+__all__ = ['CallerRequest', 'CoordinatorLink', 'Relay', 'RelayParts', 'RelayedAnswer']
 
 INLINE_BODY_BYTES = 64 * 1024
 """A body up to this size travels with the head of its request, and can be sent again."""
@@ -102,30 +102,36 @@
         """Send a message; false if the way is closed and nothing was sent."""
 
 
+class RelayParts(NamedTuple):
+    """The parts of the daemon that a relayed request needs."""
+
+    clock: Clock
+    router: Router
+    link: CoordinatorLink
+    pending: PendingAnswers
+
+
 class Relay:
     """Routes, sends, waits and tries again, for each request on its caller's thread."""
 
-    def __init__(
-        self, clock: Clock, router: Router, link: CoordinatorLink, pending: PendingAnswers
-    ) -> None:
-        self._clock = clock
-        self._router = router
-        self._link = link
-        self._pending = pending
+    def __init__(self, parts: RelayParts) -> None:
+        self._parts = parts
 
     def serve(self, request: CallerRequest) -> RelayedAnswer | Refusal:
         """Return the whole way's outcome: an answer that streams, or a refusal."""
-        deadline = self._clock.monotonic() + request.timeout_s
+        deadline = self._parts.clock.monotonic() + request.timeout_s
         body = _read_inline(request)
         if body is None:
             return Refusal(ResultCode.BODY_CUT, Ran.NO, 'the body ended early')
         attempt = 0
         while True:
-            route = self._router.route(request.service, request.key, request.operation_id)
+            route = self._parts.router.route(
+                request.service, request.key, request.operation_id
+            )
             if isinstance(route, Refusal):
                 outcome: RelayedAnswer | Refusal = route
             else:
-                job = _Job(self, request, route, body, deadline, attempt)
+                job = _Job(self._parts, request, route, body, deadline, attempt)
                 outcome = job.run()
             attempt += 1
             if not self._may_retry(request, body, outcome, deadline):
@@ -141,14 +147,14 @@
     ) -> bool:
         if not isinstance(outcome, Refusal) or not body.complete:
             return False
-        if self._clock.monotonic() + RETRY_PAUSE_S >= deadline:
+        if self._parts.clock.monotonic() + RETRY_PAUSE_S >= deadline:
             return False
         if outcome.ran is Ran.NO:
             return outcome.code in RETRIED
         return outcome.code is ResultCode.OUTCOME_UNKNOWN and self._idempotent(request.service)
 
     def _idempotent(self, service: str) -> bool:
-        known = {item.name: item for item in self._router.document.services}
+        known = {item.name: item for item in self._parts.router.document.services}
         return service in known and known[service].kind is ServiceKind.LOOKUP
 
     def _pause(self) -> None:
@@ -194,14 +200,14 @@
 
     def __init__(
         self,
-        relay: Relay,
+        parts: RelayParts,
         request: CallerRequest,
         route: Route,
         body: _InlineBody,
         deadline: float,
         attempt: int,
     ) -> None:
-        self._relay = relay
+        self._parts = parts
         self._request = request
         self._route = route
         self._body = body
@@ -214,12 +220,12 @@
 
     def run(self) -> RelayedAnswer | Refusal:
         """Send the request and wait for the head of an answer, or a refusal."""
-        link = self._relay._link.connect(self._route.coordinator)
+        link = self._parts.link.connect(self._route.coordinator)
         if link is None:
             return _unreachable()
         self._link = link
-        self._relay._pending.expect(self._id, self._mailbox, link.stream)
-        self._relay._router.sent(self._route.backend_server)
+        self._parts.pending.expect(self._id, self._mailbox, link.stream)
+        self._parts.router.sent(self._route.backend_server)
         outcome: RelayedAnswer | Refusal | None = None
         try:
             outcome = self._send_and_wait()
@@ -257,7 +263,7 @@
 
     def _head(self) -> RequestHead:
         request = self._request
-        left_s = max(0.0, self._deadline - self._relay._clock.monotonic())
+        left_s = max(0.0, self._deadline - self._parts.clock.monotonic())
         return RequestHead(
             self._id,
             request.operation_id,
@@ -305,7 +311,10 @@
             except queue.Empty:
                 if self._credit > 0:
                     return None
-                message = self._next()
+                waited = self._next()
+                if waited is None:
+                    return self._give_up()
+                message = waited
             match message:
                 case Credit(_, size):
                     self._credit += size
@@ -318,7 +327,7 @@
                 case LinkLost():
                     return Refusal(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, 'the link broke')
                 case _:
-                    return self._give_up()
+                    continue
 
     def _portions(self, head: AnswerHead) -> Iterator[bytes]:
         try:
@@ -336,22 +345,25 @@
         finally:
             self._end()
 
-    def _next(self) -> object:
+    def _next(self) -> AnswerMessage | LinkLost | None:
         """Return the next message, or ``None`` when the time for it is over."""
-        left_s = self._deadline + ANSWER_GRACE_S - self._relay._clock.monotonic()
+        left_s = self._deadline + ANSWER_GRACE_S - self._parts.clock.monotonic()
         try:
             return self._mailbox.get(timeout=max(left_s, 0.001))
         except queue.Empty:
             return None
 
     def _end(self) -> None:
-        self._relay._pending.forget(self._id)
-        self._relay._router.done(self._route.backend_server)
+        self._parts.pending.forget(self._id)
+        self._parts.router.done(self._route.backend_server)
 
 
 def _unreachable() -> Refusal:
     return Refusal(
-        ResultCode.COORDINATOR_UNREACHABLE, Ran.NO, 'nothing was sent to it', RETRY_PAUSE_S * 10
+        ResultCode.COORDINATOR_UNREACHABLE,
+        Ran.NO,
+        'nothing was sent to it',
+        RETRY_PAUSE_S * 10,
     )
 
 
--- a/src/coltsfootstair/entry/_server.py
+++ b/src/coltsfootstair/entry/_server.py
@@ -184,7 +184,9 @@
 
 def _ready(ready: bool, start: Callable[..., object]) -> list[bytes]:
     body = b'ready\n' if ready else b'not ready\n'
-    start('200 OK' if ready else '503 Service Unavailable', [('Content-Length', str(len(body)))])
+    start(
+        '200 OK' if ready else '503 Service Unavailable', [('Content-Length', str(len(body)))]
+    )
     return [body]
 
 
--- a/src/coltsfootstair/routing/_router.py
+++ b/src/coltsfootstair/routing/_router.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from coltsfootstair.document import Document, State, parse
+from coltsfootstair.document import Document, Service, State, parse
 from coltsfootstair.errors import ProtocolError
 from coltsfootstair.leases import LEASE_PREFIX, decode_record
 from coltsfootstair.ownership import Table, decode_shard
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     import random
 
-    from coltsfootstair.document import BackendServer, Service
+    from coltsfootstair.document import BackendServer
     from coltsfootstair.leases import LeaseRecord
     from coltsfootstair.store import Versioned
 
@@ -92,7 +92,9 @@
             with self._lock:
                 self._take(item)
         except (ProtocolError, ExceptionGroup) as error:
-            logger.warning('object refused', key=item.key, version=item.version, why=str(error))
+            logger.warning(
+                'object refused', key=item.key, version=item.version, why=str(error)
+            )
 
     def route(self, service_name: str, key: str, operation_id: str) -> Route | Refusal:
         """Return the way of a request, or why it has none."""
@@ -173,7 +175,9 @@
 
 def _usable(document: Document) -> dict[str, list[BackendServer]]:
     out = {centre.name for centre in document.data_centres if centre.state is State.OUT}
-    usable: dict[str, list[BackendServer]] = {service.name: [] for service in document.services}
+    usable: dict[str, list[BackendServer]] = {
+        service.name: [] for service in document.services
+    }
     for server in document.backend_servers:
         if server.state is State.IN and server.data_centre not in out:
             usable.setdefault(server.service, []).append(server)
