Add stand-ins for the store and for backend servers

A test, the demo and the measurements need the other end of every exchange, and need to know what truly happened there. Both stand-ins run in process or as commands, show the faults of the outside contract, and keep their truth apart from what they report: requests that ran and requests that were refused, grants with the time each ended, the most requests and connections at once, and requests beyond a cold start.

--- a/src/coltsfootstair/cli/__init__.py
+++ b/src/coltsfootstair/cli/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootstair.cli import _standin as _standin
 from coltsfootstair.cli._app import app, main
 
 __all__ = ['app', 'main']
--- /dev/null
+++ b/src/coltsfootstair/standin/_grants.py
@@ -0,0 +1,105 @@
+"""The grants of a backend server: what holds now, and what held when."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+
+if TYPE_CHECKING:
+    from coltsfootstair.standin._truth import GrantTruth
+
+__all__ = ['GrantBook', 'GrantOrder', 'Range']
+
+MAX_TOKEN = 2**63
+
+
+class Range(NamedTuple):
+    """Slots ``first`` to ``last``, granted under ``token``."""
+
+    first: int
+    last: int
+    token: int
+
+
+class GrantOrder(msgspec.Struct):
+    """The body of a grant order; ``until`` is on the server's clock."""
+
+    until: float
+    ranges: list[tuple[int, int, int]]
+    instance: str = ''
+
+
+class GrantBook:
+    """Applies grant orders and keeps the history of what was granted."""
+
+    def __init__(self) -> None:
+        self._until = 0.0
+        self._since_by_range: dict[Range, float] = {}
+        self._history: list[tuple[Range, float, float]] = []
+        self._seen: list[Range] = []
+
+    def stale(self, ranges: list[Range]) -> bool:
+        """Tell whether a range has a smaller token than one of its slots has had."""
+        return any(
+            seen.first <= new.last and new.first <= seen.last and new.token < seen.token
+            for new in ranges
+            if new not in self._since_by_range
+            for seen in self._seen
+        )
+
+    def apply(self, ranges: list[Range], until: float, now: float) -> None:
+        """Let ``ranges`` hold until ``until`` in place of all earlier ones."""
+        self._lapse(now)
+        wanted = dict.fromkeys(ranges) if until > now else {}
+        for held in [held for held in self._since_by_range if held not in wanted]:
+            self._history.append((held, self._since_by_range.pop(held), now))
+        for new in wanted:
+            if new not in self._since_by_range:
+                self._since_by_range[new] = now
+                self._see(new)
+        self._until = until
+
+    def allows(self, slot: int, token: int | None, now: float) -> bool:
+        """Tell whether ``slot`` is granted under exactly ``token``."""
+        return now < self._until and any(
+            held.first <= slot <= held.last and held.token == token
+            for held in self._since_by_range
+        )
+
+    def truth(self, now: float) -> list[GrantTruth]:
+        """Return every grant so far."""
+        self._lapse(now)
+        ended = [_truth(*entry, in_force=False) for entry in self._history]
+        held = self._since_by_range.items()
+        return ended + [_truth(each, since, now, in_force=True) for each, since in held]
+
+    def _lapse(self, now: float) -> None:
+        if now < self._until:
+            return
+        ended = [(held, since, self._until) for held, since in self._since_by_range.items()]
+        self._history += ended
+        self._since_by_range.clear()
+
+    def _see(self, new: Range) -> None:
+        kept = [
+            part
+            for seen in self._seen
+            for part in (
+                seen._replace(last=min(seen.last, new.first - 1)),
+                seen._replace(first=max(seen.first, new.last + 1)),
+            )
+            if part.first <= part.last
+        ]
+        self._seen = [*kept, new]
+
+
+def _truth(granted: Range, since: float, to: float, *, in_force: bool) -> GrantTruth:
+    return {
+        'first': granted.first,
+        'last': granted.last,
+        'token': granted.token,
+        'from': since,
+        'to': to,
+        'in_force': in_force,
+    }
