--- a/src/coltsfootstair/cli/_standin.py
+++ b/src/coltsfootstair/cli/_standin.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import signal
-import sys
 import threading
 from typing import TYPE_CHECKING
 
 import cyclopts
+import structlog
 
 from coltsfootstair.cli._app import app
+from coltsfootstair.cli._failures import reported_errors
 from coltsfootstair.errors import BadInputError
+from coltsfootstair.logs import configure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +21,8 @@
 
 __all__ = ['standin']
 
+logger = structlog.get_logger()
+
 standin = cyclopts.App(name='standin', help='Run a stand-in of the platform.')
 app.command(standin)
 
@@ -87,27 +91,14 @@
 
 
 def _run(make: Callable[[], StoreStandin | BackendServerStandin], name: str) -> None:
-    import structlog
-
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt='iso', utc=True),
-            structlog.processors.JSONRenderer(),
-        ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-    )
-    logger = structlog.get_logger()
+    configure(name=name)
     ended = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: ended.set())
-    try:
+    with reported_errors():
         server = make()
-    except BadInputError as error:
-        print(error, file=sys.stderr)
-        sys.exit(2)
     server.start()
-    logger.info('ready', name=name, address=server.address)
+    logger.info('ready', address=server.address)
     ended.wait()
     server.stop()
-    logger.info('stopped', name=name)
+    logger.info('stopped')
