Add a load generator that checks each answer

Requests are due at times worked out beforehand from a seed, and their latency counts from then on, so that a slow system can not slow its own load. Each body is unlike all others, so that an answer that belongs to another caller shows; uploads are checked by length and digest.

--- /dev/null
+++ b/src/coltsfootstair/load/__init__.py
@@ -0,0 +1,21 @@
+"""A load generator that plays callers and checks that each gets its own answer."""
+
+from __future__ import annotations
+
+from coltsfootstair.load._arrivals import Arrival, arrivals
+from coltsfootstair.load._generator import LoadGenerator
+from coltsfootstair.load._loads import BookingLoad, Load, LookupLoad, UploadLoad
+from coltsfootstair.load._samples import Outcome, Sample, latencies_ms
+
+__all__ = [
+    'Arrival',
+    'BookingLoad',
+    'Load',
+    'LoadGenerator',
+    'LookupLoad',
+    'Outcome',
+    'Sample',
+    'UploadLoad',
+    'arrivals',
+    'latencies_ms',
+]
--- /dev/null
+++ b/src/coltsfootstair/load/_caller.py
@@ -0,0 +1,144 @@
+"""One caller's connections to the daemons, and the check of what it is answered."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, NamedTuple
+
+from coltsfootstair.load._samples import NO_RESULT, Outcome
+
+if TYPE_CHECKING:
+    from coltsfootstair.clock import Clock
+
+__all__ = ['Answer', 'Caller', 'Question']
+
+TIMEOUT_S = 60.0
+MAX_IDLE_S = 10.0
+"""Below the time after which a daemon closes an idle connection, in seconds."""
+
+ANSWERED = 0
+
+
+class Question(NamedTuple):
+    """A request to be sent.
+
+    :param body: bytes, or portions of ``length`` bytes in all
+    """
+
+    service: str
+    key: str
+    operation_id: str
+    body: bytes | Iterable[bytes]
+    length: int
+    path: str = 'load'
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers that name key and operation."""
+        headers = {'Content-Length': str(self.length)}
+        if self.key:
+            headers['Coltsfootstair-Key'] = self.key
+        if self.operation_id:
+            headers['Idempotency-Key'] = self.operation_id
+        return headers
+
+
+class Answer(NamedTuple):
+    """What came back; ``outcome`` is ``WHOLE`` if nothing of it is missing."""
+
+    outcome: Outcome
+    result: int = NO_RESULT
+    ran: str = ''
+    request_id: str = ''
+    served_by: str = ''
+    key: str = ''
+    body: bytes = b''
+
+
+class Caller:
+    """Keeps one connection to each daemon; for one thread."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._connection_by_address: dict[str, http.client.HTTPConnection] = {}
+        self._used_at_by_address: dict[str, float] = {}
+
+    def close(self) -> None:
+        """Close every connection."""
+        for connection in self._connection_by_address.values():
+            connection.close()
+        self._connection_by_address.clear()
+
+    def connect(self, address: str) -> bool:
+        """Make sure of a connection; return whether there is one."""
+        idle_s = self._clock.monotonic() - self._used_at_by_address.get(address, 0.0)
+        connection = self._connection(address)
+        if idle_s > MAX_IDLE_S:
+            connection.close()
+        if connection.sock is not None:
+            return True
+        try:
+            connection.connect()
+        except OSError:
+            connection.close()
+            return False
+        return True
+
+    def ask(self, address: str, question: Question) -> Answer:
+        """Send ``question`` and read its answer."""
+        answer = self._ask(address, question)
+        self._used_at_by_address[address] = self._clock.monotonic()
+        return answer
+
+    def _ask(self, address: str, question: Question) -> Answer:
+        connection = self._connection(address)
+        path = f'/{question.service}/{question.path}'
+        # A server may refuse an upload, and close, before the whole of it was sent.
+        with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+            connection.request('POST', path, question.body, question.headers())
+        try:
+            response = connection.getresponse()
+        except (OSError, http.client.HTTPException):
+            self._forget(address)
+            return Answer(Outcome.NO_ANSWER)
+        try:
+            body = response.read()
+        except (OSError, http.client.HTTPException):
+            self._forget(address)
+            return Answer(Outcome.CUT)
+        if response.will_close:
+            self._forget(address)
+        return _answer(response, body)
+
+    def _connection(self, address: str) -> http.client.HTTPConnection:
+        if address not in self._connection_by_address:
+            connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
+            self._connection_by_address[address] = connection
+        return self._connection_by_address[address]
+
+    def _forget(self, address: str) -> None:
+        self._connection_by_address.pop(address).close()
+
+
+def _answer(response: http.client.HTTPResponse, body: bytes) -> Answer:
+    result = int(response.getheader('Coltsfootstair-Result') or NO_RESULT)
+    request_id = response.getheader('Coltsfootstair-Request-Id') or ''
+    if result != ANSWERED:
+        return Answer(Outcome.REFUSED, result, _ran(body), request_id)
+    return Answer(
+        Outcome.WHOLE,
+        result,
+        '',
+        request_id,
+        response.getheader('Served-By') or '',
+        response.getheader('Coltsfootstair-Key') or '',
+        body,
+    )
+
+
+def _ran(body: bytes) -> str:
+    with contextlib.suppress(ValueError, KeyError, TypeError):
+        return str(json.loads(body)['ran'])
+    return ''
--- /dev/null
+++ b/tests/load/test_generator.py
@@ -0,0 +1,101 @@
+"""Tests that the load generator tells its own answers from wrong ones."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+
+import pytest
+
+from coltsfootstair.clock import SystemClock
+from coltsfootstair.load import (
+    BookingLoad,
+    Load,
+    LoadGenerator,
+    LookupLoad,
+    Outcome,
+    Sample,
+    UploadLoad,
+    latencies_ms,
+)
+from coltsfootstair.standin._http import Exchange, HttpServer
+
+SECONDS = 0.3
+REFUSAL = json.dumps({'code': 200, 'ran': 'no'}).encode()
+
+
+class FakeDaemon:
+    """Answers as a daemon does, with one fault."""
+
+    def __init__(self, fault: str) -> None:
+        self.fault = fault
+        self.server = HttpServer('127.0.0.1:0', self)
+
+    def connected(self, connection: int) -> None:
+        """Do nothing."""
+
+    def disconnected(self, connection: int) -> None:
+        """Do nothing."""
+
+    def handle(self, exchange: Exchange) -> None:
+        body = exchange.body() or b''
+        key = exchange.headers.get('Coltsfootstair-Key', '')
+        headers = {'Coltsfootstair-Result': '0', 'Coltsfootstair-Key': key}
+        match self.fault:
+            case 'refused':
+                exchange.answer(503, REFUSAL, headers | {'Coltsfootstair-Result': '200'})
+            case 'cut':
+                exchange.answer(200, body, headers, send_bytes=1)
+            case 'dropped':
+                exchange.drop()
+            case 'crossed body':
+                exchange.answer(200, body[::-1], headers)
+            case 'crossed key':
+                exchange.answer(200, body, headers | {'Coltsfootstair-Key': 'other'})
+            case _:
+                exchange.answer(200, body, headers)
+
+
+@pytest.fixture
+def daemon(request: pytest.FixtureRequest) -> Iterator[FakeDaemon]:
+    fake = FakeDaemon(request.param)
+    fake.server.start()
+    yield fake
+    fake.server.stop()
+
+
+def run(daemon: FakeDaemon, load: Load) -> list[Sample]:
+    addresses = [daemon.server.address]
+    generator = LoadGenerator(lambda: list(addresses), [load], SECONDS, 1, SystemClock())
+    generator.start()
+    return generator.join()
+
+
+@pytest.mark.parametrize(
+    ('daemon', 'outcome'),
+    [
+        ('none', Outcome.WHOLE),
+        ('refused', Outcome.REFUSED),
+        ('cut', Outcome.CUT),
+        ('dropped', Outcome.NO_ANSWER),
+        ('crossed body', Outcome.FOREIGN),
+        ('crossed key', Outcome.FOREIGN),
+    ],
+    indirect=['daemon'],
+)
+def test_each_fault_is_told_from_a_whole_answer(daemon: FakeDaemon, outcome: Outcome) -> None:
+    samples = run(daemon, LookupLoad('lookups', 100.0))
+    assert {each.outcome for each in samples} == {outcome}
+    assert (latencies_ms(samples, 50)[0] > 0) == (outcome is Outcome.WHOLE)
+
+
+@pytest.mark.parametrize('daemon', ['none'], indirect=True)
+def test_an_upload_needs_its_digest(daemon: FakeDaemon) -> None:
+    samples = run(daemon, UploadLoad('scans', 1, 100_000, 1e9))
+    assert {each.outcome for each in samples} == {Outcome.FOREIGN}
+
+
+@pytest.mark.parametrize('daemon', ['dropped'], indirect=True)
+def test_an_unanswered_booking_is_resent(daemon: FakeDaemon) -> None:
+    samples = run(daemon, BookingLoad('bookings', 30.0, resend_share=0.0))
+    assert len(samples) == 3 * len({each.operation_id for each in samples})
