Judge a run's promises by what the backend servers saw

The judge takes the servers' truth, the callers' samples and what was done to servers, and gives one verdict for each promise. It is a pure function, and each promise is broken by hand in a test, so that it is seen to be able to fail.

A request is held to be outside its grant by its start, not its end: a server that comes back from a freeze may still finish old work.

--- /dev/null
+++ b/src/coltsfootstair/demo/_measures.py
@@ -0,0 +1,149 @@
+"""The measures of the brief, worked out from what one run showed."""
+
+from __future__ import annotations
+
+import itertools
+import statistics
+from collections import Counter
+from typing import NamedTuple
+
+from coltsfootstair.demo._observed import HappeningKind, Observed
+from coltsfootstair.demo._spans import Span, spans_by_slot
+from coltsfootstair.load import Outcome, Sample, latencies_ms
+
+__all__ = [
+    'Churn',
+    'Latency',
+    'Second',
+    'Unavailable',
+    'churn',
+    'imbalance',
+    'latency',
+    'seconds',
+    'unavailable',
+]
+
+
+class Churn(NamedTuple):
+    """How many changes of a slot's owner there were, and had to be."""
+
+    slots: int
+    moves: int
+    least: int
+
+
+class Unavailable(NamedTuple):
+    """Time for which slots that had an owner had none, in seconds.
+
+    :param slots: how many slots this happened to
+    """
+
+    slots: int
+    median_s: float
+    longest_s: float
+
+
+class Latency(NamedTuple):
+    """Latency of whole answers in milliseconds, and how many answers were not whole."""
+
+    answered: int
+    refused: int
+    lost: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+
+
+class Second(NamedTuple):
+    """The requests that were due in one second."""
+
+    number: int
+    latency: Latency
+    title: str
+
+
+def imbalance(observed: Observed, service: str, begin: float, end: float) -> float:
+    """Return the peak over the mean of requests for each server of ``service``."""
+    counts = [
+        sum(begin <= request['start'] < end for request in truth['requests'])
+        for server, truth in observed.watched
+        if server.service == service
+    ]
+    mean = statistics.fmean(counts) if counts else 0.0
+    return max(counts) / mean if mean else 0.0
+
+
+def churn(observed: Observed, service: str) -> Churn:
+    """Return the moves of slots between servers."""
+    by_slot = spans_by_slot(observed, service)
+    moves = sum(
+        before.server != after.server
+        for spans in by_slot.values()
+        for before, after in itertools.pairwise(spans)
+    )
+    return Churn(len(by_slot), moves, _least_moves(observed, service, by_slot))
+
+
+def unavailable(observed: Observed, service: str) -> Unavailable:
+    """Return how long slots were without an owner after they first had one."""
+    longest_by_slot: list[float] = []
+    for spans in spans_by_slot(observed, service).values():
+        held_to = spans[0].end
+        longest = 0.0
+        for span in spans[1:]:
+            longest = max(longest, span.begin - held_to)
+            held_to = max(held_to, span.end)
+        longest = max(longest, observed.ended_at - held_to)
+        if longest > 0:
+            longest_by_slot.append(longest)
+    if not longest_by_slot:
+        return Unavailable(0, 0.0, 0.0)
+    median = statistics.median(longest_by_slot)
+    return Unavailable(len(longest_by_slot), median, max(longest_by_slot))
+
+
+def latency(samples: list[Sample]) -> Latency:
+    """Return how requests were answered."""
+    outcomes = Counter(sample.outcome for sample in samples)
+    answered, refused = outcomes[Outcome.WHOLE], outcomes[Outcome.REFUSED]
+    lost = len(samples) - answered - refused
+    return Latency(answered, refused, lost, *latencies_ms(samples, 50, 99, 99.9))
+
+
+def seconds(observed: Observed, services: frozenset[str]) -> list[Second]:
+    """Return how the requests of ``services`` were answered, second by second."""
+    by_second: dict[int, list[Sample]] = {}
+    for sample in observed.samples:
+        if sample.service in services:
+            by_second.setdefault(int(sample.sent_at - observed.started_at), []).append(sample)
+    titles: dict[int, str] = {}
+    for happening in observed.happenings:
+        number = int(happening.at - observed.started_at)
+        titles[number] = ', '.join(filter(None, (titles.get(number), happening.title)))
+    numbers = range(max(by_second, default=-1) + 1)
+    return [
+        Second(number, latency(by_second.get(number, [])), titles.get(number, ''))
+        for number in numbers
+    ]
+
+
+def _least_moves(observed: Observed, service: str, by_slot: dict[int, list[Span]]) -> int:
+    """Count what had to move: all that leaving servers held, and a fair share back."""
+    present = {w.server.name for w in observed.watched if w.server.service == service}
+    least = 0
+    for happening in sorted(observed.happenings, key=lambda each: each.at):
+        if happening.kind in (HappeningKind.LOST, HappeningKind.TAKEN_OUT):
+            leaving = happening.servers & present
+            least += sum(_held_by(leaving, spans, happening.at) for spans in by_slot.values())
+            present = present - leaving
+        elif happening.kind is HappeningKind.BROUGHT_BACK:
+            own = {w.server.name for w in observed.watched if w.server.service == service}
+            returning = (happening.servers & own) - present
+            present |= returning
+            least += len(by_slot) * len(returning) // max(1, len(present))
+    return least
+
+
+def _held_by(servers: frozenset[str], spans: list[Span], at: float) -> bool:
+    before = [span for span in spans if span.begin <= at]
+    return bool(before) and before[-1].server in servers
--- /dev/null
+++ b/src/coltsfootstair/demo/_observed.py
@@ -0,0 +1,58 @@
+"""What one run showed, as the judge and the measures take it."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from coltsfootstair.document import BackendServer
+from coltsfootstair.load import Sample
+from coltsfootstair.standin import BackendServerTruth
+
+__all__ = ['Happening', 'HappeningKind', 'Observed', 'Watched']
+
+
+class HappeningKind(enum.StrEnum):
+    """What was done to backend servers during a run."""
+
+    TAKEN_OUT = 'taken out'
+    BROUGHT_BACK = 'brought back'
+    SLOWED = 'slowed'
+    LOST = 'lost'
+
+
+class Happening(NamedTuple):
+    """Something that was done to backend servers.
+
+    :param at: monotonic seconds; for an operators' change, when it was accepted
+    :param servers: names of the backend servers
+    """
+
+    kind: HappeningKind
+    at: float
+    servers: frozenset[str]
+    title: str
+
+
+class Watched(NamedTuple):
+    """A backend server as the operators' document has it, and what it saw."""
+
+    server: BackendServer
+    truth: BackendServerTruth
+
+
+class Observed(NamedTuple):
+    """All that one run showed.
+
+    :param divided: names of the services that are divided by key
+    :param ended_at: monotonic seconds at which truth was asked for
+    :param daemon_lost: whether a daemon was ended without a graceful shutdown
+    """
+
+    watched: tuple[Watched, ...]
+    samples: tuple[Sample, ...]
+    happenings: tuple[Happening, ...]
+    divided: frozenset[str]
+    started_at: float
+    ended_at: float
+    daemon_lost: bool = False
--- /dev/null
+++ b/src/coltsfootstair/demo/_spans.py
@@ -0,0 +1,40 @@
+"""Spans of time in which backend servers held the slots of a service."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from coltsfootstair.demo._observed import HappeningKind, Observed
+
+__all__ = ['Span', 'spans_by_slot']
+
+
+class Span(NamedTuple):
+    """One backend server held a slot from ``begin`` to ``end``, monotonic seconds."""
+
+    begin: float
+    end: float
+    server: str
+    token: int
+
+
+def spans_by_slot(observed: Observed, service: str) -> dict[int, list[Span]]:
+    """Return who held each slot, in order of time; a lost server holds none."""
+    lost_at = {
+        name: happening.at
+        for happening in observed.happenings
+        if happening.kind is HappeningKind.LOST
+        for name in happening.servers
+    }
+    found: dict[int, list[Span]] = {}
+    for server, truth in observed.watched:
+        if server.service != service:
+            continue
+        last = lost_at.get(server.name, observed.ended_at)
+        for grant in truth['grants']:
+            span = Span(grant['from'], min(grant['to'], last), server.name, grant['token'])
+            if span.end < span.begin:
+                continue
+            for slot in range(grant['first'], grant['last'] + 1):
+                found.setdefault(slot, []).append(span)
+    return {slot: sorted(spans) for slot, spans in found.items()}
--- /dev/null
+++ b/tests/demo/test_judge.py
@@ -0,0 +1,215 @@
+"""Tests of the judge: each promise is broken by hand, and must be seen broken."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import pytest
+
+from coltsfootstair.demo import (
+    Happening,
+    HappeningKind,
+    Observed,
+    Promise,
+    Watched,
+    churn,
+    imbalance,
+    judge,
+    latency,
+    seconds,
+    unavailable,
+)
+from coltsfootstair.document import BackendServer
+from coltsfootstair.load import Outcome, Sample
+
+if TYPE_CHECKING:
+    from coltsfootstair.standin import BackendServerTruth, GrantTruth, RequestTruth
+
+STARTED_AT = 100.0
+OUT_AT = 105.0
+ENDED_AT = 120.0
+
+
+def grant(first: int, last: int, begin: float, end: float, token: int = 1) -> GrantTruth:
+    return {
+        'first': first,
+        'last': last,
+        'token': token,
+        'from': begin,
+        'to': end,
+        'in_force': end == ENDED_AT,
+    }
+
+
+def request(name: str, start: float, slot: int | None, operation_id: str = '') -> RequestTruth:
+    return {
+        'request_id': name,
+        'operation_id': operation_id,
+        'service': 'slots',
+        'key': '' if slot is None else f'key-{slot}',
+        'slot': slot,
+        'token': None if slot is None else 1,
+        'start': start,
+        'end': start + 1.0,
+        'bytes': 5,
+        'status': 200,
+    }
+
+
+def watched(name: str, grants: list[GrantTruth], requests: list[RequestTruth]) -> Watched:
+    truth: BackendServerTruth = {
+        'name': name,
+        'requests': requests,
+        'refused': [],
+        'max_in_flight': 4,
+        'max_connections': 9,
+        'beyond_cold': 0,
+        'grants': grants,
+    }
+    return Watched(BackendServer(name, 'slots', 'lake', '127.0.0.1:1', 4, 9, True), truth)
+
+
+def sample(request_id: str, outcome: Outcome, operation_id: str = '', ran: str = '') -> Sample:
+    result = 0 if outcome is Outcome.WHOLE else 200
+    return Sample(
+        'slots', 'key', operation_id, request_id, 101.5, 0.01, outcome, result, ran, 'daemon'
+    )
+
+
+def good_run() -> Observed:
+    """Return a run in which slots 0 to 9 move from ``a`` to ``b``."""
+    moved = [grant(0, 9, 100.0, 106.0)]
+    taking = [grant(10, 19, 100.0, ENDED_AT), grant(0, 9, 106.5, ENDED_AT)]
+    return Observed(
+        (
+            watched('a', moved, [request('r1', 101.0, 3, 'op1'), request('r2', 105.9, 9)]),
+            watched('b', taking, [request('r3', 108.0, 3, 'op2')]),
+        ),
+        (
+            sample('r1', Outcome.WHOLE, 'op1'),
+            sample('r2', Outcome.WHOLE),
+            sample('r3', Outcome.WHOLE, 'op2'),
+            sample('r4', Outcome.REFUSED, 'op3', 'no'),
+        ),
+        (Happening(HappeningKind.TAKEN_OUT, OUT_AT, frozenset({'a'}), 'a out'),),
+        frozenset({'slots'}),
+        STARTED_AT,
+        ENDED_AT,
+    )
+
+
+def overlap_grants(run: Observed) -> None:
+    run.watched[1].truth['grants'][1]['from'] = 105.9
+
+
+def overlap_requests(run: Observed) -> None:
+    run.watched[0].truth['requests'][0]['end'] = 108.5
+
+
+def run_outside_grant(run: Observed) -> None:
+    run.watched[1].truth['requests'][0]['start'] = 106.2
+
+
+def run_under_another_token(run: Observed) -> None:
+    run.watched[1].truth['requests'][0]['token'] = 2
+
+
+def run_twice(run: Observed) -> None:
+    run.watched[1].truth['requests'].append(request('r1', 109.0, 3, 'op1'))
+
+
+def lose_booking(run: Observed) -> None:
+    del run.watched[0].truth['requests'][0]
+
+
+def run_refused(run: Observed) -> None:
+    run.watched[1].truth['requests'].append(request('r4.1', 109.0, 3))
+
+
+def exceed_slots(run: Observed) -> None:
+    run.watched[0].truth['max_in_flight'] = 5
+
+
+def exceed_connections(run: Observed) -> None:
+    run.watched[0].truth['max_connections'] = 10
+
+
+def exceed_cold(run: Observed) -> None:
+    run.watched[0].truth['beyond_cold'] = 1
+
+
+def work_while_out(run: Observed) -> None:
+    run.watched[0].truth['requests'][1]['start'] = 108.5
+
+
+BREAKAGES: list[tuple[Callable[[Observed], None], Promise]] = [
+    (overlap_grants, Promise.ONE_OWNER),
+    (overlap_requests, Promise.ONE_OWNER),
+    (run_outside_grant, Promise.UNDER_GRANT),
+    (run_under_another_token, Promise.UNDER_GRANT),
+    (run_twice, Promise.AT_MOST_ONCE),
+    (lose_booking, Promise.ACKNOWLEDGED),
+    (run_refused, Promise.NOT_RUN),
+    (exceed_slots, Promise.LIMITS),
+    (exceed_connections, Promise.LIMITS),
+    (exceed_cold, Promise.COLD_START),
+    (work_while_out, Promise.TAKEN_OUT),
+]
+
+
+def broken(run: Observed) -> set[Promise]:
+    return {verdict.promise for verdict in judge(run) if not verdict.kept}
+
+
+def test_a_good_run_keeps_every_promise() -> None:
+    run = good_run()
+    assert broken(run) == set()
+    assert all(verdict.checked for verdict in judge(run))
+
+
+@pytest.mark.parametrize(('breakage', 'promise'), BREAKAGES)
+def test_a_broken_promise_is_seen(
+    breakage: Callable[[Observed], None], promise: Promise
+) -> None:
+    run = good_run()
+    breakage(run)
+    assert promise in broken(run)
+
+
+@pytest.mark.parametrize('outcome', [Outcome.FOREIGN, Outcome.CUT, Outcome.NO_ANSWER])
+def test_a_wrong_or_missing_answer_is_seen(outcome: Outcome) -> None:
+    run = good_run()
+    run = run._replace(samples=(*run.samples, sample('r9', outcome)))
+    assert Promise.WHOLE_ANSWERS in broken(run)
+    excused = broken(run._replace(daemon_lost=True))
+    assert (Promise.WHOLE_ANSWERS in excused) == (outcome is Outcome.FOREIGN)
+
+
+def test_a_refusal_without_its_word_is_seen() -> None:
+    run = good_run()
+    run = run._replace(samples=(sample('r9', Outcome.REFUSED),))
+    assert Promise.WHOLE_ANSWERS in broken(run)
+
+
+def test_work_after_the_return_is_right() -> None:
+    run = good_run()
+    work_while_out(run)
+    back = Happening(HappeningKind.BROUGHT_BACK, 108.2, frozenset({'a'}), 'a back')
+    assert Promise.TAKEN_OUT not in broken(run._replace(happenings=(*run.happenings, back)))
+
+
+def test_measures_of_a_run() -> None:
+    run = good_run()
+    assert churn(run, 'slots') == (20, 10, 10)
+    assert unavailable(run, 'slots') == (10, 0.5, 0.5)
+    assert imbalance(run, 'slots', STARTED_AT, ENDED_AT) == pytest.approx(4 / 3)
+    assert latency(list(run.samples))[:3] == (3, 1, 0)
+    second = seconds(run, frozenset({'slots'}))[1]
+    assert (second.number, second.latency.answered, second.title) == (1, 3, '')
+
+
+def test_a_lost_server_holds_nothing() -> None:
+    lost = Happening(HappeningKind.LOST, 105.5, frozenset({'a'}), 'a lost')
+    run = good_run()._replace(happenings=(lost,))
+    assert unavailable(run, 'slots') == (10, 1.0, 1.0)
