Change the document by conditional updates, and decide which version is in force

A lost answer is settled by asking for the same update again: it is bound to the same version, so the conflict that follows tells whether the first one took effect. Ruled out: reading back only, since an update still under way could take effect after the read.

A version may be used while it was known to be the newest within 2.5 s, counted from when that was asked for. With the store down for the daemons of most data centres, no one can change the document, so their word is enough.

--- /dev/null
+++ b/src/coltsfootstair/operators/__init__.py
@@ -0,0 +1,47 @@
+"""The operators' side: the document in the store, the console and its JSON interface."""
+
+from __future__ import annotations
+
+from coltsfootstair.operators._config import DOCUMENT_KEY, DocumentStore, fault_lines
+from coltsfootstair.operators._gate import MAX_AGE_S, News, VersionGate
+from coltsfootstair.operators._ports import DaemonPort
+from coltsfootstair.operators._types import (
+    Applied,
+    ApplyResult,
+    Conflict,
+    DaemonState,
+    DaemonStatus,
+    Dangerous,
+    Faulty,
+    OwnerReport,
+    OwnerStatus,
+    RefusalCount,
+    ServerStatus,
+    StatusReport,
+    Unavailable,
+    VersionedText,
+)
+
+__all__ = [
+    'DOCUMENT_KEY',
+    'MAX_AGE_S',
+    'Applied',
+    'ApplyResult',
+    'Conflict',
+    'DaemonPort',
+    'DaemonState',
+    'DaemonStatus',
+    'Dangerous',
+    'DocumentStore',
+    'Faulty',
+    'News',
+    'OwnerReport',
+    'OwnerStatus',
+    'RefusalCount',
+    'ServerStatus',
+    'StatusReport',
+    'Unavailable',
+    'VersionGate',
+    'VersionedText',
+    'fault_lines',
+]
