--- a/src/coltsfootstair/standin/_grants.py
+++ b/src/coltsfootstair/standin/_grants.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from coltsfootstair.standin._truth import GrantTruth
 
-__all__ = ['GrantBook', 'GrantOrder', 'Range']
+__all__ = ['GrantBook', 'GrantOrder', 'Range', 'is_allowed']
 
 MAX_TOKEN = 2**63
 
