--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -14,6 +14,7 @@
 from coltsfootstair.backend import HttpBackendServer
 from coltsfootstair.coordinator import Coordinator, Exchange
 from coltsfootstair.daemon._inbound import Inbound
+from coltsfootstair.daemon._operators import OperatorsAdapter
 from coltsfootstair.daemon._ownership import OwnershipTask
 from coltsfootstair.daemon._peers import PeerDirectory, PeerLink
 from coltsfootstair.daemon._store_watch import StoreWatch
@@ -22,6 +23,7 @@
 from coltsfootstair.inner import Hello, Hub
 from coltsfootstair.inner._messages import PROTOCOL_VERSION
 from coltsfootstair.metrics import DaemonMetrics
+from coltsfootstair.operators import OperatorsApp, OperatorsServer
 from coltsfootstair.routing import Router
 from coltsfootstair.store import HttpStore, Replica, StoreIdentity
 
@@ -88,6 +90,10 @@
             self._upload_services,
             self.metrics.count_request,
         )
+        adapter = OperatorsAdapter(self)
+        self.operators = OperatorsServer(
+            settings.operators, OperatorsApp(adapter, self.metrics.page)
+        )
         self._ready = False
         self._leaving = threading.Event()
 
@@ -97,6 +103,7 @@
         :raises OSError: an address is in use
         """
         self.callers.open()
+        self.operators.open()
         self.hub.start()
         self.coordinator.start()
         self.store_watch.start()
@@ -106,11 +113,13 @@
         self.peers.start()
         self.ownership.start()
         self.callers.start()
+        self.operators.start()
         self._ready = True
         logger.info(
             'ready',
             name=self.settings.name,
             callers=self.callers.address,
+            operators=self.operators.address,
             inner=self.hub.address,
         )
 
@@ -124,6 +133,7 @@
         self._leaving.wait(BALANCER_NOTICE_S)
         clean = self._drain()
         self.callers.stop()
+        self.operators.stop()
         self.ownership.stop()
         self.peers.stop()
         self.store_watch.stop()
