Add the operators' commands, the JSON interface and the console

tomli_w writes short tables inline; entries are now written one value a line, as operators read and compare them.

--- /dev/null
+++ b/src/coltsfootstair/cli/_operators.py
@@ -0,0 +1,136 @@
+"""The operators' commands, each of which asks one daemon."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+from cyclopts import Parameter
+
+from coltsfootstair import document
+from coltsfootstair.cli._app import app
+from coltsfootstair.cli._failures import EXIT_BAD_INPUT, EXIT_FAILED, reported_errors
+from coltsfootstair.cli._report import print_status, print_timeline
+from coltsfootstair.cli._settings import config
+from coltsfootstair.document import State
+from coltsfootstair.operators import (
+    Applied,
+    ApplyResult,
+    Conflict,
+    Dangerous,
+    Faulty,
+    OperatorsClient,
+    Unavailable,
+)
+from coltsfootstair.settings import read_text
+
+__all__ = ['backend_server', 'data_centre']
+
+data_centre = cyclopts.App(name='data-centre', help='Take one out, or bring it back.')
+backend_server = cyclopts.App(name='backend-server', help='Drain one, or restore it.')
+app.command(data_centre)
+app.command(backend_server)
+
+Daemon = Annotated[str, Parameter(name='--daemon', help="IP:PORT of a daemon's operators.")]
+Force = Annotated[bool, Parameter(negative='', help='Make the change though dangerous.')]
+Json = Annotated[bool, Parameter(name='--json', negative='', help='Print JSON.')]
+
+
+@config.command(name='apply')
+def apply(
+    file: Path, *, daemon: Daemon, base: int | None = None, force: Force = False
+) -> None:
+    """Put the document in FILE in force, if version BASE is still the present one."""
+    with reported_errors():
+        text = read_text(file)
+        document.parse(text, str(file))
+        _report(OperatorsClient(daemon).apply(text, base, force=force))
+
+
+@config.command(name='show')
+def show(*, daemon: Daemon) -> None:
+    """Print the present document, with its version in a comment."""
+    with reported_errors():
+        present = OperatorsClient(daemon).document()
+    print(f'# version {present.version}\n{present.text}', end='')
+
+
+@data_centre.command(name='take-out')
+def take_out(name: str, *, daemon: Daemon, force: Force = False) -> None:
+    """Give data centre NAME no new work."""
+    with reported_errors():
+        _report(OperatorsClient(daemon).set_data_centre(name, State.OUT, force=force))
+
+
+@data_centre.command(name='bring-back')
+def bring_back(name: str, *, daemon: Daemon, force: Force = False) -> None:
+    """Give data centre NAME new work again."""
+    with reported_errors():
+        _report(OperatorsClient(daemon).set_data_centre(name, State.IN, force=force))
+
+
+@backend_server.command(name='drain')
+def drain(name: str, *, daemon: Daemon, force: Force = False) -> None:
+    """Give backend server NAME no new work."""
+    with reported_errors():
+        _report(OperatorsClient(daemon).set_backend_server(name, State.OUT, force=force))
+
+
+@backend_server.command(name='restore')
+def restore(name: str, *, daemon: Daemon, force: Force = False) -> None:
+    """Give backend server NAME new work again."""
+    with reported_errors():
+        _report(OperatorsClient(daemon).set_backend_server(name, State.IN, force=force))
+
+
+@app.command(name='status')
+def status(*, daemon: Daemon, as_json: Json = False) -> None:
+    """Show daemons, coordinators, owners and the version in force at each."""
+    with reported_errors():
+        report = OperatorsClient(daemon).status()
+    if as_json:
+        print(json.dumps(report, indent=2))
+    else:
+        print_status(report)
+
+
+@app.command(name='timeline')
+def timeline(*, daemon: Daemon, as_json: Json = False) -> None:
+    """Show the events of all daemons in one causal order."""
+    with reported_errors():
+        events = OperatorsClient(daemon).timeline()
+    if as_json:
+        print(json.dumps(events, indent=2))
+    else:
+        print_timeline(events)
+
+
+def _report(result: ApplyResult) -> None:
+    match result:
+        case Applied(version, changes):
+            for change in changes:
+                print(change)
+            print(
+                f'accepted as version {version}'
+                if changes
+                else f'already so in version {version}'
+            )
+        case Conflict(version, changes, detail):
+            since = '; '.join(changes) or 'what changed is not known here'
+            _fail(f'conflict: version {version} came first: {since}', detail)
+        case Dangerous(dangers):
+            _fail(*(f'dangerous without --force: {one}' for one in dangers))
+        case Faulty(faults):
+            _fail(*faults, code=EXIT_BAD_INPUT)
+        case Unavailable(detail):
+            _fail(detail)
+
+
+def _fail(*lines: str, code: int = EXIT_FAILED) -> None:
+    for line in lines:
+        if line:
+            print(line, file=sys.stderr)
+    sys.exit(code)
--- /dev/null
+++ b/src/coltsfootstair/cli/_report.py
@@ -0,0 +1,56 @@
+"""Prints reports for people."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+__all__ = ['print_status', 'print_timeline']
+
+_DAEMON = ('name', 'data_centre', 'state', 'version', 'document_age_s', 'standby')
+_SERVER = (
+    'name',
+    'service',
+    'data_centre',
+    'state',
+    'coordinator',
+    'phase',
+    'in_flight',
+    'waiting',
+    'limit',
+    'slots',
+)
+_OWNER = ('service', 'first', 'last', 'server', 'token', 'next_server')
+
+
+def print_status(report: dict[str, Any]) -> None:
+    """Print the state of the whole system."""
+    print(f'version {report["version"]}, as seen by {report["daemon"]}')
+    _print_table('daemons', _DAEMON, report['daemons'])
+    _print_table('backend servers', _SERVER, report['backend_servers'])
+    _print_table('owners', _OWNER, report['owners'])
+    for daemon in report['daemons']:
+        for refusal in daemon['refusals']:
+            title, requests = refusal['title'], refusal['requests']
+            print(f'{daemon["name"]} refused {requests}: {refusal["code"]} {title}')
+
+
+def print_timeline(events: Iterable[dict[str, Any]]) -> None:
+    """Print one line for each event."""
+    for event in events:
+        fields = ' '.join(f'{field}={value!r}' for field, value in event['fields'].items())
+        print(f'{event["time"]} {event["daemon"]:<12} {event["event"]:<24} {fields}')
+
+
+def _print_table(title: str, fields: Sequence[str], rows: Sequence[dict[str, Any]]) -> None:
+    print(f'\n{title}:')
+    lines = [[field.replace('_', ' ') for field in fields]]
+    lines += [[_text(row[field]) for field in fields] for row in rows]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(fields))]
+    for line in lines:
+        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        print('  ' + '  '.join(cells).rstrip())
+
+
+def _text(value: object) -> str:
+    return f'{value:.1f}' if isinstance(value, float) else str(value)
--- a/src/coltsfootstair/document/_toml.py
+++ b/src/coltsfootstair/document/_toml.py
@@ -4,8 +4,6 @@
 
 from typing import Any
 
-import tomli_w
-
 from coltsfootstair.document._checks import check_references
 from coltsfootstair.document._types import (
     BackendServer,
@@ -15,7 +13,7 @@
     ServiceKind,
     State,
 )
-from coltsfootstair.typed_toml import Address, Name, PositiveInt, TomlReader
+from coltsfootstair.typed_toml import Address, Name, PositiveInt, TomlReader, dump_tables
 
 __all__ = ['MAX_DOCUMENT_BYTES', 'parse', 'render']
 
@@ -67,7 +65,7 @@
 
 def render(document: Document) -> str:
     """Return the canonical TOML of ``document``; comments of its source are not kept."""
-    return tomli_w.dumps(
+    return dump_tables(
         {
             kind: [_plain(entry) for entry in entries]
             for kind, entries in document._asdict().items()
--- a/src/coltsfootstair/operators/__init__.py
+++ b/src/coltsfootstair/operators/__init__.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from coltsfootstair.operators._app import OperatorsApp
+from coltsfootstair.operators._client import DaemonUnreachableError, OperatorsClient
 from coltsfootstair.operators._config import DOCUMENT_KEY, DocumentStore, fault_lines
 from coltsfootstair.operators._gate import MAX_AGE_S, News, VersionGate
 from coltsfootstair.operators._ports import DaemonPort
+from coltsfootstair.operators._server import OperatorsServer
 from coltsfootstair.operators._types import (
     Applied,
     ApplyResult,
@@ -31,10 +34,14 @@
     'DaemonPort',
     'DaemonState',
     'DaemonStatus',
+    'DaemonUnreachableError',
     'Dangerous',
     'DocumentStore',
     'Faulty',
     'News',
+    'OperatorsApp',
+    'OperatorsClient',
+    'OperatorsServer',
     'OwnerReport',
     'OwnerStatus',
     'RefusalCount',
--- /dev/null
+++ b/src/coltsfootstair/operators/_app.py
@@ -0,0 +1,81 @@
+"""The WSGI application of the operators' address."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from coltsfootstair.operators._api import Api
+from coltsfootstair.operators._console import Console
+from coltsfootstair.operators._http import HttpError, Request, Response, read_request
+
+if TYPE_CHECKING:
+    from coltsfootstair.operators._ports import DaemonPort
+
+__all__ = ['OperatorsApp']
+
+logger = structlog.get_logger()
+
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+API_PREFIX = '/api/'
+
+
+class OperatorsApp:
+    """Serves the console, the JSON interface, the metrics and the readiness.
+
+    :param metrics_page: returns the metrics in the text format of Prometheus
+    """
+
+    def __init__(self, port: DaemonPort, metrics_page: Callable[[], bytes]) -> None:
+        self._port = port
+        self._metrics_page = metrics_page
+        self._api = Api(port)
+        self._console = Console(port)
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        response = self._answer(environ)
+        status = f'{response.status.value} {response.status.phrase}'
+        start_response(status, response.all_headers())
+        return [b'' if environ['REQUEST_METHOD'] == 'HEAD' else response.body]
+
+    def _answer(self, environ: dict[str, Any]) -> Response:
+        try:
+            request = read_request(environ)
+            return self._dispatch(request)
+        except HttpError as error:
+            return self._error(environ, error)
+        except Exception:
+            logger.exception('operators request failed', path=environ.get('PATH_INFO'))
+            failure = HttpError(HTTPStatus.INTERNAL_SERVER_ERROR, 'the daemon failed')
+            return self._error(environ, failure)
+
+    def _dispatch(self, request: Request) -> Response:
+        if request.method == 'HEAD':
+            request = request._replace(method='GET')
+        if request.method not in ('GET', 'POST'):
+            raise HttpError(HTTPStatus.METHOD_NOT_ALLOWED, 'only GET and POST are served')
+        if request.path == '/-/ready':
+            return self._ready()
+        if request.path == '/metrics':
+            return Response(HTTPStatus.OK, METRICS_TYPE, self._metrics_page())
+        if request.path.startswith(API_PREFIX):
+            return self._api.handle(request)
+        return self._console.handle(request)
+
+    def _ready(self) -> Response:
+        if self._port.ready():
+            return Response(HTTPStatus.OK, 'text/plain', b'ready\n')
+        return Response(HTTPStatus.SERVICE_UNAVAILABLE, 'text/plain', b'not ready\n')
+
+    def _error(self, environ: dict[str, Any], error: HttpError) -> Response:
+        if environ.get('PATH_INFO', '').startswith(API_PREFIX):
+            body = json.dumps({'outcome': 'error', 'detail': error.detail}).encode()
+            return Response(error.status, 'application/json', body)
+        return self._console.error(error)
--- a/src/coltsfootstair/operators/_config.py
+++ b/src/coltsfootstair/operators/_config.py
@@ -46,11 +46,17 @@
         return VersionedText(stored.value.decode(), stored.version)
 
     def apply(
-        self, text: str, base: int | None, *, force: bool, load: Load, known: VersionedText
+        self,
+        text: str,
+        base: int | None,
+        *,
+        force: bool,
+        load: Load,
+        history: Mapping[int, str],
     ) -> ApplyResult:
         """Put ``text`` in place of version ``base``, or of the present one.
 
-        :param known: a version in force, to show what changed since ``base`` if it is that
+        :param history: documents by version, to show what changed since ``base``
         """
         try:
             new = parse(text, 'document')
@@ -61,7 +67,7 @@
         except StoreUnavailableError as error:
             return Unavailable(f'nothing was changed: {error}')
         if base is not None and base != present.version:
-            return _conflict(known if known.version == base else None, present)
+            return _conflict(history.get(base), present)
         return self._replace(present, new, force=force, load=load)
 
     def set_data_centre(
@@ -138,7 +144,7 @@
             detail = ''
             if asked:
                 detail = 'an answer was lost: the change may have been in force before that'
-            return _conflict(base, present)._replace(detail=detail)
+            return _conflict(base.text, present)._replace(detail=detail)
         return Unavailable('the store did not answer; the change may have taken effect')
 
 
@@ -153,8 +159,8 @@
     return tuple(lines)
 
 
-def _conflict(base: VersionedText | None, present: VersionedText) -> Conflict:
+def _conflict(base: str | None, present: VersionedText) -> Conflict:
     if base is None:
         return Conflict(present.version, ())
-    old, new = parse(base.text, 'document'), parse(present.text, 'document')
+    old, new = parse(base, 'document'), parse(present.text, 'document')
     return Conflict(present.version, tuple(str(change) for change in difference(old, new)))
--- a/src/coltsfootstair/typed_toml/__init__.py
+++ b/src/coltsfootstair/typed_toml/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootstair.typed_toml._dump import dump_tables
 from coltsfootstair.typed_toml._reader import Path, TomlReader
 from coltsfootstair.typed_toml._types import (
     Address,
@@ -18,5 +19,6 @@
     'Path',
     'PositiveInt',
     'TomlReader',
+    'dump_tables',
     'parse_address',
 ]
--- a/tests/operators/fakes.py
+++ b/tests/operators/fakes.py
@@ -1,9 +1,32 @@
-"""A store in memory, with the faults of a real one."""
+"""A store in memory with the faults of a real one, and a daemon around it."""
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from tests.document.examples import EXAMPLE
+
+from coltsfootstair.clock import ManualClock
+from coltsfootstair.document import State, dangers, parse
 from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
+from coltsfootstair.operators import (
+    ApplyResult,
+    DaemonState,
+    DaemonStatus,
+    DocumentStore,
+    OperatorsApp,
+    OperatorsServer,
+    OwnerReport,
+    OwnerStatus,
+    RefusalCount,
+    ServerStatus,
+    StatusReport,
+    VersionedText,
+)
+from coltsfootstair.results import ResultCode, title
 from coltsfootstair.store import ABSENT, Versioned
+from coltsfootstair.timeline import EventName, Timeline, TimelineEvent
 
 
 class FakeStore:
@@ -49,3 +72,68 @@
         if self.calls in self.dropped:
             raise StoreUnavailableError('down')
         return self.calls
+
+
+class FakeDaemon:
+    """A daemon with a store of its own, and little to report."""
+
+    def __init__(self, text: str = EXAMPLE) -> None:
+        self.store = FakeStore()
+        self.load = {'slots': 1.0}
+        self.is_ready = True
+        self._documents = DocumentStore(self.store)
+        clock = ManualClock()
+        self._timeline = Timeline('north-1', clock)
+        self._timeline.record(EventName.DAEMON_STARTED, data_centre='north')
+        self._timeline.record(
+            EventName.REQUEST_REFUSED, request_id='r-1', key='<b>"k"</b>', code=304
+        )
+        if text:
+            self.apply(text, None, False)
+
+    def ready(self) -> bool:
+        return self.is_ready
+
+    def status(self) -> StatusReport:
+        refusals = (RefusalCount(304, title(ResultCode.SERVICE_OUT), 7),)
+        here = DaemonStatus(
+            'north-1', 'north', DaemonState.READY, 'i', 1, 0.25, True, 'south-1', refusals
+        )
+        gone = DaemonStatus('south-1', 'south', DaemonState.UNREACHABLE)
+        server = ServerStatus('slots-1', 'slots', 'north', 'in', 'north-1', 'cold', 2, 1, 3, 4)
+        owners = (OwnerStatus('slots', 0, 1023, 'slots-1', 7, 'slots-2'),)
+        return StatusReport('north-1', 1, (here, gone), (server,), owners)
+
+    def timeline(self) -> list[TimelineEvent]:
+        return self._timeline.events()
+
+    def document(self) -> VersionedText:
+        return self._documents.read()
+
+    def apply(self, text: str, base: int | None, force: bool) -> ApplyResult:
+        return self._documents.apply(text, base, force=force, load=self.load, history={})
+
+    def set_data_centre(self, name: str, state: State, force: bool) -> ApplyResult:
+        return self._documents.set_data_centre(name, state, force=force, load=self.load)
+
+    def set_backend_server(self, name: str, state: State, force: bool) -> ApplyResult:
+        return self._documents.set_backend_server(name, state, force=force, load=self.load)
+
+    def dangers(self, text: str) -> list[str]:
+        old, new = parse(self.document().text, 'old'), parse(text, 'new')
+        return [str(danger) for danger in dangers(old, new, self.load)]
+
+    def owner_of(self, service: str, key: str) -> OwnerReport | None:
+        if service != 'slots':
+            return None
+        return OwnerReport(service, key, 5, 'slots-1', 7, '', 'north-1', 'row 5 is assigned')
+
+
+@contextmanager
+def served(daemon: FakeDaemon) -> Iterator[str]:
+    """Serve ``daemon`` on a free port; give the address."""
+    server = OperatorsServer('127.0.0.1:0', OperatorsApp(daemon, lambda: b'up 1\n'))
+    server.open()
+    server.start()
+    yield server.address
+    server.stop()
--- a/tests/operators/test_config.py
+++ b/tests/operators/test_config.py
@@ -17,7 +17,6 @@
     DocumentStore,
     Faulty,
     Unavailable,
-    VersionedText,
 )
 
 TEXT = render(parse(EXAMPLE, 'example'))
@@ -25,9 +24,8 @@
 
 def apply(store: FakeStore, text: str, base: int | None = None, **more: bool) -> ApplyResult:
     documents = DocumentStore(store)
-    known = VersionedText(TEXT, 1)
     force = more.get('force', False)
-    return documents.apply(text, base, force=force, load={'slots': 3.0}, known=known)
+    return documents.apply(text, base, force=force, load={'slots': 3.0}, history={1: TEXT})
 
 
 def take_out(store: FakeStore, name: str = 'north', force: bool = False) -> ApplyResult:
