--- a/src/coltsfootstair/daemon/_operators.py
+++ b/src/coltsfootstair/daemon/_operators.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from coltsfootstair.document import State
 from coltsfootstair.operators import (
     DaemonState,
     DaemonStatus,
@@ -19,7 +18,7 @@
 
 if TYPE_CHECKING:
     from coltsfootstair.daemon._application import Daemon
-    from coltsfootstair.document import BackendServer
+    from coltsfootstair.document import BackendServer, State
     from coltsfootstair.operators import ApplyResult
     from coltsfootstair.timeline import TimelineEvent
 
