--- a/src/coltsfootstair/admission/__init__.py
+++ b/src/coltsfootstair/admission/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootstair.admission._decide import handle
 from coltsfootstair.admission._messages import (
     Abandoned,
     Cancelled,
@@ -20,7 +21,7 @@
     Tick,
 )
 from coltsfootstair.admission._policy import AdmissionPolicy
-from coltsfootstair.admission._state import AdmissionState, handle, new_state
+from coltsfootstair.admission._state import AdmissionState, new_state
 
 __all__ = [
     'Abandoned',
--- a/src/coltsfootstair/admission/_policy.py
+++ b/src/coltsfootstair/admission/_policy.py
@@ -11,8 +11,10 @@
     """How a backend server's queue and ramp behave.
 
     :param waiting_per_slot: requests that may wait for each slot
-    :param growth_answers: answers at a full window before it grows by one slot
-    :param growth_answers_max: bound on ``growth_answers`` as failed growth doubles it
+    :param first_growth_answers: answers at one slot before there are two
+    :param growth_answers: answers at a full window before it grows by one slot more
+    :param patience_max: bound on the factor that failed growth doubles
+    :param growth_s: seconds at a window full of uploads before it grows by one slot
     :param latency_jump: factor over the usual latency that counts as a jump
     :param latency_jump_floor_s: seconds below which no latency counts as a jump
     :param latency_jump_answers: answers in a row that must show the jump
@@ -21,8 +23,10 @@
     """
 
     waiting_per_slot: int = 16
-    growth_answers: int = 4
-    growth_answers_max: int = 256
+    first_growth_answers: int = 24
+    growth_answers: int = 6
+    patience_max: int = 16
+    growth_s: float = 2.0
     latency_jump: float = 5.0
     latency_jump_floor_s: float = 0.05
     latency_jump_answers: int = 3
--- a/src/coltsfootstair/admission/_ramp.py
+++ b/src/coltsfootstair/admission/_ramp.py
@@ -10,35 +10,42 @@
 
 __all__ = ['Ramp']
 
+FAILURES = 2
+
 
 class Ramp:
     """A window of requests in flight that starts at one and grows on answers.
 
     Only answers to requests that were sent at the present window and filled it count.
-    A failed request puts the window back to one and doubles the answers that the next
-    growth needs. A probe can hold the window down, and never widens it.
+    Two failures without an answer between, or one right after the window grew, put it
+    back to one; where growth had been too much, the next needs twice the answers. A probe
+    can hold the window down, and never widens it.
     """
 
     __slots__ = (
         '_answers',
         '_cold_since',
+        '_failures',
         '_instance',
-        '_needed',
+        '_patience',
         '_policy',
         '_probed',
         '_slow_answers',
+        '_stage_at',
         'stage',
         'window',
     )
 
-    def __init__(self, policy: AdmissionPolicy) -> None:
+    def __init__(self, policy: AdmissionPolicy, now: float) -> None:
         self._policy = policy
         self._instance = ''
         self._probed = False
         self._cold_since: float | None = None
-        self._needed = policy.growth_answers
+        self._patience = 1
         self._answers = 0
+        self._failures = 0
         self._slow_answers = 0
+        self._stage_at = now
         self.window = 1
         self.stage = 0
 
@@ -50,7 +57,7 @@
         self._instance = probe.instance
         newly_cold = probe.cold and self._cold_since is None
         if restarted or newly_cold:
-            self._reset()
+            self._reset(now)
         self._probed = True
         if not probe.cold:
             self._cold_since = None
@@ -59,27 +66,38 @@
 
     def answered(self, stage: int, in_flight: int, slots: int, now: float) -> None:
         """Count an answer to a request sent at ``stage`` that ended with ``in_flight``."""
+        self._failures = 0
         if stage != self.stage or in_flight < self.window:
             return
         self._answers += 1
-        if self.window >= slots:
-            if self._answers >= self._needed:
-                self._needed = self._policy.growth_answers
+        if self._answers < self._needed():
             return
-        if self._answers < self._needed or not self._may_grow(now):
+        if self.window >= slots:
+            self._patience = 1
+        elif self._may_grow(now):
+            self._grow(now)
+
+    def filled(self, slots: int, now: float) -> None:
+        """Take in that only uploads are in flight and others wait."""
+        full_s = now - self._stage_at
+        if self.window >= slots or full_s < self._policy.growth_s * self._patience:
             return
-        self.window += 1
-        self._next_stage()
+        if self._may_grow(now):
+            self._grow(now)
 
-    def failed(self, stage: int) -> None:
-        """Go back to one slot, unless the request was sent before the last change down."""
+    def failed(self, stage: int, now: float) -> None:
+        """Count a failure; one of a request sent at a wider window says nothing new."""
         if stage < self.stage and self.window == 1:
             return
+        self._failures += 1
+        unproven = self.window > 1 and not self._answers
+        if self._failures < FAILURES and not unproven:
+            return
         if self.window > 1:
-            self._needed = min(self._needed * 2, self._policy.growth_answers_max)
-        self._reset()
+            self._patience = min(self._patience * 2, self._policy.patience_max)
+        self._reset(now)
 
-    def timed(self, seconds: float, usual_s: float) -> None:
+    def timed(self, seconds: float, usual_s: float, now: float) -> None:
         """Go back to one slot after several answers in a row that took far too long."""
         limit = max(usual_s * self._policy.latency_jump, self._policy.latency_jump_floor_s)
         if seconds <= limit:
@@ -87,7 +105,13 @@
             return
         self._slow_answers += 1
         if self._slow_answers >= self._policy.latency_jump_answers and self.window > 1:
-            self._reset()
+            self._reset(now)
+
+    def _needed(self) -> int:
+        first = self.window == 1
+        policy = self._policy
+        base = policy.first_growth_answers if first else policy.growth_answers
+        return base * self._patience
 
     def _may_grow(self, now: float) -> bool:
         if not self._probed:
@@ -95,12 +119,18 @@
         trust_s = self._policy.cold_word_trust_s
         return self._cold_since is None or now - self._cold_since > trust_s
 
-    def _reset(self) -> None:
+    def _grow(self, now: float) -> None:
+        self.window += 1
+        self._next_stage(now)
+
+    def _reset(self, now: float) -> None:
         self.window = 1
         self._probed = False
-        self._next_stage()
+        self._failures = 0
+        self._next_stage(now)
 
-    def _next_stage(self) -> None:
+    def _next_stage(self, now: float) -> None:
         self.stage += 1
+        self._stage_at = now
         self._answers = 0
         self._slow_answers = 0
