Read callers' bodies in portions; never take an unread body in

Cause: the server library reads all that is left of a body into memory before it sends a refusal, and holds a chunk of whatever size its caller names; one refused 50 MB upload would cost 50 MB. Ruled out: its own body limit, which only knows a fixed size.

--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -85,6 +85,7 @@
         )
         self.callers = CallerServer(
             settings.callers,
+            clock,
             Relay(RelayParts(clock, self.router, link, self.pending)),
             self.is_ready,
             self._upload_services,
--- a/src/coltsfootstair/entry/_relay.py
+++ b/src/coltsfootstair/entry/_relay.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import queue
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from coltsfootstair.clock import Clock
 from coltsfootstair.document import ServiceKind
+from coltsfootstair.entry._body import BodyBrokenError, CallerBody
 from coltsfootstair.entry._pending import LinkLost, PendingAnswers
 from coltsfootstair.inner import (
     AnswerChunk,
@@ -53,8 +54,7 @@
 class CallerRequest(NamedTuple):
     """A caller's request as it came in.
 
-    :param read: gives the next bytes of the body, up to a size; empty at the end
-    :param body_length: the announced length in bytes, or -1 if it is not known
+    :param timeout_s: how long the caller waits for its answer
     """
 
     request_id: str
@@ -66,8 +66,7 @@
     path: str
     headers: list[tuple[str, str]]
     timeout_s: float
-    read: Callable[[int], bytes]
-    body_length: int
+    body: CallerBody
 
 
 class RelayedAnswer(NamedTuple):
@@ -120,9 +119,10 @@
     def serve(self, request: CallerRequest) -> RelayedAnswer | Refusal:
         """Return the whole way's outcome: an answer that streams, or a refusal."""
         deadline = self._parts.clock.monotonic() + request.timeout_s
-        body = _read_inline(request)
-        if body is None:
-            return Refusal(ResultCode.BODY_CUT, Ran.NO, 'the body ended early')
+        try:
+            body = _read_inline(request.body)
+        except BodyBrokenError as error:
+            return Refusal(ResultCode.BODY_CUT, Ran.NO, str(error))
         attempt = 0
         while True:
             route = self._parts.router.route(
@@ -170,29 +170,18 @@
     complete: bool
 
 
-def _read_inline(request: CallerRequest) -> _InlineBody | None:
-    """Read the first part of the body; ``None`` if it ended before its length."""
-    length = request.body_length
-    if length == 0:
-        return _InlineBody(b'', True)
-    wanted = INLINE_BODY_BYTES if length < 0 else min(length, INLINE_BODY_BYTES)
-    data = _read_exactly(request, wanted)
-    if length < 0:
-        return _InlineBody(data, len(data) < wanted)
-    if len(data) < wanted:
-        return None
-    return _InlineBody(data, length == wanted)
-
+def _read_inline(body: CallerBody) -> _InlineBody:
+    """Read the first part of the body.
 
-def _read_exactly(request: CallerRequest, size: int) -> bytes:
+    :raises BodyBrokenError: it ended before its length
+    """
     parts: list[bytes] = []
-    while size > 0:
-        part = request.read(size)
-        if not part:
-            break
+    room = INLINE_BODY_BYTES
+    while room > 0 and not body.ended:
+        part = body.read(room)
         parts.append(part)
-        size -= len(part)
-    return b''.join(parts)
+        room -= len(part)
+    return _InlineBody(b''.join(parts), body.ended)
 
 
 class _Job:
@@ -279,28 +268,25 @@
             int(left_s * 1000),
             self._body.data,
             self._body.complete,
-            request.body_length,
+            request.body.length,
         )
 
     def _send_rest(self) -> Refusal | None:
         """Send the body behind its first part as the coordinator gives credit."""
-        left = self._request.body_length - len(self._body.data)
-        announced = self._request.body_length >= 0
+        body = self._request.body
         while True:
             refusal = self._await_credit()
             if refusal is not None:
                 return refusal
-            wanted = min(CHUNK_BYTES, left) if announced else CHUNK_BYTES
-            data = self._request.read(wanted)
-            left -= len(data)
-            if announced and not data and left > 0:
+            try:
+                data = body.read(CHUNK_BYTES)
+            except BodyBrokenError as error:
                 self._link.send(BodyAborted(self._id))
-                return Refusal(ResultCode.BODY_CUT, Ran.UNKNOWN, 'the body ended early')
-            last = left == 0 if announced else not data
+                return Refusal(ResultCode.BODY_CUT, Ran.UNKNOWN, str(error))
             self._credit -= len(data)
-            if not self._link.send(BodyChunk(self._id, data, last)):
+            if not self._link.send(BodyChunk(self._id, data, body.ended)):
                 return Refusal(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, 'the stream broke')
-            if last:
+            if body.ended:
                 return None
 
     def _await_credit(self) -> Refusal | None:
--- a/src/coltsfootstair/entry/_server.py
+++ b/src/coltsfootstair/entry/_server.py
@@ -11,17 +11,20 @@
 import threading
 import urllib.parse
 import uuid
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import structlog
 from cheroot import wsgi
 
+from coltsfootstair.entry._body import BODY_KEY, CallerBody, CallerGateway
 from coltsfootstair.entry._relay import AnswerCutError, CallerRequest
 from coltsfootstair.results import Ran, Refusal, ResultCode, http_status, title
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
+    from coltsfootstair.clock import Clock
     from coltsfootstair.entry._relay import Relay, RelayedAnswer
 
 __all__ = ['CallerServer']
@@ -69,12 +72,14 @@
     def __init__(
         self,
         address: str,
+        clock: Clock,
         relay: Relay,
         is_ready: Callable[[], bool],
         upload_services: Callable[[], frozenset[str]],
         count: Callable[[str, ResultCode], None],
     ) -> None:
         host, _, port = address.rpartition(':')
+        self._clock = clock
         self._relay = relay
         self._is_ready = is_ready
         self._upload_services = upload_services
@@ -88,6 +93,7 @@
             request_queue_size=BACKLOG,
             timeout=IDLE_TIMEOUT_S,
         )
+        self._server.gateway = CallerGateway
         self._thread = threading.Thread(target=self._serve, name='callers', daemon=True)
 
     @property
@@ -123,12 +129,14 @@
         with self._lock:
             self._active += 1
         try:
-            return _Closing(self._answer(environ, start), self._ended)
+            body: CallerBody = environ[BODY_KEY]
+            return _Closing(self._answer(environ, start), partial(self._ended, body))
         except BaseException:
-            self._ended()
+            self._ended(environ[BODY_KEY])
             raise
 
-    def _ended(self) -> None:
+    def _ended(self, body: CallerBody) -> None:
+        body.discard(self._clock)
         with self._lock:
             self._active -= 1
 
@@ -248,9 +256,6 @@
     timeout_ms = _timeout_ms(environ.get('HTTP_COLTSFOOTSTAIR_TIMEOUT_MS'), default_ms)
     if timeout_ms is None:
         return _bad_header(f'Coltsfootstair-Timeout-Ms is a number from 1 to {MAX_TIMEOUT_MS}')
-    length = _body_length(environ)
-    if length is None:
-        return _bad_header('Content-Length is a whole number')
     forwarded = environ.get('HTTP_X_FORWARDED_FOR', '').split(',')[0].strip()
     return CallerRequest(
         request_id,
@@ -262,8 +267,7 @@
         f'/{rest}?{query}' if query else f'/{rest}',
         headers,
         timeout_ms / 1000,
-        environ['wsgi.input'].read,
-        length,
+        environ[BODY_KEY],
     )
 
 
@@ -279,13 +283,6 @@
     return int(text)
 
 
-def _body_length(environ: Environ) -> int | None:
-    if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
-        return -1
-    text = environ.get('CONTENT_LENGTH') or '0'
-    return int(text) if text.isascii() and text.isdigit() else None
-
-
 def _headers(environ: Environ) -> Iterator[tuple[str, str]]:
     if environ.get('CONTENT_TYPE'):
         yield 'Content-Type', environ['CONTENT_TYPE']
