Wire the memory of operations into the coordinator

Cause: a booking resent through another daemon ran once for each resend. The coordinator's task asks the memory before admission, sends a request only when its operation is noted, and keeps small answers. Notes travel over inner streams. A request whose exchange broke off holds its slot until the server says that it no longer runs, and an answer with a server error counts as a failure for the ramp while it is passed on.

--- a/src/coltsfootstair/admission/_decide.py
+++ b/src/coltsfootstair/admission/_decide.py
@@ -54,7 +54,8 @@
         case Abandoned(request_id, until):
             _abandoned(state, request_id, until, now)
         case Observed():
-            state.ramp.observed(event, now)
+            if state.ramp.observed(event, now):
+                _forget_given_up(state)
         case LimitsChanged(slots, connections):
             state.slots = slots
             state.connections = connections
@@ -169,6 +170,13 @@
     state.in_flight_by_id[request_id] = flight._replace(until=until)
 
 
+def _forget_given_up(state: AdmissionState) -> None:
+    """Free the slots of requests that ended with the process that ran them."""
+    ended = [i for i, f in state.in_flight_by_id.items() if f.until is not None]
+    for request_id in ended:
+        del state.in_flight_by_id[request_id]
+
+
 def _expire(state: AdmissionState, now: float, effects: list[Effect]) -> None:
     ended = [
         i for i, f in state.in_flight_by_id.items() if f.until is not None and f.until <= now
--- a/src/coltsfootstair/admission/_ramp.py
+++ b/src/coltsfootstair/admission/_ramp.py
@@ -49,10 +49,10 @@
         self.window = 1
         self.stage = 0
 
-    def observed(self, probe: Observed, now: float) -> None:
-        """Take in a probe's answer."""
+    def observed(self, probe: Observed, now: float) -> bool:
+        """Take in a probe's answer; return whether the server has restarted."""
         if not probe.ok:
-            return
+            return False
         restarted = bool(self._instance) and probe.instance != self._instance
         self._instance = probe.instance
         newly_cold = probe.cold and self._cold_since is None
@@ -63,6 +63,7 @@
             self._cold_since = None
         elif newly_cold or restarted:
             self._cold_since = now
+        return restarted
 
     def answered(self, stage: int, in_flight: int, slots: int, now: float) -> None:
         """Count an answer to a request sent at ``stage`` that ended with ``in_flight``."""
--- a/src/coltsfootstair/coordinator/__init__.py
+++ b/src/coltsfootstair/coordinator/__init__.py
@@ -5,10 +5,14 @@
 from coltsfootstair.coordinator._exchange import CREDIT_WINDOW_BYTES, Exchange
 from coltsfootstair.coordinator._messages import (
     CoordinatorEvent,
+    NotesReceived,
     RightsGiven,
     RightsTaken,
     RowsGranted,
+    RowsOwned,
     ServerObserved,
+    StandbySeen,
+    StreamClosed,
 )
 from coltsfootstair.coordinator._task import Coordinator
 
@@ -17,8 +21,12 @@
     'Coordinator',
     'CoordinatorEvent',
     'Exchange',
+    'NotesReceived',
     'RightsGiven',
     'RightsTaken',
     'RowsGranted',
+    'RowsOwned',
     'ServerObserved',
+    'StandbySeen',
+    'StreamClosed',
 ]
--- a/src/coltsfootstair/coordinator/_exchange.py
+++ b/src/coltsfootstair/coordinator/_exchange.py
@@ -15,6 +15,7 @@
     Credit,
     Refused,
 )
+from coltsfootstair.operations import MAX_KEPT_ANSWER_BYTES, KeptAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -69,6 +70,29 @@
         self._clock = clock
         self._credit = CREDIT_WINDOW_BYTES
         self._answer: BackendAnswer | None = None
+        self._status = 0
+        self._answer_headers: list[tuple[str, str]] = []
+        self._answer_body: bytearray | None = bytearray() if head.operation_id else None
+        self._complete = False
+
+    @property
+    def status(self) -> int:
+        """The HTTP status of the answer; 0 before it has come."""
+        return self._status
+
+    def kept_answer(self) -> KeptAnswer | None:
+        """Return the whole answer, if it is small enough to be kept for a resend."""
+        if self._answer_body is None or not self._complete:
+            return None
+        return KeptAnswer(self._status, tuple(self._answer_headers), bytes(self._answer_body))
+
+    def replay(self, answer: KeptAnswer) -> None:
+        """Answer with what the first attempt of the operation was answered."""
+        headers = list(answer.headers)
+        length = len(answer.body)
+        self._reply(
+            AnswerHead(self.head.request_id, answer.status, headers, answer.body, True, length)
+        )
 
     def remaining_s(self) -> float:
         """Return the seconds left for the answer; never below zero."""
@@ -107,9 +131,12 @@
             if name.lower() == SHED_HEADER:
                 raise ShedError(value)
         self._answer = answer
+        self._status = answer.status
+        self._answer_headers = answer.headers
 
     def write(self, data: bytes, *, last: bool) -> None:
         """Pass a portion of the answer on, when the entry daemon has room for it."""
+        self._keep(data, last=last)
         if self._answer is not None:
             self._send_head(self._answer, data, last=last)
             return
@@ -117,6 +144,14 @@
         self._credit -= len(data)
         self._reply(AnswerChunk(self.head.request_id, data, last))
 
+    def _keep(self, data: bytes, *, last: bool) -> None:
+        self._complete = last
+        if self._answer_body is None:
+            return
+        self._answer_body += data
+        if len(self._answer_body) > MAX_KEPT_ANSWER_BYTES:
+            self._answer_body = None
+
     def _send_head(self, answer: BackendAnswer, data: bytes, *, last: bool) -> None:
         self._answer = None
         self.answer_started = True
--- a/src/coltsfootstair/coordinator/_messages.py
+++ b/src/coltsfootstair/coordinator/_messages.py
@@ -4,18 +4,27 @@
 
 from typing import NamedTuple
 
-from coltsfootstair.admission._messages import Observed, Outcome
+from coltsfootstair.admission import Observed, Outcome
 from coltsfootstair.coordinator._exchange import Exchange
 from coltsfootstair.document import BackendServer, Service
+from coltsfootstair.inner import NotesMessage, Stream
+from coltsfootstair.operations import RowRecord
+from coltsfootstair.results import Refusal
 
 __all__ = [
     'CancelExchange',
     'CoordinatorEvent',
     'ExchangeEnded',
+    'ExchangeLost',
+    'NotesReceived',
     'RightsGiven',
     'RightsTaken',
     'RowsGranted',
+    'RowsOwned',
     'ServerObserved',
+    'StandbyLinked',
+    'StandbySeen',
+    'StreamClosed',
     'SubmitExchange',
 ]
 
@@ -33,12 +42,24 @@
 
 
 class ExchangeEnded(NamedTuple):
-    """A dispatched request no longer occupies its slot."""
+    """A dispatched request no longer occupies its slot.
+
+    :param refusal: what its caller was told in place of a whole answer, if anything
+    """
 
     backend_server: str
     request_id: str
     outcome: Outcome
     seconds: float
+    refusal: Refusal | None = None
+
+
+class ExchangeLost(NamedTuple):
+    """An exchange broke off, and the server may still work on it until ``until``."""
+
+    backend_server: str
+    request_id: str
+    until: float
 
 
 class RightsGiven(NamedTuple):
@@ -73,12 +94,60 @@
     observed: Observed
 
 
+class RowsOwned(NamedTuple):
+    """The rows of the table that this coordinator's server owns, and who stands by.
+
+    :param standby: the daemon that the record names, or an empty string
+    :param lease_epoch: rises with each change of the coordinator
+    :param handed: what the coordinators before have handed over with rows
+    """
+
+    backend_server: str
+    rows: frozenset[int]
+    standby: str
+    lease_epoch: int
+    handed: tuple[RowRecord, ...] = ()
+
+
+class StandbySeen(NamedTuple):
+    """A record of another coordinator names another standby than this daemon."""
+
+    backend_server: str
+
+
+class StandbyLinked(NamedTuple):
+    """The way to a standby was opened, or could not be."""
+
+    backend_server: str
+    standby: str
+    stream: Stream | None
+
+
+class StreamClosed(NamedTuple):
+    """An inner stream has ended."""
+
+    stream: Stream
+
+
+class NotesReceived(NamedTuple):
+    """A peer has sent a message about notes."""
+
+    stream: Stream
+    message: NotesMessage
+
+
 CoordinatorEvent = (
     SubmitExchange
     | CancelExchange
     | ExchangeEnded
+    | ExchangeLost
     | RightsGiven
     | RightsTaken
     | RowsGranted
     | ServerObserved
+    | RowsOwned
+    | StandbySeen
+    | StandbyLinked
+    | StreamClosed
+    | NotesReceived
 )
--- /dev/null
+++ b/src/coltsfootstair/coordinator/_notes.py
@@ -0,0 +1,60 @@
+"""Keeps, as a standby, the notes of the coordinators that this daemon may replace."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from coltsfootstair.inner import (
+    NoteConfirmed,
+    NoteDropped,
+    NoteOperation,
+    NoteRows,
+    NotesBegun,
+    RowDropped,
+)
+from coltsfootstair.operations import StandbyNotes
+
+if TYPE_CHECKING:
+    from coltsfootstair.clock import Clock
+    from coltsfootstair.inner import NotesMessage, Stream
+    from coltsfootstair.operations import RowRecord
+
+__all__ = ['NotesDesk']
+
+
+class NotesDesk:
+    """Takes notes from inner streams; belongs to the coordinator's task."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._notes = StandbyNotes()
+
+    def take(self, stream: Stream, message: NotesMessage) -> None:
+        """Take one message of a coordinator."""
+        now = self._clock.monotonic()
+        match message:
+            case NotesBegun(name, epoch):
+                self._notes.begin(name, epoch)
+            case NoteOperation(name, epoch, snapshot, confirm):
+                noted = self._notes.note(name, epoch, snapshot, now)
+                if noted and confirm:
+                    stream.send(NoteConfirmed(name, epoch, snapshot.operation_id))
+            case NoteRows(name, epoch, records):
+                self._notes.copy(name, epoch, records, now)
+            case NoteDropped(name, epoch, operation_id):
+                self._notes.forget(name, epoch, operation_id)
+            case RowDropped(name, epoch, row):
+                self._notes.drop_row(name, epoch, row)
+
+    def take_over(self, backend_server: str, rows: tuple[int, ...]) -> tuple[RowRecord, ...]:
+        """Return what is known of the operations of a server that is taken over."""
+        now = self._clock.monotonic()
+        return self._notes.take_over(backend_server, rows, now, waived=False)
+
+    def drop(self, backend_server: str) -> None:
+        """Forget the notes of a server whose coordinator has another standby now."""
+        self._notes.drop(backend_server)
+
+    def tick(self) -> None:
+        """Forget what is too old."""
+        self._notes.tick(self._clock.monotonic())
--- a/src/coltsfootstair/coordinator/_task.py
+++ b/src/coltsfootstair/coordinator/_task.py
@@ -6,78 +6,64 @@
 import threading
 from typing import TYPE_CHECKING
 
-import structlog
-
-from coltsfootstair.admission import handle, new_state
-from coltsfootstair.admission._messages import (
+from coltsfootstair.admission import (
+    Abandoned,
     Cancelled,
     Dispatch,
     DrainChanged,
     Finished,
+    InheritedWork,
     LimitsChanged,
     Outcome,
     Refuse,
     RightsChanged,
     Submitted,
     Tick,
+    handle,
+    new_state,
 )
-from coltsfootstair.coordinator._exchange import BodyCutError, Exchange, ShedError
 from coltsfootstair.coordinator._messages import (
     CancelExchange,
     ExchangeEnded,
+    ExchangeLost,
+    NotesReceived,
     RightsGiven,
     RightsTaken,
     RowsGranted,
+    RowsOwned,
     ServerObserved,
+    StandbyLinked,
+    StandbySeen,
+    StreamClosed,
     SubmitExchange,
 )
+from coltsfootstair.coordinator._notes import NotesDesk
+from coltsfootstair.coordinator._operations import OperationKeeper
+from coltsfootstair.coordinator._runner import ExchangeRunner, not_run
+from coltsfootstair.coordinator._server import CoordinatedServer
 from coltsfootstair.document import ServiceKind, State
-from coltsfootstair.errors import CallFailedError
-from coltsfootstair.results import Ran, Refusal, ResultCode
+from coltsfootstair.inner import NoteConfirmed
+from coltsfootstair.results import ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from concurrent.futures import Executor
 
-    from coltsfootstair.admission import AdmissionState
-    from coltsfootstair.admission._messages import Effect, Event
+    from coltsfootstair.admission import Effect, Event
     from coltsfootstair.backend import BackendServerPort
     from coltsfootstair.clock import Clock
+    from coltsfootstair.coordinator._exchange import Exchange
     from coltsfootstair.coordinator._messages import CoordinatorEvent
     from coltsfootstair.document import BackendServer, Service
+    from coltsfootstair.inner import Stream
 
 __all__ = ['Coordinator']
 
-logger = structlog.get_logger()
-
 TICK_S = 0.02
 """How often queues are looked through for requests past their deadline, in seconds."""
 
-RETRY_SOON_S = 0.2
-"""When a caller may come back after a change of coordinator, in seconds."""
-
-
-class CoordinatedServer:
-    """What the coordinator knows of one backend server."""
-
-    def __init__(
-        self,
-        server: BackendServer,
-        service: Service,
-        port: BackendServerPort,
-        admission: AdmissionState,
-    ) -> None:
-        self.server = server
-        self.service = service
-        self.port = port
-        self.admission = admission
-        self.exchange_by_id: dict[str, Exchange] = {}
-        self.granted = RowsGranted(server.name, {}, 0.0)
-
-    @property
-    def idempotent(self) -> bool:
-        """Whether requests of the service may be repeated."""
-        return self.service.kind is ServiceKind.LOOKUP
+LEFTOVER_S = 2.0
+"""How long requests of a lost coordinator are held to run on, in seconds."""
 
 
 class Coordinator:
@@ -88,10 +74,14 @@
         clock: Clock,
         executor: Executor,
         open_port: Callable[[BackendServer], BackendServerPort],
+        open_stream: Callable[[str], Stream | None] = lambda peer: None,
     ) -> None:
         self._clock = clock
         self._executor = executor
         self._open_port = open_port
+        self._open_stream = open_stream
+        self._runner = ExchangeRunner(clock, executor, self.tell)
+        self._notes = NotesDesk(clock)
         self._mailbox: queue.SimpleQueue[CoordinatorEvent | None] = queue.SimpleQueue()
         self._server_by_name: dict[str, CoordinatedServer] = {}
         self._thread = threading.Thread(target=self._run, name='coordinator', daemon=True)
@@ -102,6 +92,7 @@
 
     def stop(self) -> None:
         """End the task; what is dispatched goes on in the executor."""
+        self._runner.stop()
         self._mailbox.put(None)
         if self._thread.is_alive():
             self._thread.join()
@@ -143,8 +134,10 @@
         match event:
             case SubmitExchange(exchange):
                 self._submit(exchange)
-            case ExchangeEnded(name, request_id, outcome, seconds):
-                self._ended(name, Finished(request_id, outcome, seconds))
+            case ExchangeEnded():
+                self._ended(event)
+            case ExchangeLost(name, request_id, until):
+                self._decide(name, Abandoned(request_id, until))
             case CancelExchange(request_id):
                 self._cancel(request_id)
             case RightsGiven(server, service):
@@ -156,46 +149,114 @@
                     self._server_by_name[name].granted = event
             case ServerObserved(name, observed):
                 self._decide(name, observed)
+            case RowsOwned() | StandbySeen() | StandbyLinked():
+                self._follow(event)
+            case StreamClosed(stream):
+                for coordinated in self._server_by_name.values():
+                    coordinated.keeper.stream_closed(stream)
+            case NotesReceived(stream, message):
+                self._take_note(event)
 
     def _submit(self, exchange: Exchange) -> None:
         head = exchange.head
         coordinated = self._server_by_name.get(head.backend_server)
         if coordinated is None:
-            exchange.refuse(
-                _not_run(ResultCode.NOT_COORDINATOR, 'another daemon coordinates it')
-            )
-            return
-        if coordinated.service.divided_by_key and self._token(coordinated, head.slot) is None:
-            exchange.refuse(_not_run(ResultCode.KEY_MOVING, 'the key is not granted to it'))
+            exchange.refuse(not_run(ResultCode.NOT_COORDINATOR, 'another daemon does'))
             return
+        now = self._clock.monotonic()
+        if coordinated.service.divided_by_key and coordinated.token(head.slot, now) is None:
+            exchange.refuse(not_run(ResultCode.KEY_MOVING, 'the key is not granted to it'))
+        elif coordinated.remembers(head):
+            coordinated.keeper.ask(exchange)
+        else:
+            self.admit(exchange)
+
+    def admit(self, exchange: Exchange) -> bool:
+        """Ask for a slot; false if the request was refused at once."""
+        head = exchange.head
+        coordinated = self._server_by_name[head.backend_server]
         coordinated.exchange_by_id[head.request_id] = exchange
         event = Submitted(
             head.request_id,
             head.caller,
             head.key,
             exchange.deadline,
-            coordinated.idempotent,
+            coordinated.idempotent and head.complete,
             coordinated.service.kind is ServiceKind.UPLOAD,
         )
         self._decide(head.backend_server, event)
+        return head.request_id in coordinated.exchange_by_id
 
-    def _token(self, coordinated: CoordinatedServer, row: int) -> int | None:
-        granted = coordinated.granted
-        if self._clock.monotonic() >= granted.valid_until:
-            return None
-        return granted.token_by_row.get(row)
+    def send(self, exchange: Exchange) -> None:
+        """Send a request that has a slot and needs nothing more."""
+        self._runner.run(self._server_by_name[exchange.head.backend_server], exchange)
 
-    def _cancel(self, request_id: str) -> None:
-        for name, coordinated in self._server_by_name.items():
-            if request_id in coordinated.exchange_by_id:
-                self._decide(name, Cancelled(request_id))
+    def withdraw(self, exchange: Exchange) -> None:
+        """Take a request out of the queue, or give its unused slot back."""
+        head = exchange.head
+        coordinated = self._server_by_name[head.backend_server]
+        coordinated.exchange_by_id.pop(head.request_id, None)
+        self._decide(head.backend_server, Cancelled(head.request_id))
+        unused = Finished(head.request_id, Outcome.NOT_SENT, 0.0)
+        self._decide(head.backend_server, unused)
+
+    def link(self, standby: str) -> None:
+        """Open the way to a standby on a thread that may block."""
+        self._executor.submit(self._link, standby)
+
+    def _link(self, standby: str) -> None:
+        stream = self._open_stream(standby)
+        for name in list(self._server_by_name):
+            self.tell(StandbyLinked(name, standby, stream))
 
-    def _ended(self, name: str, finished: Finished) -> None:
-        coordinated = self._server_by_name.get(name)
+    def _cancel(self, request_id: str) -> None:
+        for coordinated in self._server_by_name.values():
+            if coordinated.keeper.holds(request_id):
+                coordinated.keeper.gone(request_id)
+                return
+            if request_id in coordinated.admission.waiting:
+                self.withdraw(coordinated.exchange_by_id[request_id])
+                return
+
+    def _ended(self, event: ExchangeEnded) -> None:
+        coordinated = self._server_by_name.get(event.backend_server)
         if coordinated is None:
             return
-        coordinated.exchange_by_id.pop(finished.request_id, None)
-        self._decide(name, finished)
+        exchange = coordinated.exchange_by_id.get(event.request_id)
+        finished = Finished(event.request_id, event.outcome, event.seconds)
+        if event.outcome is Outcome.SHED:
+            self._decide(event.backend_server, finished)
+            return
+        coordinated.exchange_by_id.pop(event.request_id, None)
+        if exchange is not None and coordinated.remembers(exchange.head):
+            coordinated.keeper.ended(event)
+        self._decide(event.backend_server, finished)
+
+    def _follow(self, event: RowsOwned | StandbySeen | StandbyLinked) -> None:
+        if isinstance(event, StandbySeen):
+            self._notes.drop(event.backend_server)
+            return
+        coordinated = self._server_by_name.get(event.backend_server)
+        if coordinated is None:
+            return
+        if isinstance(event, StandbyLinked):
+            coordinated.keeper.linked(event.standby, event.stream)
+            return
+        if event.lease_epoch != coordinated.lease_epoch and event.lease_epoch > 1:
+            until = self._clock.monotonic() + LEFTOVER_S
+            leftover = InheritedWork(coordinated.server.slots - 1, until)
+            self._decide(event.backend_server, leftover)
+        coordinated.lease_epoch = event.lease_epoch
+        coordinated.keeper.owned(event)
+
+    def _take_note(self, event: NotesReceived) -> None:
+        message = event.message
+        if not isinstance(message, NoteConfirmed):
+            self._notes.take(event.stream, message)
+            return
+        coordinated = self._server_by_name.get(message.backend_server)
+        if coordinated is not None:
+            coordinated.keeper.noted(event.stream, message.operation_id, message.epoch)
 
     def _give_rights(self, server: BackendServer, service: Service) -> None:
         coordinated = self._server_by_name.get(server.name)
@@ -205,13 +266,15 @@
             coordinated = None
         if coordinated is None:
             admission = new_state(server.slots, server.connections, now)
+            keeper = OperationKeeper(server.name, self._clock, self, self._notes.take_over)
             coordinated = CoordinatedServer(
-                server, service, self._open_port(server), admission
+                server, service, self._open_port(server), admission, keeper
             )
             self._server_by_name[server.name] = coordinated
         coordinated.server = server
         coordinated.service = service
         self._decide(server.name, RightsChanged(True))
+        coordinated.keeper.rights(may_act=True)
         self._decide(server.name, LimitsChanged(server.slots, server.connections))
         self._decide(server.name, DrainChanged(server.state is State.OUT))
 
@@ -220,11 +283,14 @@
             return
         self._decide(name, RightsChanged(False))
         coordinated = self._server_by_name[name]
+        coordinated.keeper.rights(may_act=False)
         coordinated.granted = RowsGranted(name, {}, 0.0)
 
     def _tick_all(self) -> None:
-        for name in list(self._server_by_name):
+        for name, coordinated in list(self._server_by_name.items()):
             self._decide(name, Tick())
+            coordinated.keeper.tick()
+        self._notes.tick()
 
     def _decide(self, name: str, event: Event) -> None:
         coordinated = self._server_by_name.get(name)
@@ -239,77 +305,12 @@
         match effect:
             case Dispatch(request_id):
                 exchange = coordinated.exchange_by_id[request_id]
-                self._executor.submit(self._dispatch, coordinated, exchange)
+                if coordinated.remembers(exchange.head):
+                    coordinated.keeper.granted(exchange)
+                else:
+                    self._runner.run(coordinated, exchange)
             case Refuse(request_id, refusal):
                 exchange = coordinated.exchange_by_id.pop(request_id)
                 exchange.refuse(refusal)
-
-    def _dispatch(self, coordinated: CoordinatedServer, exchange: Exchange) -> None:
-        started = self._clock.monotonic()
-        try:
-            outcome = self._exchange(coordinated, exchange)
-        except Exception:
-            logger.exception('exchange failed', request_id=exchange.head.request_id)
-            exchange.refuse(_unknown('the daemon failed during the exchange'))
-            outcome = Outcome.FAILED
-        seconds = self._clock.monotonic() - started
-        name = coordinated.server.name
-        self.tell(ExchangeEnded(name, exchange.head.request_id, outcome, seconds))
-
-    def _exchange(self, coordinated: CoordinatedServer, exchange: Exchange) -> Outcome:
-        """Run the exchange on an executor's thread and say how it ended."""
-        token = self._token(coordinated, exchange.head.slot)
-        if coordinated.service.divided_by_key and token is None:
-            exchange.refuse(_not_run(ResultCode.KEY_MOVING, 'the grant has lapsed'))
-            return Outcome.NOT_SENT
-        request = exchange.request(_control_headers(coordinated, exchange, token))
-        try:
-            coordinated.port.exchange(request, exchange)
-        except ShedError as error:
-            exchange.refuse(_not_run(ResultCode.SHED, str(error)))
-            return Outcome.SHED
-        except BodyCutError as error:
-            exchange.refuse(Refusal(ResultCode.BODY_CUT, Ran.UNKNOWN, str(error)))
-            return Outcome.FAILED
-        except CallFailedError as error:
-            return _failed(exchange, error)
-        return Outcome.ANSWERED
-
-
-def _failed(exchange: Exchange, error: CallFailedError) -> Outcome:
-    if not error.dispatched:
-        exchange.refuse(_not_run(ResultCode.NO_OWNER, 'the backend server can not be reached'))
-        return Outcome.NOT_SENT
-    if exchange.answer_started:
-        exchange.refuse(Refusal(ResultCode.ANSWER_INCOMPLETE, Ran.UNKNOWN, str(error)))
-    else:
-        exchange.refuse(_unknown(str(error)))
-    return Outcome.FAILED
-
-
-def _not_run(code: ResultCode, detail: str) -> Refusal:
-    return Refusal(code, Ran.NO, detail, RETRY_SOON_S)
-
-
-def _unknown(detail: str) -> Refusal:
-    return Refusal(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, detail)
-
-
-def _control_headers(
-    coordinated: CoordinatedServer, exchange: Exchange, token: int | None
-) -> list[tuple[str, str]]:
-    head = exchange.head
-    headers = [
-        ('Coltsfootstair-Request-Id', head.request_id),
-        ('Coltsfootstair-Service', coordinated.service.name),
-        ('Coltsfootstair-Kind', coordinated.service.kind.value),
-        ('Coltsfootstair-Deadline-Ms', str(int(exchange.remaining_s() * 1000))),
-    ]
-    if head.key:
-        headers.append(('Coltsfootstair-Key', head.key))
-    if head.operation_id:
-        headers.append(('Idempotency-Key', head.operation_id))
-    if token is not None:
-        headers.append(('Coltsfootstair-Slot', str(head.slot)))
-        headers.append(('Coltsfootstair-Token', str(token)))
-    return headers
+                if coordinated.remembers(exchange.head):
+                    coordinated.keeper.refused(exchange, refusal)
--- a/src/coltsfootstair/inner/__init__.py
+++ b/src/coltsfootstair/inner/__init__.py
@@ -18,6 +18,15 @@
     Refused,
     RequestHead,
 )
+from coltsfootstair.inner._notes import (
+    NoteConfirmed,
+    NoteDropped,
+    NoteOperation,
+    NoteRows,
+    NotesBegun,
+    NotesMessage,
+    RowDropped,
+)
 
 __all__ = [
     'MAX_FRAME_BYTES',
@@ -34,8 +43,15 @@
     'Hub',
     'HubListener',
     'Message',
+    'NoteConfirmed',
+    'NoteDropped',
+    'NoteOperation',
+    'NoteRows',
+    'NotesBegun',
+    'NotesMessage',
     'Refused',
     'RequestHead',
+    'RowDropped',
     'Stream',
     'encode',
 ]
--- /dev/null
+++ b/src/coltsfootstair/inner/_notes.py
@@ -0,0 +1,79 @@
+"""The messages by which a coordinator has its operations noted at its standby."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from coltsfootstair.inner._messages import register
+from coltsfootstair.operations import RowRecord, Snapshot
+
+__all__ = [
+    'NoteConfirmed',
+    'NoteDropped',
+    'NoteOperation',
+    'NoteRows',
+    'NotesBegun',
+    'NotesMessage',
+    'RowDropped',
+]
+
+
+class NotesBegun(NamedTuple):
+    """The coordinator of a backend server starts to send notes afresh."""
+
+    backend_server: str
+    epoch: int
+
+
+class NoteOperation(NamedTuple):
+    """An operation, or its end, to be noted.
+
+    :param confirm: whether the sender waits for ``NoteConfirmed``
+    """
+
+    backend_server: str
+    epoch: int
+    snapshot: Snapshot
+    confirm: bool
+
+
+class NoteConfirmed(NamedTuple):
+    """An operation is noted."""
+
+    backend_server: str
+    epoch: int
+    operation_id: str
+
+
+class NoteRows(NamedTuple):
+    """All operations of these rows have been sent before; the records hold none."""
+
+    backend_server: str
+    epoch: int
+    records: tuple[RowRecord, ...]
+
+
+class NoteDropped(NamedTuple):
+    """An operation did not run and may be forgotten."""
+
+    backend_server: str
+    epoch: int
+    operation_id: str
+
+
+class RowDropped(NamedTuple):
+    """The sender no longer owns a row."""
+
+    backend_server: str
+    epoch: int
+    row: int
+
+
+NotesMessage = NotesBegun | NoteOperation | NoteConfirmed | NoteRows | NoteDropped | RowDropped
+
+register(40, NotesBegun)
+register(41, NoteOperation)
+register(42, NoteConfirmed)
+register(43, NoteRows)
+register(44, NoteDropped)
+register(45, RowDropped)
--- a/src/coltsfootstair/operations/__init__.py
+++ b/src/coltsfootstair/operations/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootstair.operations._entries import MAX_KEPT_ANSWER_BYTES
 from coltsfootstair.operations._ids import fingerprint, id_age_s
 from coltsfootstair.operations._memory import (
     KEEP_S,
@@ -46,6 +47,7 @@
 
 __all__ = [
     'KEEP_S',
+    'MAX_KEPT_ANSWER_BYTES',
     'Admit',
     'Admitted',
     'Answer',
--- a/src/coltsfootstair/operations/_entries.py
+++ b/src/coltsfootstair/operations/_entries.py
@@ -29,7 +29,7 @@
         'answer',
         'deadlines_by_request',
         'fingerprint',
-        'granted',
+        'granted_at',
         'noted',
         'operation_id',
         'progress',
@@ -48,7 +48,7 @@
         self.since = since
         self.progress = Progress.WAITING
         self.noted = False
-        self.granted = False
+        self.granted_at: float | None = None
         self.answer: KeptAnswer | None = None
         self.deadlines_by_request: dict[str, float] = {}
 
--- a/src/coltsfootstair/operations/_memory.py
+++ b/src/coltsfootstair/operations/_memory.py
@@ -47,6 +47,7 @@
 KEEP_S = 300.0
 SKEW_S = 5.0
 MAX_RESENDS_WAITING = 4
+NOTE_TIMEOUT_S = 1.0
 SETTLED = (Progress.ANSWERED, Progress.UNKNOWN)
 
 
@@ -178,7 +179,7 @@
             if memory.standby_epoch is not None:
                 effects.append(NoteAtStandby(operation.snapshot(now), memory.standby_epoch))
         case Granted():
-            operation.granted = True
+            operation.granted_at = now
         case Noted(_, epoch):
             operation.noted = operation.noted or epoch == memory.standby_epoch
     _send_if_safe(memory, operation, effects)
@@ -187,7 +188,7 @@
 def _send_if_safe(
     memory: OperationMemory, operation: Operation, effects: list[Effect]
 ) -> None:
-    if not operation.granted or operation.progress is not Progress.WAITING:
+    if operation.granted_at is None or operation.progress is not Progress.WAITING:
         return
     if operation.noted or memory.waived:
         operation.progress = Progress.DISPATCHED
@@ -314,12 +315,21 @@
 
 def _tick(memory: OperationMemory, now: float, effects: list[Effect]) -> None:
     memory.entries.forget_settled_before(now - KEEP_S)
-    for operation in memory.entries.live_by_id.values():
+    for operation in list(memory.entries.live_by_id.values()):
+        if _note_is_late(operation, now):
+            _give_back(memory, operation, not_noted(), effects)
+            continue
         late = [r for r, at in operation.deadlines_by_request.items() if at <= now]
         for request_id in late:
             del operation.deadlines_by_request[request_id]
             effects.append(still_running(request_id))
 
 
+def _note_is_late(operation: Operation, now: float) -> bool:
+    if operation.sent or operation.granted_at is None:
+        return False
+    return now - operation.granted_at >= NOTE_TIMEOUT_S
+
+
 def _window_end(gap_at: float) -> float:
     return gap_at + KEEP_S + SKEW_S
--- a/tests/admission/test_admission_properties.py
+++ b/tests/admission/test_admission_properties.py
@@ -131,6 +131,10 @@
 
     @rule(instance=st.sampled_from('ab'), cold=st.booleans(), ok=st.booleans())
     def probe(self, instance: str, cold: bool, ok: bool) -> None:
+        if ok and instance != self.instance:
+            ended = [i for i, until in self.running_until.items() if until < float('inf')]
+            for request_id in ended:
+                del self.running_until[request_id]
         self.cold = cold if ok else self.cold
         self.instance = instance if ok else self.instance
         self.send(Observed(ok, instance, cold))
--- a/tests/operations/test_operations_properties.py
+++ b/tests/operations/test_operations_properties.py
@@ -261,7 +261,7 @@
 
 
 def _send_unnoted(memory: Any, operation: Any, effects: list[Any]) -> None:
-    if operation.granted and not operation.sent:
+    if operation.granted_at is not None and not operation.sent:
         operation.progress = Progress.DISPATCHED
         effects.append(Send(operation.request_id))
 
