--- a/src/coltsfootstair/demo/__init__.py
+++ b/src/coltsfootstair/demo/__init__.py
@@ -15,6 +15,14 @@
     unavailable,
 )
 from coltsfootstair.demo._observed import Happening, HappeningKind, Observed, Watched
+from coltsfootstair.demo._report import (
+    latency_table,
+    ownership_table,
+    report,
+    seconds_table,
+    table,
+    verdict_table,
+)
 
 __all__ = [
     'Churn',
@@ -31,6 +39,12 @@
     'imbalance',
     'judge',
     'latency',
+    'latency_table',
+    'ownership_table',
+    'report',
     'seconds',
+    'seconds_table',
+    'table',
     'unavailable',
+    'verdict_table',
 ]
--- /dev/null
+++ b/src/coltsfootstair/demo/_report.py
@@ -0,0 +1,135 @@
+"""Prints the measures and verdicts of a run as plain tables."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Sequence
+from typing import TYPE_CHECKING
+
+from coltsfootstair.demo._measures import (
+    Latency,
+    churn,
+    imbalance,
+    latency,
+    seconds,
+    unavailable,
+)
+
+if TYPE_CHECKING:
+    from coltsfootstair.demo._judge import Verdict
+    from coltsfootstair.demo._observed import Observed
+
+__all__ = [
+    'latency_table',
+    'ownership_table',
+    'report',
+    'seconds_table',
+    'table',
+    'verdict_table',
+]
+
+SHOWN_FAULTS = 3
+
+
+def report(observed: Observed, verdicts: Sequence[Verdict]) -> str:
+    """Return all tables of a run."""
+    services = frozenset(sample.service for sample in observed.samples)
+    return '\n'.join(
+        [
+            seconds_table(observed, services),
+            latency_table(observed),
+            ownership_table(observed),
+            verdict_table(verdicts),
+        ]
+    )
+
+
+def table(title: str, heads: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    """Return a table with aligned columns."""
+    cells = [list(heads), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[n]) for row in cells) for n in range(len(heads))]
+    lines = [
+        '  '.join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in cells
+    ]
+    return '\n'.join([title, *(f'  {line}' for line in lines), ''])
+
+
+def ownership_table(observed: Observed) -> str:
+    """Return imbalance, churn and unavailable time for each service."""
+    heads = (
+        'service',
+        'imbalance',
+        'moves',
+        'least',
+        'slots without owner',
+        'median',
+        'longest',
+    )
+    return table('Imbalance, churn and unavailable time', heads, _ownership_rows(observed))
+
+
+def _ownership_rows(observed: Observed) -> Iterator[Sequence[object]]:
+    first = min((each.at for each in observed.happenings), default=observed.ended_at)
+    for service in sorted({sample.service for sample in observed.samples}):
+        peak = f'{imbalance(observed, service, observed.started_at, first):.2f}'
+        if service not in observed.divided:
+            yield service, peak, '-', '-', '-', '-', '-'
+            continue
+        moved, gone = churn(observed, service), unavailable(observed, service)
+        yield (
+            service,
+            peak,
+            f'{moved.moves}/{moved.slots}',
+            moved.least,
+            gone.slots,
+            f'{gone.median_s * 1000:.0f} ms',
+            f'{gone.longest_s * 1000:.0f} ms',
+        )
+
+
+def latency_table(observed: Observed) -> str:
+    """Return how the requests of each service were answered."""
+    rows = [
+        (
+            service,
+            *_latency_cells(latency([s for s in observed.samples if s.service == service])),
+        )
+        for service in sorted({sample.service for sample in observed.samples})
+    ]
+    heads = ('service', 'answered', 'refused', 'lost', 'p50 ms', 'p99 ms', 'p99.9 ms')
+    return table('Latency over the whole run', heads, rows)
+
+
+def seconds_table(observed: Observed, services: frozenset[str]) -> str:
+    """Return how requests were answered second by second."""
+    rows = [
+        (each.number, *_latency_cells(each.latency)[:5], each.title)
+        for each in seconds(observed, services)
+    ]
+    heads = ('second', 'answered', 'refused', 'lost', 'p50 ms', 'p99 ms', 'what was done')
+    return table(f'Service second by second: {", ".join(sorted(services))}', heads, rows)
+
+
+def verdict_table(verdicts: Sequence[Verdict]) -> str:
+    """Return whether each promise was kept."""
+    rows = [
+        (verdict.promise, verdict.checked, 'kept' if verdict.kept else 'BROKEN')
+        for verdict in verdicts
+    ]
+    faults = [
+        f'  {verdict.promise}: {fault}'
+        for verdict in verdicts
+        for fault in (*verdict.faults[:SHOWN_FAULTS], *_more(verdict))
+    ]
+    return '\n'.join([table('Promises', ('promise', 'cases', 'verdict'), rows), *faults])
+
+
+def _more(verdict: Verdict) -> list[str]:
+    more = len(verdict.faults) - SHOWN_FAULTS
+    return [f'and {more} more'] if more > 0 else []
+
+
+def _latency_cells(measured: Latency) -> tuple[object, ...]:
+    times = (measured.p50_ms, measured.p99_ms, measured.p999_ms)
+    shown = [f'{each:.1f}' if measured.answered else '-' for each in times]
+    return (measured.answered, measured.refused, measured.lost, *shown)
--- a/src/coltsfootstair/load/__init__.py
+++ b/src/coltsfootstair/load/__init__.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 from coltsfootstair.load._arrivals import Arrival, arrivals
+from coltsfootstair.load._caller import Answer, Caller, Question
 from coltsfootstair.load._generator import LoadGenerator
 from coltsfootstair.load._loads import BookingLoad, Load, LookupLoad, UploadLoad
 from coltsfootstair.load._samples import Outcome, Sample, latencies_ms
 
 __all__ = [
+    'Answer',
     'Arrival',
     'BookingLoad',
+    'Caller',
     'Load',
     'LoadGenerator',
     'LookupLoad',
     'Outcome',
+    'Question',
     'Sample',
     'UploadLoad',
     'arrivals',
