Judge a run up to one instant, and count every request that was due

The demo asked its stand-ins for truth one after the other and took the few milliseconds between for time without an owner; what came after the first question is now left out. Callers that all wait for a lost server no longer make later requests fall away: with more threads and a time limit of 2 s, what is overdue is still sent and counted.

--- a/src/coltsfootstair/demo/__init__.py
+++ b/src/coltsfootstair/demo/__init__.py
@@ -14,7 +14,8 @@
     seconds,
     unavailable,
 )
-from coltsfootstair.demo._observed import Happening, HappeningKind, Observed, Watched
+from coltsfootstair.demo._observed import Happening, HappeningKind, Observed, Watched, window
+from coltsfootstair.demo._plan import DaemonPlan, Plan, ServerPlan, document_of
 from coltsfootstair.demo._report import (
     latency_table,
     ownership_table,
@@ -26,16 +27,20 @@
 
 __all__ = [
     'Churn',
+    'DaemonPlan',
     'Happening',
     'HappeningKind',
     'Latency',
     'Observed',
+    'Plan',
     'Promise',
     'Second',
+    'ServerPlan',
     'Unavailable',
     'Verdict',
     'Watched',
     'churn',
+    'document_of',
     'imbalance',
     'judge',
     'latency',
@@ -47,4 +52,5 @@
     'table',
     'unavailable',
     'verdict_table',
+    'window',
 ]
--- a/src/coltsfootstair/demo/_judge.py
+++ b/src/coltsfootstair/demo/_judge.py
@@ -205,7 +205,8 @@
 
 def _span(watched: Watched, request: RequestTruth, ended_at: float) -> Span:
     end = ended_at if request['end'] is None else request['end']
-    return Span(request['start'], end, watched.server.name, request['token'] or 0)
+    start = request['start']
+    return Span(start, max(start, end), watched.server.name, request['token'] or 0)
 
 
 _CHECKS: dict[Promise, _Check] = {
--- a/src/coltsfootstair/demo/_observed.py
+++ b/src/coltsfootstair/demo/_observed.py
@@ -9,7 +9,7 @@
 from coltsfootstair.load import Sample
 from coltsfootstair.standin import BackendServerTruth
 
-__all__ = ['Happening', 'HappeningKind', 'Observed', 'Watched']
+__all__ = ['Happening', 'HappeningKind', 'Observed', 'Watched', 'window']
 
 
 class HappeningKind(enum.StrEnum):
@@ -45,7 +45,7 @@
     """All that one run showed.
 
     :param divided: names of the services that are divided by key
-    :param ended_at: monotonic seconds at which truth was asked for
+    :param ended_at: monotonic seconds just before truth was asked for
     :param daemon_lost: whether a daemon was ended without a graceful shutdown
     """
 
@@ -56,3 +56,28 @@
     started_at: float
     ended_at: float
     daemon_lost: bool = False
+
+
+def window(observed: Observed, begin: float, end: float) -> Observed:
+    """Return what happened from ``begin`` to ``end``; the highest counts stay."""
+    return observed._replace(
+        watched=tuple(
+            Watched(server, _truth_within(truth, begin, end))
+            for server, truth in observed.watched
+        ),
+        samples=tuple(each for each in observed.samples if begin <= each.sent_at < end),
+        happenings=tuple(each for each in observed.happenings if begin <= each.at < end),
+        started_at=begin,
+        ended_at=min(end, observed.ended_at),
+    )
+
+
+def _truth_within(truth: BackendServerTruth, begin: float, end: float) -> BackendServerTruth:
+    grants = [each.copy() for each in truth['grants'] if each['to'] > begin]
+    for grant in grants:
+        grant['from'] = max(grant['from'], begin)
+    return {
+        **truth,
+        'requests': [each for each in truth['requests'] if begin <= each['start'] < end],
+        'grants': [each for each in grants if each['from'] < end],
+    }
--- a/src/coltsfootstair/demo/_system.py
+++ b/src/coltsfootstair/demo/_system.py
@@ -8,32 +8,34 @@
 from coltsfootstair.daemon import Daemon
 from coltsfootstair.demo._observed import Happening, HappeningKind, Observed, Watched
 from coltsfootstair.demo._plan import document_of
-from coltsfootstair.document import State, render, with_data_centre
+from coltsfootstair.document import State, render
 from coltsfootstair.errors import ColtsfootstairError
 from coltsfootstair.load import Caller, Outcome, Question
-from coltsfootstair.routing._router import CONFIG_KEY
+from coltsfootstair.operators import Applied, ApplyResult, OperatorsClient
 from coltsfootstair.settings import DaemonSettings
 from coltsfootstair.standin import BackendServerFault, BackendServerStandin, StoreStandin
-from coltsfootstair.store import ABSENT
 
 if TYPE_CHECKING:
     from coltsfootstair.clock import Clock
     from coltsfootstair.demo._plan import DaemonPlan, Plan
-    from coltsfootstair.document import Document
     from coltsfootstair.load import Sample
 
-__all__ = ['NotServingError', 'System']
+__all__ = ['ChangeRefusedError', 'NotServingError', 'System']
 
 ANY_PORT = '127.0.0.1:0'
 SERVES_WITHIN_S = 10.0
 PROBE_PAUSE_S = 0.05
-PROBE_KEYS = 200
+PROBE_KEYS = 20
 
 
 class NotServingError(ColtsfootstairError):
     """The system did not begin to serve in time."""
 
 
+class ChangeRefusedError(ColtsfootstairError):
+    """A daemon did not put the operators' change in force."""
+
+
 class System:
     """A store, backend servers and daemons, all in this process."""
 
@@ -58,7 +60,6 @@
         self._document = document_of(plan, addresses)
         self._daemons: list[Daemon] = []
         self._happenings: list[Happening] = []
-        self._version = ABSENT
         self._pause = threading.Event()
 
     def start(self) -> None:
@@ -74,7 +75,7 @@
         ]
         for daemon in self._daemons:
             daemon.start()
-        self._apply(self._document)
+        _check_applied(self._operators().apply(render(self._document), None, force=False))
         self._await_service()
 
     def stop(self) -> bool:
@@ -91,7 +92,7 @@
 
     def take_out(self, data_centre: str) -> None:
         """Take a data centre out, as operators do."""
-        self._apply(with_data_centre(self._document, data_centre, State.OUT))
+        self._set_state(data_centre, State.OUT)
         self._note(HappeningKind.TAKEN_OUT, data_centre, self.plan.server_names(data_centre))
 
     def bring_back(self, data_centre: str) -> None:
@@ -99,7 +100,7 @@
         names = self.plan.server_names(data_centre)
         for name in names:
             self._server_by_name[name].set_fault(BackendServerFault(cold=True))
-        self._apply(with_data_centre(self._document, data_centre, State.IN))
+        self._set_state(data_centre, State.IN)
         self._note(HappeningKind.BROUGHT_BACK, data_centre, names)
 
     def slow(self, server: str, slow_ms: float) -> None:
@@ -116,6 +117,7 @@
 
     def observe(self, samples: list[Sample], started_at: float) -> Observed:
         """Return what has been seen since ``started_at``."""
+        ended_at = self._clock.monotonic()
         server_by_name = {server.name: server for server in self._document.backend_servers}
         return Observed(
             tuple(
@@ -126,7 +128,7 @@
             tuple(self._happenings),
             frozenset(each.name for each in self.plan.services if each.divided_by_key),
             started_at,
-            self._clock.monotonic(),
+            ended_at,
         )
 
     def _settings(self, daemon: DaemonPlan) -> DaemonSettings:
@@ -134,11 +136,12 @@
         addresses = (ANY_PORT, ANY_PORT, ANY_PORT)
         return DaemonSettings(daemon.name, daemon.data_centre, *addresses, url)
 
-    def _apply(self, document: Document) -> None:
-        text = render(document).encode()
-        store = self._daemons[0].store
-        self._version = store.put(CONFIG_KEY, text, expected=self._version)
-        self._document = document
+    def _set_state(self, data_centre: str, state: State) -> None:
+        result = self._operators().set_data_centre(data_centre, state, force=False)
+        _check_applied(result)
+
+    def _operators(self) -> OperatorsClient:
+        return OperatorsClient(self._daemons[0].operators.address)
 
     def _note(self, kind: HappeningKind, what: str, servers: frozenset[str]) -> None:
         now = self._clock.monotonic()
@@ -163,3 +166,8 @@
             caller.connect(daemon) and caller.ask(daemon, question).outcome is Outcome.WHOLE
             for daemon in [daemon.callers.address for daemon in self._daemons]
         )
+
+
+def _check_applied(result: ApplyResult) -> None:
+    if not isinstance(result, Applied):
+        raise ChangeRefusedError(f'the change was refused: {result}')
--- a/src/coltsfootstair/load/_caller.py
+++ b/src/coltsfootstair/load/_caller.py
@@ -26,6 +26,7 @@
     """A request to be sent.
 
     :param body: bytes, or portions of ``length`` bytes in all
+    :param timeout_ms: how long the caller waits; 0 leaves it to the daemon
     """
 
     service: str
@@ -33,6 +34,7 @@
     operation_id: str
     body: bytes | Iterable[bytes]
     length: int
+    timeout_ms: int = 0
     path: str = 'load'
 
     def headers(self) -> dict[str, str]:
@@ -42,6 +44,8 @@
             headers['Coltsfootstair-Key'] = self.key
         if self.operation_id:
             headers['Idempotency-Key'] = self.operation_id
+        if self.timeout_ms:
+            headers['Coltsfootstair-Timeout-Ms'] = str(self.timeout_ms)
         return headers
 
 
--- a/src/coltsfootstair/load/_generator.py
+++ b/src/coltsfootstair/load/_generator.py
@@ -16,7 +16,7 @@
 
 __all__ = ['LoadGenerator']
 
-WORKERS_PER_LOAD = 24
+WORKERS_PER_LOAD = 48
 """Requests of one load that may be without an answer at a time."""
 
 
--- a/src/coltsfootstair/load/_workers.py
+++ b/src/coltsfootstair/load/_workers.py
@@ -21,6 +21,8 @@
 
 __all__ = ['ArrivalWorker', 'Crew', 'Surroundings']
 
+LOOKUP_TIMEOUT_MS = 2_000
+BOOKING_TIMEOUT_MS = 5_000
 MAX_RESENDS = 2
 PORTION_BYTES = 32 * 1024
 CREW_PAUSE_S = 0.2
@@ -98,7 +100,9 @@
         """Send until no arrival is left."""
         while (arrival := self._next()) is not None:
             due_at = started_at + arrival.at
-            if self._stopping.wait(max(0.0, due_at - self._sender.clock.monotonic())):
+            # What is overdue is sent all the same, or a slow system would be asked less.
+            wait_s = due_at - self._sender.clock.monotonic()
+            if wait_s > 0 and self._stopping.wait(wait_s):
                 break
             self._send(arrival, due_at)
         self._sender.close()
@@ -109,7 +113,8 @@
 
     def _send(self, arrival: Arrival, due_at: float) -> None:
         _, service, key, operation_id, body = arrival
-        question = Question(service, key, operation_id, body, len(body))
+        timeout_ms = BOOKING_TIMEOUT_MS if operation_id else LOOKUP_TIMEOUT_MS
+        question = Question(service, key, operation_id, body, len(body), timeout_ms)
         for _ in range(1 + MAX_RESENDS):
             sample = self._sender.send(question, lambda answer: answer.body == body, due_at)
             lost = sample.outcome in (Outcome.NO_ANSWER, Outcome.CUT)
--- a/tests/demo/test_judge.py
+++ b/tests/demo/test_judge.py
@@ -17,8 +17,10 @@
     imbalance,
     judge,
     latency,
+    report,
     seconds,
     unavailable,
+    window,
 )
 from coltsfootstair.document import BackendServer
 from coltsfootstair.load import Outcome, Sample
@@ -213,3 +215,20 @@
     lost = Happening(HappeningKind.LOST, 105.5, frozenset({'a'}), 'a lost')
     run = good_run()._replace(happenings=(lost,))
     assert unavailable(run, 'slots') == (10, 1.0, 1.0)
+
+
+def test_a_window_leaves_out_what_was_before_and_after() -> None:
+    late = window(good_run(), 106.2, 107.0)
+    assert [len(server.truth['requests']) for server in late.watched] == [0, 0]
+    assert (late.samples, late.happenings) == ((), ())
+    assert unavailable(late, 'slots') == (0, 0.0, 0.0)
+    assert unavailable(window(good_run(), 105.0, 110.0), 'slots') == (10, 0.5, 0.5)
+
+
+def test_the_report_names_each_broken_promise_and_its_case() -> None:
+    run = good_run()
+    assert 'BROKEN' not in report(run, judge(run))
+    work_while_out(run)
+    text = report(run, judge(run))
+    assert text.count('BROKEN') == 2
+    assert 'a began r2 after 3.50 s' in text
