--- a/src/coltsfootstair/entry/_server.py
+++ b/src/coltsfootstair/entry/_server.py
@@ -12,6 +12,7 @@
 import urllib.parse
 import uuid
 from functools import partial
+from http.client import responses
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -223,10 +224,7 @@
 
 
 def _status_line(status: int) -> str:
-    return f'{status} {_REASON.get(status, "Status")}'
-
-
-_REASON = {200: 'OK', 201: 'Created', 204: 'No Content', 400: 'Bad Request', 404: 'Not Found'}
+    return f'{status} {responses.get(status, "Unknown")}'
 
 
 def _problem(refusal: Refusal) -> dict[str, object]:
--- a/src/coltsfootstair/inner/_codec.py
+++ b/src/coltsfootstair/inner/_codec.py
@@ -54,6 +54,8 @@
     if message_type is None:
         raise ProtocolError('a frame has no known message number')
     try:
-        return cast('Message', msgspec.convert(frame[1:], message_type))
+        return cast(
+            'Message', msgspec.convert(frame[1:], message_type, builtin_types=(bytes,))
+        )
     except msgspec.ValidationError as error:
         raise ProtocolError(f'{message_type.__name__}: {error}') from None
--- a/src/coltsfootstair/store/_replica.py
+++ b/src/coltsfootstair/store/_replica.py
@@ -48,14 +48,18 @@
     def apply(self, items: Iterable[Versioned]) -> list[Versioned]:
         """Take in what is newer than what is known; return just that."""
         with self._lock:
-            newer = [item for item in items if self._is_newer(item)]
-            for item in newer:
-                self._object_by_key[item.key] = item
+            newer = [item for item in items if self._take(item)]
         for item in newer:
             for listener in self._listeners:
                 listener(item)
         return newer
 
+    def _take(self, item: Versioned) -> bool:
+        if not self._is_newer(item):
+            return False
+        self._object_by_key[item.key] = item
+        return True
+
     def _is_newer(self, item: Versioned) -> bool:
         known = self._object_by_key.get(item.key)
         return known is None or item.version > known.version
--- /dev/null
+++ b/tests/inner/test_codec.py
@@ -0,0 +1,58 @@
+"""Property tests of the inner codec."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import get_type_hints
+
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from coltsfootstair.errors import ProtocolError
+from coltsfootstair.inner import MAX_FRAME_BYTES, BodyChunk, Decoder, Message, encode
+from coltsfootstair.inner._messages import TYPE_BY_NUMBER
+
+
+def _messages() -> st.SearchStrategy[Message]:
+    kinds = [
+        st.builds(kind, **{name: st.from_type(t) for name, t in get_type_hints(kind).items()})
+        for kind in TYPE_BY_NUMBER.values()
+    ]
+    return st.one_of(kinds)
+
+
+@settings(max_examples=40)
+@given(st.lists(_messages(), max_size=4), st.integers(1, 40))
+def test_messages_come_out_as_they_went_in_however_cut(
+    messages: list[Message], portion: int
+) -> None:
+    data = b''.join(encode(message) for message in messages)
+    decoder = Decoder()
+    decoded: list[Message] = []
+    for start in range(0, len(data), portion):
+        decoded.extend(decoder.feed(data[start : start + portion]))
+    assert decoded == messages
+    assert [type(item) for item in decoded] == [type(item) for item in messages]
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_messages_or_a_protocol_error(data: bytes) -> None:
+    with contextlib.suppress(ProtocolError):
+        list(Decoder().feed(data))
+
+
+@pytest.mark.parametrize(
+    'frame',
+    [[], {}, 'text', [999], ['0'], [0], [2, 'id', 'text', True], [2, 'id', b'', True, 1]],
+)
+def test_malformed_frames_are_refused(frame: object) -> None:
+    with pytest.raises(ProtocolError):
+        list(Decoder().feed(msgpack.packb(frame)))
+
+
+def test_oversized_frame_is_refused() -> None:
+    data = encode(BodyChunk('id', bytes(MAX_FRAME_BYTES), True))
+    with pytest.raises(ProtocolError):
+        list(Decoder().feed(data))
--- /dev/null
+++ b/tests/store/test_replica.py
@@ -0,0 +1,63 @@
+"""Property test: the replica never goes back, in whatever order news comes."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coltsfootstair.store import Replica, Versioned
+
+NEWS = st.lists(
+    st.builds(
+        lambda key, version: Versioned(
+            key, version, b'' if version % 5 == 0 else b'%d' % version
+        ),
+        st.sampled_from(['config', 'tables/a/0', 'tables/b/0']),
+        st.integers(1, 20),
+    ),
+    max_size=30,
+)
+
+
+class LastWordReplica(Replica):
+    """Broken on purpose: takes whatever came last."""
+
+    def _is_newer(self, item: Versioned) -> bool:
+        return True
+
+
+def _goes_back(replica: Replica, news: list[Versioned]) -> bool:
+    seen: list[Versioned] = []
+    replica.subscribe(seen.append)
+    for item in news:
+        replica.apply([item])
+    by_key: dict[str, list[int]] = {}
+    for item in seen:
+        by_key.setdefault(item.key, []).append(item.version)
+    return any(versions != sorted(set(versions)) for versions in by_key.values())
+
+
+@given(NEWS)
+def test_versions_never_go_back(news: list[Versioned]) -> None:
+    assert not _goes_back(Replica(), news)
+
+
+@given(NEWS)
+def test_newest_word_wins(news: list[Versioned]) -> None:
+    replica = Replica()
+    replica.apply(news)
+    newest: dict[str, Versioned] = {}
+    for item in news:
+        if item.version > newest.get(item.key, Versioned('', 0, b'')).version:
+            newest[item.key] = item
+    assert replica.version_by_key() == {key: item.version for key, item in newest.items()}
+    assert replica.below('tables/') == [
+        replica.get(key)
+        for key in replica.version_by_key()
+        if 'tables/' in key and newest[key].value
+    ]
+
+
+def test_the_property_catches_a_replica_that_goes_back() -> None:
+    news = [Versioned('config', 2, b'2'), Versioned('config', 1, b'1')]
+    assert _goes_back(LastWordReplica(), news)
