Pass the store's objects on between daemons, and report on all of them

Every daemon watched the store, which counts each waiting watch as a call and whose rates grow more slowly than the fleet. Now two daemons of each data centre, chosen by rendezvous hashing, watch it for half a second at a time; the others ask these by the same kind of watch over an inner stream. A revision up to which all is known serves as the digest, so that nothing missed stays missed, and each answer says how old the teller's knowledge is, counted so that a late answer can't make old knowledge look fresh.

A daemon whose document can't be known to be the newest refuses new work, at the entry and before a request is dispatched. A data centre that is out now drains its backend servers at their coordinators as well.

Ruled out: the watch alone as proof of freshness, as its silence does not tell a quiet store from a lost one.

--- a/src/coltsfootstair/coordinator/__init__.py
+++ b/src/coltsfootstair/coordinator/__init__.py
@@ -8,6 +8,7 @@
     RightsGiven,
     RightsTaken,
     RowsGranted,
+    ServerLoad,
     ServerObserved,
 )
 from coltsfootstair.coordinator._task import Coordinator
@@ -20,5 +21,6 @@
     'RightsGiven',
     'RightsTaken',
     'RowsGranted',
+    'ServerLoad',
     'ServerObserved',
 ]
--- a/src/coltsfootstair/coordinator/_messages.py
+++ b/src/coltsfootstair/coordinator/_messages.py
@@ -15,6 +15,7 @@
     'RightsGiven',
     'RightsTaken',
     'RowsGranted',
+    'ServerLoad',
     'ServerObserved',
     'SubmitExchange',
 ]
@@ -73,6 +74,20 @@
     observed: Observed
 
 
+class ServerLoad(NamedTuple):
+    """What a server is given at present.
+
+    :param phase: what its coordinator makes of it, for people
+    :param in_flight: requests that may be running there
+    :param limit: requests that may run there at once at present
+    """
+
+    phase: str
+    in_flight: int
+    waiting: int
+    limit: int
+
+
 CoordinatorEvent = (
     SubmitExchange
     | CancelExchange
--- a/src/coltsfootstair/coordinator/_task.py
+++ b/src/coltsfootstair/coordinator/_task.py
@@ -28,6 +28,7 @@
     RightsGiven,
     RightsTaken,
     RowsGranted,
+    ServerLoad,
     ServerObserved,
     SubmitExchange,
 )
@@ -81,15 +82,20 @@
 
 
 class Coordinator:
-    """Owns the admission state of each server that this daemon coordinates."""
+    """Owns the admission state of each server that this daemon coordinates.
+
+    :param is_fresh: whether the document in force may still be relied on
+    """
 
     def __init__(
         self,
         clock: Clock,
         executor: Executor,
         open_port: Callable[[BackendServer], BackendServerPort],
+        is_fresh: Callable[[], bool],
     ) -> None:
         self._clock = clock
+        self._is_fresh = is_fresh
         self._executor = executor
         self._open_port = open_port
         self._mailbox: queue.SimpleQueue[CoordinatorEvent | None] = queue.SimpleQueue()
@@ -125,6 +131,13 @@
             for name, coordinated in list(self._server_by_name.items())
         }
 
+    def loads(self) -> dict[str, ServerLoad]:
+        """Return what each server is given at present, for reports."""
+        return {
+            name: _load(coordinated.admission)
+            for name, coordinated in list(self._server_by_name.items())
+        }
+
     def _run(self) -> None:
         next_tick = self._clock.monotonic() + TICK_S
         while True:
@@ -262,6 +275,9 @@
         if coordinated.service.divided_by_key and token is None:
             exchange.refuse(_not_run(ResultCode.KEY_MOVING, 'the grant has lapsed'))
             return Outcome.NOT_SENT
+        if not self._is_fresh():
+            exchange.refuse(_not_run(ResultCode.DOCUMENT_STALE, 'the document may be old'))
+            return Outcome.NOT_SENT
         request = exchange.request(_control_headers(coordinated, exchange, token))
         try:
             coordinated.port.exchange(request, exchange)
@@ -276,6 +292,17 @@
         return Outcome.ANSWERED
 
 
+def _load(admission: AdmissionState) -> ServerLoad:
+    limit = admission.limit
+    if admission.draining:
+        phase = 'draining' if admission.occupied else 'drained'
+    elif not admission.may_act:
+        phase = 'not granted'
+    else:
+        phase = 'warm' if limit >= admission.slots else 'ramping'
+    return ServerLoad(phase, admission.occupied, len(admission.waiting), limit)
+
+
 def _failed(exchange: Exchange, error: CallFailedError) -> Outcome:
     if not error.dispatched:
         exchange.refuse(_not_run(ResultCode.NO_OWNER, 'the backend server can not be reached'))
--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -14,18 +14,22 @@
 from coltsfootstair.backend import HttpBackendServer
 from coltsfootstair.coordinator import Coordinator, Exchange
 from coltsfootstair.daemon._inbound import Inbound
+from coltsfootstair.daemon._news import NewsService
+from coltsfootstair.daemon._notes import DocumentHistory, RefusalNotes
 from coltsfootstair.daemon._operators import OperatorsAdapter
 from coltsfootstair.daemon._ownership import OwnershipTask
 from coltsfootstair.daemon._peers import PeerDirectory, PeerLink
-from coltsfootstair.daemon._store_watch import StoreWatch
+from coltsfootstair.daemon._reports import STATUS, TIMELINE, ReportDesk
 from coltsfootstair.document import ServiceKind
 from coltsfootstair.entry import CallerServer, PendingAnswers, Relay, RelayParts
-from coltsfootstair.inner import Hello, Hub
+from coltsfootstair.inner import Hello, Hub, ReportAnswer, ReportRequest
 from coltsfootstair.inner._messages import PROTOCOL_VERSION
 from coltsfootstair.metrics import DaemonMetrics
-from coltsfootstair.operators import OperatorsApp, OperatorsServer
+from coltsfootstair.news import Knowledge, StoreFeed
+from coltsfootstair.operators import DaemonState, OperatorsApp, OperatorsServer
 from coltsfootstair.routing import Router
 from coltsfootstair.store import HttpStore, Replica, StoreIdentity
+from coltsfootstair.timeline import EventName, Timeline
 
 if TYPE_CHECKING:
     from coltsfootstair.backend import BackendServerPort
@@ -57,18 +61,28 @@
         self.incarnation = uuid.uuid4().hex
         self.metrics = DaemonMetrics(settings.name)
         self.replica = Replica()
-        self.router = Router(random.Random())
+        self.knowledge = Knowledge(self.replica, clock, settings.data_centre)
+        self.router = Router(random.Random(), self.knowledge.may_give_new_work)
         self.replica.subscribe(self.router.take)
+        self.timeline = Timeline(settings.name, clock)
+        self.document_history = DocumentHistory(self.timeline)
+        self.replica.subscribe(self.document_history.take)
+        self.refusals = RefusalNotes(self.timeline)
         self.pending = PendingAnswers()
         self._executor = ThreadPoolExecutor(EXCHANGE_THREADS, 'exchange')
-        self.coordinator = Coordinator(clock, self._executor, _open_port)
+        self.coordinator = Coordinator(
+            clock, self._executor, _open_port, self.knowledge.may_give_new_work
+        )
         self.inbound = Inbound(clock, self.coordinator, self.pending)
         hello = Hello(PROTOCOL_VERSION, settings.name, settings.data_centre, self.incarnation)
         self.hub = Hub(hello, settings.inner, self.inbound)
         identity = StoreIdentity(settings.name, settings.data_centre, self.hub.address)
         self.store = HttpStore(settings.store_url, identity)
-        self.store_watch = StoreWatch(self.store, self.replica)
         self.peers = PeerDirectory(self.store)
+        self.news = NewsService(
+            settings, clock, self.hub, self.inbound, self.peers, self.knowledge
+        )
+        self.store_feed = StoreFeed(self.store, self.knowledge, clock, self.news.is_watcher)
         self.ownership = OwnershipTask(
             settings.name,
             settings.data_centre,
@@ -89,12 +103,23 @@
             self.is_ready,
             self._upload_services,
             self.metrics.count_request,
+            self.refusals.note,
         )
         adapter = OperatorsAdapter(self)
+        self.reports = ReportDesk(
+            settings.name,
+            clock,
+            self.hub,
+            self.peers.vm_by_name,
+            {STATUS: adapter.report_status, TIMELINE: adapter.report_timeline},
+        )
+        self.inbound.add_handler(ReportRequest, self.reports.requested)
+        self.inbound.add_handler(ReportAnswer, self.reports.answered)
         self.operators = OperatorsServer(
             settings.operators, OperatorsApp(adapter, self.metrics.page)
         )
         self._ready = False
+        self._stopping = False
         self._leaving = threading.Event()
 
     def start(self) -> None:
@@ -106,8 +131,9 @@
         self.operators.open()
         self.hub.start()
         self.coordinator.start()
-        self.store_watch.start()
-        if not self.store_watch.wait_first(FIRST_READ_TIMEOUT_S):
+        self.store_feed.start()
+        self.news.start()
+        if not self.store_feed.wait_first(FIRST_READ_TIMEOUT_S):
             logger.warning('store unreachable at start', url=self.settings.store_url)
         self.peers.poll()
         self.peers.start()
@@ -115,6 +141,11 @@
         self.callers.start()
         self.operators.start()
         self._ready = True
+        self.timeline.record(
+            EventName.DAEMON_STARTED,
+            data_centre=self.settings.data_centre,
+            incarnation=self.incarnation,
+        )
         logger.info(
             'ready',
             name=self.settings.name,
@@ -127,16 +158,26 @@
         """Whether the balancer should send callers here."""
         return self._ready and self.router.document_version > 0
 
+    def state(self) -> DaemonState:
+        """Return what this daemon is doing, for operators."""
+        if self._stopping:
+            return DaemonState.STOPPING
+        return DaemonState.READY if self.is_ready() else DaemonState.STARTING
+
     def stop(self) -> bool:
         """Shut down gracefully; true if nothing was left in flight."""
         self._ready = False
+        self._stopping = True
+        self.timeline.record(EventName.DAEMON_STOPPING, in_flight=self._in_flight())
         self._leaving.wait(BALANCER_NOTICE_S)
         clean = self._drain()
         self.callers.stop()
         self.operators.stop()
         self.ownership.stop()
         self.peers.stop()
-        self.store_watch.stop()
+        self.news.stop()
+        self.store_feed.stop()
+        self.reports.stop()
         self.coordinator.stop()
         self._executor.shutdown(wait=False, cancel_futures=True)
         self.hub.stop()
--- /dev/null
+++ b/src/coltsfootstair/daemon/_news.py
@@ -0,0 +1,102 @@
+"""Connects the news tasks to the hub and the VM list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from coltsfootstair.inner import Hello, NewsAnswer, NewsRequest, VmsTold
+from coltsfootstair.news import Neighbours, NewsTeller, PeerFeed, is_watcher
+
+if TYPE_CHECKING:
+    from coltsfootstair.clock import Clock
+    from coltsfootstair.daemon._inbound import Inbound
+    from coltsfootstair.daemon._peers import PeerDirectory
+    from coltsfootstair.inner import Hub, Message, Stream
+    from coltsfootstair.news import Knowledge
+    from coltsfootstair.settings import DaemonSettings
+
+__all__ = ['NewsService']
+
+
+class NewsService:
+    """Asks peers for news, and tells those that ask."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        clock: Clock,
+        hub: Hub,
+        inbound: Inbound,
+        peers: PeerDirectory,
+        knowledge: Knowledge,
+    ) -> None:
+        self._settings = settings
+        self._hub = hub
+        self._peers = peers
+        self._data_centre_by_peer: dict[str, str] = {}
+        self._teller = NewsTeller(knowledge, clock, peers.vm_by_name)
+        self._feed = PeerFeed(
+            knowledge,
+            clock,
+            self,
+            self.neighbours,
+            self._data_centre_of,
+            lambda: bool(peers.vm_by_name()),
+        )
+        inbound.add_handler(Hello, self._greeted)
+        inbound.add_handler(NewsRequest, self._requested)
+        inbound.add_handler(NewsAnswer, self._answered)
+        inbound.add_handler(VmsTold, self._told)
+
+    def start(self) -> None:
+        """Begin to ask and to answer."""
+        self._teller.start()
+        self._feed.start()
+
+    def stop(self) -> None:
+        """End the tasks."""
+        self._feed.stop()
+        self._teller.stop()
+
+    def is_watcher(self) -> bool:
+        """Return whether this daemon watches the store for its data centre."""
+        return is_watcher(self.neighbours())
+
+    def neighbours(self) -> Neighbours:
+        """Return what is known of the other daemons."""
+        listed = self._peers.vm_by_name().values()
+        return Neighbours(
+            self._settings.name,
+            self._settings.data_centre,
+            {machine.name: machine.data_centre for machine in listed},
+            self._hub.peers(),
+        )
+
+    def open_stream(self, peer: str) -> Stream | None:
+        """Return the open stream to ``peer`` if there is one; never blocks."""
+        return self._hub.open_stream(peer)
+
+    def connect(self, peer: str) -> Stream | None:
+        """Return a stream to ``peer``; may block for a while."""
+        machine = self._peers.vm_by_name().get(peer)
+        return None if machine is None else self._hub.stream_to(peer, machine.inner)
+
+    def _data_centre_of(self, peer: str) -> str:
+        machine = self._peers.vm_by_name().get(peer)
+        return machine.data_centre if machine else self._data_centre_by_peer.get(peer, '')
+
+    def _greeted(self, _stream: Stream, message: Message) -> None:
+        if isinstance(message, Hello):
+            self._data_centre_by_peer[message.name] = message.data_centre
+
+    def _requested(self, stream: Stream, message: Message) -> None:
+        if isinstance(message, NewsRequest):
+            self._teller.requested(stream, message)
+
+    def _answered(self, stream: Stream, message: Message) -> None:
+        if isinstance(message, NewsAnswer):
+            self._feed.answered(stream.peer, message)
+
+    def _told(self, _stream: Stream, message: Message) -> None:
+        if isinstance(message, VmsTold):
+            self._peers.adopt(message.rows)
--- /dev/null
+++ b/src/coltsfootstair/daemon/_notes.py
@@ -0,0 +1,66 @@
+"""What a daemon remembers for operators: refusals, and the documents that were in force."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter, deque
+from typing import TYPE_CHECKING
+
+from coltsfootstair.operators import DOCUMENT_KEY
+from coltsfootstair.results import Ran, Refusal, ResultCode
+from coltsfootstair.timeline import EventName, Timeline
+
+if TYPE_CHECKING:
+    from coltsfootstair.store import Versioned
+
+__all__ = ['DocumentHistory', 'RefusalNotes']
+
+VERSIONS_KEPT = 8
+
+
+class DocumentHistory:
+    """The last documents in force, to show what changed since one of them."""
+
+    def __init__(self, timeline: Timeline) -> None:
+        self._timeline = timeline
+        self._kept: deque[Versioned] = deque(maxlen=VERSIONS_KEPT)
+
+    def take(self, item: Versioned) -> None:
+        """Follow a change of the replica."""
+        if item.key != DOCUMENT_KEY:
+            return
+        self._kept.append(item)
+        self._timeline.record(EventName.DOCUMENT_IN_FORCE, version=item.version)
+
+    def text_by_version(self) -> dict[int, str]:
+        """Return the documents kept."""
+        return {item.version: item.value.decode() for item in list(self._kept)}
+
+
+class RefusalNotes:
+    """Counts refusals, and puts them on the time line; safe for threads."""
+
+    def __init__(self, timeline: Timeline) -> None:
+        self._timeline = timeline
+        self._requests_by_code: Counter[ResultCode] = Counter()
+        self._lock = threading.Lock()
+
+    def note(self, request_id: str, service: str, key: str, refusal: Refusal) -> None:
+        """Note that a request was refused."""
+        with self._lock:
+            self._requests_by_code[refusal.code] += 1
+        name = EventName.REQUEST_REFUSED if refusal.ran is Ran.NO else EventName.REQUEST_BROKEN
+        self._timeline.record(
+            name,
+            request_id=request_id,
+            service=service,
+            key=key,
+            code=int(refusal.code),
+            ran=refusal.ran.value,
+            detail=refusal.detail,
+        )
+
+    def requests_by_code(self) -> dict[ResultCode, int]:
+        """Return how many requests were refused, by result code."""
+        with self._lock:
+            return dict(self._requests_by_code)
--- a/src/coltsfootstair/daemon/_ownership.py
+++ b/src/coltsfootstair/daemon/_ownership.py
@@ -15,6 +15,7 @@
     RowsGranted,
     ServerObserved,
 )
+from coltsfootstair.document import effective_servers
 from coltsfootstair.errors import (
     CallFailedError,
     StoreConflictError,
@@ -102,7 +103,7 @@
 
     def _step(self) -> None:
         service_by_name = {item.name: item for item in self._router.document.services}
-        for server in self._router.document.backend_servers:
+        for server in effective_servers(self._router.document):
             lease = self._router.lease(server.name)
             if lease is None:
                 self._claim(server)
--- a/src/coltsfootstair/daemon/_peers.py
+++ b/src/coltsfootstair/daemon/_peers.py
@@ -13,6 +13,7 @@
     Credit,
     RequestHead,
 )
+from coltsfootstair.store import VirtualMachine
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,7 +21,7 @@
     from coltsfootstair.coordinator import Exchange
     from coltsfootstair.entry._relay import LinkEnd
     from coltsfootstair.inner import Hub, Message, Stream
-    from coltsfootstair.store import VirtualMachine, VmList
+    from coltsfootstair.store import VmList
 
 __all__ = ['PeerDirectory', 'PeerLink']
 
@@ -55,6 +56,11 @@
         except StoreUnavailableError:
             return
 
+    def adopt(self, rows: list[tuple[str, str, str, bool]]) -> None:
+        """Take a peer's list while there is none of the platform's."""
+        if not self._vm_by_name:
+            self._vm_by_name = {row[0]: VirtualMachine(*row) for row in rows}
+
     def _run(self) -> None:
         while not self._stopping.wait(POLL_S):
             self.poll()
--- a/src/coltsfootstair/document/__init__.py
+++ b/src/coltsfootstair/document/__init__.py
@@ -9,7 +9,13 @@
     with_backend_server,
     with_data_centre,
 )
-from coltsfootstair.document._dangers import Danger, DangerKind, dangers, servers_in
+from coltsfootstair.document._dangers import (
+    Danger,
+    DangerKind,
+    dangers,
+    effective_servers,
+    servers_in,
+)
 from coltsfootstair.document._toml import parse, render
 from coltsfootstair.document._types import (
     BackendServer,
@@ -33,6 +39,7 @@
     'State',
     'dangers',
     'difference',
+    'effective_servers',
     'parse',
     'render',
     'servers_in',
--- a/src/coltsfootstair/document/_dangers.py
+++ b/src/coltsfootstair/document/_dangers.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ['Danger', 'DangerKind', 'dangers', 'servers_in']
+__all__ = ['Danger', 'DangerKind', 'dangers', 'effective_servers', 'servers_in']
 
 MAX_UTILISATION = 0.8
 """The part of a service's slots that its present load may fill after a change."""
@@ -35,15 +35,21 @@
         return f'service {self.service}: {self.detail}'
 
 
+def effective_servers(document: Document) -> list[BackendServer]:
+    """Return the backend servers, each out if its data centre is."""
+    out = {one.name for one in document.data_centres if one.state is State.OUT}
+    return [
+        server._replace(state=State.OUT) if server.data_centre in out else server
+        for server in document.backend_servers
+    ]
+
+
 def servers_in(document: Document, service: str) -> list[BackendServer]:
     """Return the backend servers of ``service`` that may have new work."""
-    centres_in = {one.name for one in document.data_centres if one.state is State.IN}
     return [
         server
-        for server in document.backend_servers
-        if server.service == service
-        and server.state is State.IN
-        and server.data_centre in centres_in
+        for server in effective_servers(document)
+        if server.service == service and server.state is State.IN
     ]
 
 
--- a/src/coltsfootstair/document/_toml.py
+++ b/src/coltsfootstair/document/_toml.py
@@ -17,8 +17,8 @@
 
 __all__ = ['MAX_DOCUMENT_BYTES', 'parse', 'render']
 
-MAX_DOCUMENT_BYTES = 1_048_576
-"""What the store holds in one object."""
+MAX_DOCUMENT_BYTES = 768 * 1024
+"""Leaves room for the frame in which daemons pass the document on, and in the store."""
 
 _DATA_CENTRE_FIELDS = {'name': Name, 'state': State}
 _SERVICE_FIELDS = {
--- a/src/coltsfootstair/entry/_server.py
+++ b/src/coltsfootstair/entry/_server.py
@@ -73,12 +73,14 @@
         is_ready: Callable[[], bool],
         upload_services: Callable[[], frozenset[str]],
         count: Callable[[str, ResultCode], None],
+        note_refusal: Callable[[str, str, str, Refusal], None],
     ) -> None:
         host, _, port = address.rpartition(':')
         self._relay = relay
         self._is_ready = is_ready
         self._upload_services = upload_services
         self._count = count
+        self._note_refusal = note_refusal
         self._active = 0
         self._lock = threading.Lock()
         self._server = wsgi.Server(
@@ -136,21 +138,27 @@
         request_id = uuid.uuid4().hex
         request = _parse(environ, request_id, self._upload_services())
         if isinstance(request, Refusal):
-            return self._refuse('', request_id, request, start)
+            return self._refuse('', '', request_id, request, start)
         try:
             outcome = self._relay.serve(request)
         except Exception:
             logger.exception('request failed', request_id=request_id)
             outcome = Refusal(ResultCode.INTERNAL, Ran.UNKNOWN, 'the daemon failed')
         if isinstance(outcome, Refusal):
-            return self._refuse(request.service, request_id, outcome, start)
+            return self._refuse(request.service, request.key, request_id, outcome, start)
         self._count(request.service, ResultCode.ANSWERED)
         return _pass_on(request_id, outcome, start)
 
     def _refuse(
-        self, service: str, request_id: str, refusal: Refusal, start: Callable[..., object]
+        self,
+        service: str,
+        key: str,
+        request_id: str,
+        refusal: Refusal,
+        start: Callable[..., object],
     ) -> Iterator[bytes]:
         self._count(service, refusal.code)
+        self._note_refusal(request_id, service, key, refusal)
         body = json.dumps(_problem(refusal)).encode()
         headers = [
             ('Content-Type', 'application/problem+json'),
--- a/src/coltsfootstair/inner/__init__.py
+++ b/src/coltsfootstair/inner/__init__.py
@@ -18,6 +18,13 @@
     Refused,
     RequestHead,
 )
+from coltsfootstair.inner._news import (
+    NewsAnswer,
+    NewsRequest,
+    ReportAnswer,
+    ReportRequest,
+    VmsTold,
+)
 
 __all__ = [
     'MAX_FRAME_BYTES',
@@ -34,8 +41,13 @@
     'Hub',
     'HubListener',
     'Message',
+    'NewsAnswer',
+    'NewsRequest',
     'Refused',
+    'ReportAnswer',
+    'ReportRequest',
     'RequestHead',
     'Stream',
+    'VmsTold',
     'encode',
 ]
--- /dev/null
+++ b/src/coltsfootstair/news/_teller.py
@@ -0,0 +1,143 @@
+"""The task that answers peers who ask for news."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from coltsfootstair.inner import Message, NewsAnswer, NewsRequest, VmsTold
+
+if TYPE_CHECKING:
+    from coltsfootstair.clock import Clock
+    from coltsfootstair.news._knowledge import Knowledge
+    from coltsfootstair.store import Versioned, VirtualMachine
+
+__all__ = ['NewsTeller']
+
+PORTION_BYTES = 256 * 1024
+MAX_WAIT_MS = 1000
+MS_PER_S = 1000
+
+
+class Asker(Protocol):
+    """The stream on which a request came."""
+
+    def send(self, message: Message) -> bool:
+        """Send a message; false if the stream is closed."""
+
+
+class _Parked(NamedTuple):
+    asker: Asker
+    request: NewsRequest
+    came_at: float
+    answer_at: float
+
+
+class NewsTeller:
+    """Answers at once if there is news, and otherwise when there is, or time is up."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        clock: Clock,
+        vm_by_name: Callable[[], dict[str, VirtualMachine]],
+    ) -> None:
+        self._knowledge = knowledge
+        self._clock = clock
+        self._vm_by_name = vm_by_name
+        self._parked: list[_Parked] = []
+        self._wake = threading.Condition()
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name='news-teller', daemon=True)
+        knowledge.subscribe(self._changed)
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the task."""
+        with self._wake:
+            self._stopping = True
+            self._wake.notify()
+
+    def requested(self, asker: Asker, request: NewsRequest) -> None:
+        """Take a request; does not block."""
+        now = self._clock.monotonic()
+        wait_s = min(request.wait_ms, MAX_WAIT_MS) / MS_PER_S
+        with self._wake:
+            self._parked.append(_Parked(asker, request, now, now + wait_s))
+            self._wake.notify()
+
+    def _changed(self) -> None:
+        with self._wake:
+            self._wake.notify()
+
+    def _run(self) -> None:
+        while True:
+            with self._wake:
+                if self._stopping:
+                    return
+                due = self._take_due()
+                if not due:
+                    self._wake.wait(self._pause_s())
+                    continue
+            for parked in due:
+                self._answer(parked)
+
+    def _take_due(self) -> list[_Parked]:
+        now = self._clock.monotonic()
+        revision = self._knowledge.revision
+        due = [
+            parked
+            for parked in self._parked
+            if parked.answer_at <= now or parked.request.after < revision
+        ]
+        self._parked = [parked for parked in self._parked if parked not in due]
+        return due
+
+    def _pause_s(self) -> float | None:
+        if not self._parked:
+            return None
+        return max(0.0, min(one.answer_at for one in self._parked) - self._clock.monotonic())
+
+    def _answer(self, parked: _Parked) -> None:
+        if parked.request.vms_wanted:
+            rows = [
+                (vm.name, vm.data_centre, vm.inner, vm.leaving)
+                for vm in self._vm_by_name().values()
+            ]
+            parked.asker.send(VmsTold(rows))
+        objects, revision = self._knowledge.since(parked.request.after)
+        portions = list(_portions(objects)) or [[]]
+        for number, portion in enumerate(portions, start=1):
+            answer = self._portion(parked, portion, revision, last=number == len(portions))
+            parked.asker.send(answer)
+
+    def _portion(
+        self, parked: _Parked, objects: list[Versioned], revision: int, *, last: bool
+    ) -> NewsAnswer:
+        age_s = self._knowledge.age_s()
+        held_s = self._clock.monotonic() - parked.came_at
+        return NewsAnswer(
+            parked.request.number,
+            [(item.key, item.version, item.value) for item in objects],
+            revision,
+            int(held_s * MS_PER_S),
+            -1 if age_s == float('inf') else int(age_s * MS_PER_S) + 1,
+            last,
+        )
+
+
+def _portions(objects: list[Versioned]) -> Iterator[list[Versioned]]:
+    portion: list[Versioned] = []
+    size = 0
+    for item in objects:
+        if portion and size + len(item.value) > PORTION_BYTES:
+            yield portion
+            portion, size = [], 0
+        portion.append(item)
+        size += len(item.value) + len(item.key)
+    if portion:
+        yield portion
--- a/src/coltsfootstair/results/_codes.py
+++ b/src/coltsfootstair/results/_codes.py
@@ -37,6 +37,7 @@
     SERVICE_OUT = 304
     SHUTTING_DOWN = 305
     BACKEND_SERVER_OUT = 306
+    DOCUMENT_STALE = 308
     OUTCOME_UNKNOWN = 400
     OPERATION_RUNNING = 401
     ANSWER_INCOMPLETE = 402
@@ -77,6 +78,7 @@
     ResultCode.SERVICE_OUT: (503, 'The service has no backend server in'),
     ResultCode.SHUTTING_DOWN: (503, 'The daemon is shutting down'),
     ResultCode.BACKEND_SERVER_OUT: (503, 'The backend server is being taken out'),
+    ResultCode.DOCUMENT_STALE: (503, 'It is not known here what may have new work'),
     ResultCode.OUTCOME_UNKNOWN: (504, 'It is not known whether the request ran'),
     ResultCode.OPERATION_RUNNING: (409, 'The operation is already running'),
     ResultCode.ANSWER_INCOMPLETE: (502, 'The backend server cut off its answer'),
--- a/src/coltsfootstair/routing/_router.py
+++ b/src/coltsfootstair/routing/_router.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from coltsfootstair.document import BackendServer
     from coltsfootstair.leases import LeaseRecord
@@ -33,6 +34,8 @@
 RETRY_SOON_S = 0.2
 """When a caller may come back while a key has no owner, in seconds."""
 
+STALE_DETAIL = 'no recent word of the document from the store or other data centres'
+
 CHOICES = 2
 """Backend servers that are compared when any of them may take a request."""
 
@@ -55,10 +58,13 @@
 
     It follows the replica through ``take``; what it says is a hint that the coordinator
     checks again.
+
+    :param is_fresh: whether the document in force may still be relied on
     """
 
-    def __init__(self, random_source: random.Random) -> None:
+    def __init__(self, random_source: random.Random, is_fresh: Callable[[], bool]) -> None:
         self._random = random_source
+        self._is_fresh = is_fresh
         self._lock = threading.Lock()
         self._document = Document()
         self._document_version = 0
@@ -103,6 +109,8 @@
             return Refusal(ResultCode.UNKNOWN_SERVICE, Ran.NO, f'no service {service_name!r}')
         if service.divided_by_key and not key:
             return Refusal(ResultCode.KEY_MISSING, Ran.NO, 'set the header Coltsfootstair-Key')
+        if not self._is_fresh():
+            return _no_owner(ResultCode.DOCUMENT_STALE, STALE_DETAIL)
         if not self._usable_by_service.get(service_name):
             return _no_owner(ResultCode.SERVICE_OUT, 'every backend server is out')
         divided = service.divided_by_key
--- a/src/coltsfootstair/store/_replica.py
+++ b/src/coltsfootstair/store/_replica.py
@@ -40,6 +40,12 @@
             objects = list(self._object_by_key.values())
         return [item for item in objects if item.value and item.key.startswith(prefix)]
 
+    def newer_than(self, version: int) -> list[Versioned]:
+        """Return the objects past ``version``, deleted ones too, oldest change first."""
+        with self._lock:
+            newer = [item for item in self._object_by_key.values() if item.version > version]
+        return sorted(newer, key=lambda item: item.version)
+
     def version_by_key(self) -> dict[str, int]:
         """Return the version of each object, the digest that peers compare."""
         with self._lock:
--- a/tests/scenarios/processes.py
+++ b/tests/scenarios/processes.py
@@ -152,16 +152,23 @@
         command = ['standin', 'backend-server', '--listen', listen, '--name', name]
         self._start(name, *command, '--data-centre', data_centre, *options)
 
-    def start_daemon(self, name: str, data_centre: str, *, extra: str = '') -> None:
+    def start_daemon(
+        self, name: str, data_centre: str, *, extra: str = '', inner: str = '127.0.0.1:0'
+    ) -> None:
         """Start a daemon; ``extra`` is added to its settings."""
         settings = Path(self._folder.name) / f'{name}.toml'
         settings.write_text(
             f"name = '{name}'\ndata_centre = '{data_centre}'\n"
             "[listen]\ncallers = '127.0.0.1:0'\noperators = '127.0.0.1:0'\n"
-            f"inner = '127.0.0.1:0'\n[store]\nurl = 'http://{self.store}'\n{extra}"
+            f"inner = '{inner}'\n[store]\nurl = 'http://{self.store}'\n{extra}"
         )
         self._start(name, 'daemon', '--settings', str(settings))
 
+    def restart_daemon(self, name: str) -> None:
+        """Start a daemon that has ended with the settings that it had."""
+        settings = Path(self._folder.name) / f'{name}.toml'
+        self._start(name, 'daemon', '--settings', str(settings))
+
     def wait_ready(self) -> None:
         """Wait until all processes serve."""
         for name, process in self.process_by_name.items():
@@ -195,8 +202,14 @@
 
     def run(self, *arguments: str, expect: int = 0) -> str:
         """Run a command to its end and return what it printed."""
+        done = self.finish(*arguments)
+        assert done.returncode == expect, (arguments, done)
+        return done.stdout
+
+    def finish(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run a command to its end."""
         root = Path(__file__).parents[2]
-        done = subprocess.run(
+        return subprocess.run(
             [sys.executable, '-m', 'coltsfootstair', *arguments],
             capture_output=True,
             text=True,
@@ -204,8 +217,6 @@
             check=False,
             env={**os.environ, 'PYTHONPATH': str(root / 'src')},
         )
-        assert done.returncode == expect, (arguments, done)
-        return done.stdout
 
     def wait_served(self, daemons: list[str], requests: list[tuple[str, str]]) -> None:
         """Wait until each daemon answers a GET of each (path, key)."""
