--- a/src/coltsfootstair/coordinator/_messages.py
+++ b/src/coltsfootstair/coordinator/_messages.py
@@ -21,6 +21,7 @@
     'RightsTaken',
     'RowsGranted',
     'RowsOwned',
+    'ServerLoad',
     'ServerObserved',
     'StandbyLinked',
     'StandbySeen',
@@ -136,6 +137,20 @@
     message: NotesMessage
 
 
+class ServerLoad(NamedTuple):
+    """What a server is given at present.
+
+    :param phase: what its coordinator makes of it, for people
+    :param in_flight: requests that may be running there
+    :param limit: requests that may run there at once at present
+    """
+
+    phase: str
+    in_flight: int
+    waiting: int
+    limit: int
+
+
 CoordinatorEvent = (
     SubmitExchange
     | CancelExchange
--- a/src/coltsfootstair/coordinator/_operations.py
+++ b/src/coltsfootstair/coordinator/_operations.py
@@ -153,6 +153,8 @@
         exchange = self._exchange_by_id.get(request_id)
         if exchange is not None:
             self._handle(Gone(request_id, exchange.head.operation_id))
+            if exchange.head.operation_id not in self._memory.entries.live_by_id:
+                self._exchange_by_id.pop(request_id, None)
 
     def rights(self, *, may_act: bool) -> None:
         """Take in that the coordinator has gained or lost the right to act."""
--- a/src/coltsfootstair/coordinator/_runner.py
+++ b/src/coltsfootstair/coordinator/_runner.py
@@ -52,11 +52,16 @@
     """Sends requests to backend servers and tells the coordinator how each ended."""
 
     def __init__(
-        self, clock: Clock, executor: Executor, tell: Callable[[CoordinatorEvent], None]
+        self,
+        clock: Clock,
+        executor: Executor,
+        tell: Callable[[CoordinatorEvent], None],
+        is_fresh: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._executor = executor
         self._tell = tell
+        self._is_fresh = is_fresh
         self._stopping = threading.Event()
 
     def stop(self) -> None:
@@ -88,6 +93,9 @@
         if coordinated.service.divided_by_key and token is None:
             refusal = not_run(ResultCode.KEY_MOVING, 'the grant has lapsed')
             return _End(Outcome.NOT_SENT, refusal)
+        if not self._is_fresh():
+            refusal = not_run(ResultCode.DOCUMENT_STALE, 'the document may be old')
+            return _End(Outcome.NOT_SENT, refusal)
         request = exchange.request(_control_headers(coordinated, exchange, token))
         try:
             coordinated.port.exchange(request, exchange)
--- a/src/coltsfootstair/coordinator/_server.py
+++ b/src/coltsfootstair/coordinator/_server.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from coltsfootstair.coordinator._messages import RowsGranted
+from coltsfootstair.coordinator._messages import RowsGranted, ServerLoad
 from coltsfootstair.document import ServiceKind
 
 if TYPE_CHECKING:
@@ -52,3 +52,15 @@
     def remembers(self, head: RequestHead) -> bool:
         """Tell whether a request's operation id keeps it from running twice."""
         return bool(head.operation_id) and not self.idempotent
+
+    def load(self) -> ServerLoad:
+        """Return what the server is given at present."""
+        admission = self.admission
+        limit = admission.limit
+        if admission.draining:
+            phase = 'draining' if admission.occupied else 'drained'
+        elif not admission.may_act:
+            phase = 'not granted'
+        else:
+            phase = 'warm' if limit >= admission.slots else 'ramping'
+        return ServerLoad(phase, admission.occupied, len(admission.waiting), limit)
--- a/src/coltsfootstair/coordinator/_task.py
+++ b/src/coltsfootstair/coordinator/_task.py
@@ -31,6 +31,7 @@
     RightsTaken,
     RowsGranted,
     RowsOwned,
+    ServerLoad,
     ServerObserved,
     StandbyLinked,
     StandbySeen,
@@ -67,20 +68,25 @@
 
 
 class Coordinator:
-    """Owns the admission state of each server that this daemon coordinates."""
+    """Owns the admission state of each server that this daemon coordinates.
+
+    :param is_fresh: whether the document in force may still be relied on
+    :param open_stream: opens an inner stream to a daemon by its name; may block
+    """
 
     def __init__(
         self,
         clock: Clock,
         executor: Executor,
         open_port: Callable[[BackendServer], BackendServerPort],
-        open_stream: Callable[[str], Stream | None] = lambda peer: None,
+        is_fresh: Callable[[], bool],
+        open_stream: Callable[[str], Stream | None],
     ) -> None:
         self._clock = clock
         self._executor = executor
         self._open_port = open_port
         self._open_stream = open_stream
-        self._runner = ExchangeRunner(clock, executor, self.tell)
+        self._runner = ExchangeRunner(clock, executor, self.tell, is_fresh)
         self._notes = NotesDesk(clock)
         self._mailbox: queue.SimpleQueue[CoordinatorEvent | None] = queue.SimpleQueue()
         self._server_by_name: dict[str, CoordinatedServer] = {}
@@ -116,6 +122,13 @@
             for name, coordinated in list(self._server_by_name.items())
         }
 
+    def loads(self) -> dict[str, ServerLoad]:
+        """Return what each server is given at present, for reports."""
+        return {
+            name: coordinated.load()
+            for name, coordinated in list(self._server_by_name.items())
+        }
+
     def _run(self) -> None:
         next_tick = self._clock.monotonic() + TICK_S
         while True:
@@ -154,7 +167,7 @@
             case StreamClosed(stream):
                 for coordinated in self._server_by_name.values():
                     coordinated.keeper.stream_closed(stream)
-            case NotesReceived(stream, message):
+            case NotesReceived():
                 self._take_note(event)
 
     def _submit(self, exchange: Exchange) -> None:
--- a/src/coltsfootstair/daemon/_ownership.py
+++ b/src/coltsfootstair/daemon/_ownership.py
@@ -13,8 +13,11 @@
     RightsGiven,
     RightsTaken,
     RowsGranted,
+    RowsOwned,
     ServerObserved,
+    StandbySeen,
 )
+from coltsfootstair.document import effective_servers
 from coltsfootstair.errors import (
     CallFailedError,
     StoreConflictError,
@@ -82,6 +85,7 @@
         self._coordinator = coordinator
         self._open_port = open_port
         self._held_by_name: dict[str, _Held] = {}
+        self._standing_by: set[str] = set()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name='ownership', daemon=True)
 
@@ -102,8 +106,9 @@
 
     def _step(self) -> None:
         service_by_name = {item.name: item for item in self._router.document.services}
-        for server in self._router.document.backend_servers:
+        for server in effective_servers(self._router.document):
             lease = self._router.lease(server.name)
+            self._follow_standby(server.name, lease)
             if lease is None:
                 self._claim(server)
             elif (lease.coordinator, lease.incarnation) == (self._name, self._incarnation):
@@ -111,6 +116,13 @@
         for name in service_by_name:
             self._assign(name)
 
+    def _follow_standby(self, name: str, lease: LeaseRecord | None) -> None:
+        """Tell the coordinator task when this daemon no longer stands by for a server."""
+        stands_by = lease is not None and self._name in (lease.standby, lease.coordinator)
+        if not stands_by and name in self._standing_by:
+            self._coordinator.tell(StandbySeen(name))
+        (self._standing_by.add if stands_by else self._standing_by.discard)(name)
+
     def _claim(self, server: BackendServer) -> None:
         machines = self._peers.vm_by_name().values()
         near = [item.name for item in machines if item.data_centre == server.data_centre]
@@ -135,6 +147,7 @@
         if held is None:
             held = _Held(self._open_port(server), '')
         self._coordinator.tell(RightsGiven(server, service))
+        self._coordinator.tell(self._rows_owned(server, lease))
         try:
             health = held.port.probe(PROBE_TIMEOUT_S)
         except CallFailedError:
@@ -148,6 +161,12 @@
         if service.divided_by_key:
             self._grant(server, held, lease, health.clock + GRANT_S, asked + GRANT_S)
 
+    def _rows_owned(self, server: BackendServer, lease: LeaseRecord) -> RowsOwned:
+        table = self._router.table(server.service)
+        rows = {} if table is None else table.rows_by_number()
+        owned = frozenset(n for n, row in rows.items() if row.owner == server.name)
+        return RowsOwned(server.name, owned, lease.standby, lease.epoch)
+
     def _grant(
         self,
         server: BackendServer,
--- a/src/coltsfootstair/inner/__init__.py
+++ b/src/coltsfootstair/inner/__init__.py
@@ -18,6 +18,13 @@
     Refused,
     RequestHead,
 )
+from coltsfootstair.inner._news import (
+    NewsAnswer,
+    NewsRequest,
+    ReportAnswer,
+    ReportRequest,
+    VmsTold,
+)
 from coltsfootstair.inner._notes import (
     NoteConfirmed,
     NoteDropped,
@@ -43,6 +50,8 @@
     'Hub',
     'HubListener',
     'Message',
+    'NewsAnswer',
+    'NewsRequest',
     'NoteConfirmed',
     'NoteDropped',
     'NoteOperation',
@@ -50,8 +59,11 @@
     'NotesBegun',
     'NotesMessage',
     'Refused',
+    'ReportAnswer',
+    'ReportRequest',
     'RequestHead',
     'RowDropped',
     'Stream',
+    'VmsTold',
     'encode',
 ]
--- a/src/coltsfootstair/inner/_notes.py
+++ b/src/coltsfootstair/inner/_notes.py
@@ -71,9 +71,9 @@
 
 NotesMessage = NotesBegun | NoteOperation | NoteConfirmed | NoteRows | NoteDropped | RowDropped
 
-register(40, NotesBegun)
-register(41, NoteOperation)
-register(42, NoteConfirmed)
-register(43, NoteRows)
-register(44, NoteDropped)
-register(45, RowDropped)
+register(60, NotesBegun)
+register(61, NoteOperation)
+register(62, NoteConfirmed)
+register(63, NoteRows)
+register(64, NoteDropped)
+register(65, RowDropped)
