Let the entry daemon retry by budget, remember bookings without an id, and bound uploads

Cause: every refusal that told of a change was retried each 20 ms without jitter, a booking whose inner stream broke was unknown even when its coordinator lived on, and the body of an upload was read before there was a slot for it. A booking without an operation id gets one of the daemon's own, so that the same question brings the kept answer after a lost stream. A coordinator gives credit for a streamed body only once it sends it, and an entry daemon sets memory aside for it before it reads any. After an attempt that may have run, no later refusal says 'not run'.

--- a/src/coltsfootstair/coordinator/_exchange.py
+++ b/src/coltsfootstair/coordinator/_exchange.py
@@ -173,6 +173,8 @@
     def _body(self) -> Iterator[bytes]:
         yield self.head.body
         complete = self.head.complete
+        if not complete:
+            self._reply(Credit(self.head.request_id, CREDIT_WINDOW_BYTES))
         while not complete:
             message = self._next_message()
             match message:
--- a/src/coltsfootstair/coordinator/_runner.py
+++ b/src/coltsfootstair/coordinator/_runner.py
@@ -11,6 +11,7 @@
 from coltsfootstair.coordinator._exchange import BodyCutError, Exchange, ShedError
 from coltsfootstair.coordinator._messages import ExchangeEnded, ExchangeLost
 from coltsfootstair.errors import CallFailedError
+from coltsfootstair.operations import is_own_id
 from coltsfootstair.results import Ran, Refusal, ResultCode
 
 if TYPE_CHECKING:
@@ -169,7 +170,7 @@
     ]
     if head.key:
         headers.append(('Coltsfootstair-Key', head.key))
-    if head.operation_id:
+    if head.operation_id and not is_own_id(head.operation_id):
         headers.append(('Idempotency-Key', head.operation_id))
     if token is not None:
         headers.append(('Coltsfootstair-Slot', str(head.slot)))
--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -104,7 +104,7 @@
         self.callers = CallerServer(
             settings.callers,
             clock,
-            Relay(RelayParts(clock, self.router, link, self.pending)),
+            Relay(RelayParts(clock, self.router, link, self.pending, random.Random())),
             self.is_ready,
             self._upload_services,
             self.metrics.count_request,
--- a/src/coltsfootstair/entry/_relay.py
+++ b/src/coltsfootstair/entry/_relay.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import queue
+import random
+import threading
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
@@ -20,10 +22,21 @@
     Refused,
     RequestHead,
 )
+from coltsfootstair.operations import own_id
 from coltsfootstair.results import Ran, Refusal, ResultCode
+from coltsfootstair.retries import (
+    Attempt,
+    Repeat,
+    RetryBudget,
+    UploadBudget,
+    may_repeat,
+    pause_s,
+    without_memory,
+)
 from coltsfootstair.routing import Router
 
 if TYPE_CHECKING:
+    from coltsfootstair.document import Service
     from coltsfootstair.entry._pending import Mailbox
     from coltsfootstair.inner import AnswerMessage, Message, Stream
     from coltsfootstair.routing import Route
@@ -34,21 +47,16 @@
 """A body up to this size travels with the head of its request, and can be sent again."""
 
 CHUNK_BYTES = 64 * 1024
-RETRY_PAUSE_S = 0.02
+STREAMED_BODY_BYTES = 1024 * 1024
+"""Set aside for a body that is passed on in portions: both ends' credit windows."""
+
+RETRY_SOON_S = 0.2
+"""When a caller may come back while a coordinator can't be reached, in seconds."""
+
 ANSWER_GRACE_S = 0.25
 """How long after the deadline a coordinator's own last word is still waited for."""
 
-CREDIT_WINDOW_BYTES = 512 * 1024
-
-RETRIED = frozenset(
-    {
-        ResultCode.NOT_COORDINATOR,
-        ResultCode.KEY_MOVING,
-        ResultCode.NO_OWNER,
-        ResultCode.COORDINATOR_UNREACHABLE,
-    }
-)
-"""Refusals that tell of a change under way, so that another try soon may be served."""
+SAFE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
 
 
 class CallerRequest(NamedTuple):
@@ -108,6 +116,7 @@
     router: Router
     link: CoordinatorLink
     pending: PendingAnswers
+    random: random.Random
 
 
 class Relay:
@@ -115,54 +124,107 @@
 
     def __init__(self, parts: RelayParts) -> None:
         self._parts = parts
+        self._uploads = UploadBudget()
+        self._budget = RetryBudget()
+        self._lock = threading.Lock()
 
     def serve(self, request: CallerRequest) -> RelayedAnswer | Refusal:
         """Return the whole way's outcome: an answer that streams, or a refusal."""
+        with self._lock:
+            self._budget.requested()
+            refusal = self._reserve(request)
+        if refusal is not None:
+            return self._as_told(request, refusal)
+        try:
+            return self._serve(request)
+        finally:
+            with self._lock:
+                self._uploads.release(request.request_id)
+
+    def _reserve(self, request: CallerRequest) -> Refusal | None:
+        if 0 <= request.body.length <= INLINE_BODY_BYTES:
+            return None
+        return self._uploads.reserve(request.request_id, STREAMED_BODY_BYTES)
+
+    def _serve(self, request: CallerRequest) -> RelayedAnswer | Refusal:
         deadline = self._parts.clock.monotonic() + request.timeout_s
         try:
             body = _read_inline(request.body)
         except BodyBrokenError as error:
             return Refusal(ResultCode.BODY_CUT, Ran.NO, str(error))
-        attempt = 0
+        operation_id = self._operation_id(request)
+        attempts = 0
+        in_doubt = False
         while True:
-            route = self._parts.router.route(
-                request.service, request.key, request.operation_id
+            outcome, body_taken = self._attempt(
+                request, operation_id, body, deadline, attempts
             )
-            if isinstance(route, Refusal):
-                outcome: RelayedAnswer | Refusal = route
-            else:
-                job = _Job(self._parts, request, route, body, deadline, attempt)
-                outcome = job.run()
-            attempt += 1
-            if not self._may_retry(request, body, outcome, deadline):
+            attempts += 1
+            if not isinstance(outcome, Refusal):
                 return outcome
-            self._pause()
-
-    def _may_retry(
+            in_doubt = in_doubt or outcome.ran is Ran.UNKNOWN
+            known = self._known(request, operation_id, body_kept=not body_taken)
+            pause = pause_s(attempts, self._parts.random.random())
+            in_time = self._parts.clock.monotonic() + pause < deadline
+            if not in_time or not self._may_repeat(known, outcome):
+                return self._as_told(request, outcome, in_doubt=in_doubt)
+            self._pause(pause)
+
+    def _attempt(
         self,
         request: CallerRequest,
+        operation_id: str,
         body: _InlineBody,
-        outcome: RelayedAnswer | Refusal,
         deadline: float,
-    ) -> bool:
-        if not isinstance(outcome, Refusal) or not body.complete:
-            return False
-        if self._parts.clock.monotonic() + RETRY_PAUSE_S >= deadline:
-            return False
-        if outcome.ran is Ran.NO:
-            return outcome.code in RETRIED
-        return outcome.code is ResultCode.OUTCOME_UNKNOWN and self._idempotent(request.service)
-
-    def _idempotent(self, service: str) -> bool:
-        known = {item.name: item for item in self._parts.router.document.services}
-        return service in known and known[service].kind is ServiceKind.LOOKUP
-
-    def _pause(self) -> None:
-        queue_never_filled: queue.SimpleQueue[None] = queue.SimpleQueue()
-        try:
-            queue_never_filled.get(timeout=RETRY_PAUSE_S)
-        except queue.Empty:
-            return
+        attempts: int,
+    ) -> tuple[RelayedAnswer | Refusal, bool]:
+        route = self._parts.router.route(request.service, request.key, operation_id)
+        if isinstance(route, Refusal):
+            return route, False
+        job = _Job(self._parts, request, operation_id, route, body, deadline, attempts)
+        return job.run(), job.body_taken
+
+    def _operation_id(self, request: CallerRequest) -> str:
+        """Return the caller's operation id, or one by which a lost answer can be found."""
+        service = self._service(request.service)
+        if request.operation_id or service is None or service.kind is not ServiceKind.BOOKING:
+            return request.operation_id
+        if request.method in SAFE_METHODS:
+            return ''
+        return own_id(self._parts.clock.now().timestamp(), self._parts.random.getrandbits(74))
+
+    def _service(self, name: str) -> Service | None:
+        services = self._parts.router.document.services
+        return next((item for item in services if item.name == name), None)
+
+    def _known(self, request: CallerRequest, operation_id: str, *, body_kept: bool) -> Attempt:
+        service = self._service(request.service)
+        idempotent = service is not None and service.kind is ServiceKind.LOOKUP
+        divided = service is not None and service.divided_by_key
+        remembered = bool(operation_id) and not idempotent
+        elsewhere = not divided and not operation_id
+        return Attempt(idempotent, remembered, body_kept, elsewhere)
+
+    def _may_repeat(self, known: Attempt, refusal: Refusal) -> bool:
+        repeat = may_repeat(known, refusal)
+        if repeat is Repeat.SPEND_BUDGET:
+            with self._lock:
+                return self._budget.take()
+        return repeat is Repeat.ROUTE_AGAIN
+
+    @staticmethod
+    def _as_told(
+        request: CallerRequest, refusal: Refusal, *, in_doubt: bool = False
+    ) -> Refusal:
+        """Return the refusal as it is true of all attempts together."""
+        if in_doubt and refusal.ran is Ran.NO:
+            refusal = refusal._replace(ran=Ran.UNKNOWN)
+        if refusal.ran is Ran.UNKNOWN and refusal.code is ResultCode.COORDINATOR_UNREACHABLE:
+            refusal = refusal._replace(code=ResultCode.OUTCOME_UNKNOWN)
+        return without_memory(refusal, has_operation_id=bool(request.operation_id))
+
+    def _pause(self, seconds: float) -> None:
+        threading.Event().wait(seconds)
 
 
 class _InlineBody(NamedTuple):
@@ -191,6 +253,7 @@
         self,
         parts: RelayParts,
         request: CallerRequest,
+        operation_id: str,
         route: Route,
         body: _InlineBody,
         deadline: float,
@@ -198,6 +261,8 @@
     ) -> None:
         self._parts = parts
         self._request = request
+        self._operation_id = operation_id
+        self.body_taken = False
         self._route = route
         self._body = body
         self._deadline = deadline
@@ -205,7 +270,7 @@
         # taken for the answer to this one.
         self._id = request.request_id if attempt == 0 else f'{request.request_id}.{attempt}'
         self._mailbox: Mailbox = queue.SimpleQueue()
-        self._credit = CREDIT_WINDOW_BYTES
+        self._credit = 0
 
     def run(self) -> RelayedAnswer | Refusal:
         """Send the request and wait for the head of an answer, or a refusal."""
@@ -238,9 +303,7 @@
                 case Refused():
                     return _refusal(message)
                 case LinkLost():
-                    return Refusal(
-                        ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, 'the coordinator was lost'
-                    )
+                    return _lost()
                 case None:
                     return self._give_up()
                 case _:
@@ -255,7 +318,7 @@
         left_s = max(0.0, self._deadline - self._parts.clock.monotonic())
         return RequestHead(
             self._id,
-            request.operation_id,
+            self._operation_id,
             request.service,
             self._route.backend_server,
             request.key,
@@ -278,6 +341,7 @@
             refusal = self._await_credit()
             if refusal is not None:
                 return refusal
+            self.body_taken = True
             try:
                 data = body.read(CHUNK_BYTES)
             except BodyBrokenError as error:
@@ -285,7 +349,7 @@
                 return Refusal(ResultCode.BODY_CUT, Ran.UNKNOWN, str(error))
             self._credit -= len(data)
             if not self._link.send(BodyChunk(self._id, data, body.ended)):
-                return Refusal(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, 'the stream broke')
+                return _lost()
             if body.ended:
                 return None
 
@@ -311,7 +375,7 @@
                     self._mailbox.put(message)
                     return None
                 case LinkLost():
-                    return Refusal(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, 'the link broke')
+                    return _lost()
                 case _:
                     continue
 
@@ -349,10 +413,15 @@
         ResultCode.COORDINATOR_UNREACHABLE,
         Ran.NO,
         'nothing was sent to it',
-        RETRY_PAUSE_S * 10,
+        RETRY_SOON_S,
     )
 
 
+def _lost() -> Refusal:
+    text = 'the way to the coordinator broke'
+    return Refusal(ResultCode.COORDINATOR_UNREACHABLE, Ran.UNKNOWN, text)
+
+
 def _refusal(message: Refused) -> Refusal:
     retry_after_s = None if message.retry_after_ms < 0 else message.retry_after_ms / 1000
     return Refusal(message.code, message.ran, message.detail, retry_after_s)
--- a/src/coltsfootstair/operations/__init__.py
+++ b/src/coltsfootstair/operations/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from coltsfootstair.operations._entries import MAX_KEPT_ANSWER_BYTES
-from coltsfootstair.operations._ids import fingerprint, id_age_s
+from coltsfootstair.operations._ids import fingerprint, id_age_s, is_own_id, own_id
 from coltsfootstair.operations._memory import (
     KEEP_S,
     OperationMemory,
@@ -83,6 +83,8 @@
     'fingerprint',
     'handle',
     'id_age_s',
+    'is_own_id',
     'new_memory',
+    'own_id',
     'row_record',
 ]
--- a/src/coltsfootstair/operations/_ids.py
+++ b/src/coltsfootstair/operations/_ids.py
@@ -6,11 +6,32 @@
 
 import xxhash
 
-__all__ = ['fingerprint', 'id_age_s']
+__all__ = ['fingerprint', 'id_age_s', 'is_own_id', 'own_id']
 
 UUID7 = 7
 TIME_SHIFT_BITS = 80
 CLOCK_SKEW_S = 5.0
+VERSION_SHIFT_BITS = 76
+VARIANT_SHIFT_BITS = 62
+RANDOM_LOW_MASK = (1 << VARIANT_SHIFT_BITS) - 1
+OWN_PREFIX = 'entry:'
+
+
+def own_id(calendar_s: float, random_bits: int) -> str:
+    """Return an operation id for a request whose caller gave none; it holds its time.
+
+    :param random_bits: a random number of 74 bits
+    """
+    value = int(calendar_s * 1000) << TIME_SHIFT_BITS
+    value |= UUID7 << VERSION_SHIFT_BITS
+    value |= (random_bits >> VARIANT_SHIFT_BITS) << (VARIANT_SHIFT_BITS + 2)
+    value |= (0b10 << VARIANT_SHIFT_BITS) | (random_bits & RANDOM_LOW_MASK)
+    return f'{OWN_PREFIX}{uuid.UUID(int=value)}'
+
+
+def is_own_id(operation_id: str) -> bool:
+    """Tell whether a daemon made the id; backend servers are not told such ids."""
+    return operation_id.startswith(OWN_PREFIX)
 
 
 def id_age_s(operation_id: str, calendar_s: float) -> float | None:
@@ -21,7 +42,7 @@
     :param calendar_s: the calendar time as seconds since 1970 in UTC
     """
     try:
-        parsed = uuid.UUID(operation_id)
+        parsed = uuid.UUID(operation_id.removeprefix(OWN_PREFIX))
     except ValueError:
         return None
     if parsed.version != UUID7:
