--- a/tests/inner/test_codec.py
+++ b/tests/inner/test_codec.py
@@ -14,7 +14,6 @@
 from coltsfootstair.inner import MAX_FRAME_BYTES, BodyChunk, Decoder, Message, encode
 from coltsfootstair.inner._messages import TYPE_BY_NUMBER
 
-
 # The wire has integers of 64 bits; no message has a field that could exceed them.
 st.register_type_strategy(int, st.integers(-(2**63), 2**64 - 1))
 
