--- a/src/coltsfootstair/leases/__init__.py
+++ b/src/coltsfootstair/leases/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from coltsfootstair.leases._choice import home_candidate
+from coltsfootstair.leases._decide import handle
+from coltsfootstair.leases._messages import Candidate, PeerView
 from coltsfootstair.leases._record import (
     LEASE_PREFIX,
     LeaseRecord,
@@ -9,5 +12,35 @@
     encode_record,
     record_key,
 )
+from coltsfootstair.leases._state import (
+    HEARTBEAT_S,
+    LEASE_S,
+    SUSPECT_S,
+    TAKEOVER_WAIT_S,
+    Lease,
+    is_coordinator,
+    is_standby,
+    may_act,
+    rights_until,
+)
 
-__all__ = ['LEASE_PREFIX', 'LeaseRecord', 'decode_record', 'encode_record', 'record_key']
+__all__ = [
+    'HEARTBEAT_S',
+    'LEASE_PREFIX',
+    'LEASE_S',
+    'SUSPECT_S',
+    'TAKEOVER_WAIT_S',
+    'Candidate',
+    'Lease',
+    'LeaseRecord',
+    'PeerView',
+    'decode_record',
+    'encode_record',
+    'handle',
+    'home_candidate',
+    'is_coordinator',
+    'is_standby',
+    'may_act',
+    'record_key',
+    'rights_until',
+]
--- a/src/coltsfootstair/leases/_record.py
+++ b/src/coltsfootstair/leases/_record.py
@@ -25,9 +25,9 @@
     """
 
     coordinator: str
-    incarnation: str
+    incarnation: int
     standby: str
-    standby_incarnation: str
+    standby_incarnation: int
     epoch: int
 
 
@@ -51,6 +51,6 @@
     except (ValueError, msgpack.UnpackException) as error:
         raise ProtocolError('a lease record is malformed') from error
     match values:
-        case [str(name), str(incarnation), str(standby), str(other), int(epoch)] if epoch > 0:
+        case [str(name), int(incarnation), str(standby), int(other), int(epoch)] if epoch > 0:
             return LeaseRecord(name, incarnation, standby, other, epoch)
     raise ProtocolError('a lease record is malformed')
--- /dev/null
+++ b/src/coltsfootstair/membership/_detector.py
@@ -0,0 +1,216 @@
+"""Tells which daemons answer, from heartbeats and the platform's lagging VM list."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from coltsfootstair.leases import SUSPECT_S, Candidate, PeerView
+
+__all__ = [
+    'GONE_AFTER_S',
+    'HeartbeatHeard',
+    'Members',
+    'Peer',
+    'Spoken',
+    'Tick',
+    'VmListed',
+    'VmsRead',
+    'due_heartbeats',
+    'handle',
+    'view',
+]
+
+GONE_AFTER_S = 2.0
+"""How long a VM is to be missing from the list before it counts as ended, in seconds."""
+
+NEVER_LISTED_GONE_AFTER_S = 15.0
+"""The same for one that this daemon never saw listed: the list may lag."""
+
+FAST_HEARTBEAT_S = 0.1
+"""Between daemons that share a lease, in seconds."""
+
+SLOW_HEARTBEAT_S = 1.0
+"""Between other daemons, in seconds."""
+
+
+class Spoken(NamedTuple):
+    """A heartbeat was sent to a daemon."""
+
+    name: str
+
+
+class HeartbeatHeard(NamedTuple):
+    """A daemon was heard from, directly."""
+
+    candidate: Candidate
+    leaving: bool
+
+
+class VmListed(NamedTuple):
+    """A VM as the platform lists it."""
+
+    name: str
+    data_centre: str
+    inner: str
+    leaving: bool
+
+
+class VmsRead(NamedTuple):
+    """The platform's list was read; it was asked for at ``asked_at``."""
+
+    asked_at: float
+    vms: tuple[VmListed, ...]
+
+
+class Tick(NamedTuple):
+    """Time has passed; these daemons share a lease with this one."""
+
+    close: frozenset[str]
+
+
+Event = Spoken | HeartbeatHeard | VmsRead | Tick
+
+
+class Peer(NamedTuple):
+    """Another daemon.
+
+    :param incarnation: of its newest known process; 0 before it was heard from
+    :param heard_at: when it was last heard from
+    :param spoken_at: when it was last sent a heartbeat
+    :param unanswered_since: when the oldest heartbeat that got no answer was sent
+    :param missing_since: when the list first lacked it, if it lacks it now
+    """
+
+    name: str
+    data_centre: str
+    inner: str = ''
+    incarnation: int = 0
+    listed: bool = False
+    was_listed: bool = False
+    leaving: bool = False
+    heard_at: float = -math.inf
+    spoken_at: float = -math.inf
+    unanswered_since: float = math.inf
+    missing_since: float = math.inf
+
+
+class Members(NamedTuple):
+    """What a daemon knows of all others."""
+
+    me: str
+    peer_by_name: Mapping[str, Peer] = {}
+    close: frozenset[str] = frozenset()
+    listed_at: float = -math.inf
+
+
+def handle(members: Members, event: Event, now: float) -> Members:
+    """Take one event in and return the new state."""
+    match event:
+        case Tick(close):
+            return _named(members, close, now)
+        case Spoken(name):
+            return _spoken(members, name, now)
+        case HeartbeatHeard(candidate, leaving):
+            return _heard(members, candidate, leaving, now)
+        case VmsRead(asked_at, vms):
+            return _listed(members, asked_at, vms, now)
+
+
+def _named(members: Members, close: frozenset[str], now: float) -> Members:
+    """Take in who shares a lease; one never heard of may have ended before this start."""
+    new = close - members.peer_by_name.keys() - {members.me}
+    peers = {name: Peer(name, '', missing_since=now) for name in new}
+    return members._replace(close=close, peer_by_name={**members.peer_by_name, **peers})
+
+
+def _spoken(members: Members, name: str, now: float) -> Members:
+    peer = members.peer_by_name.get(name)
+    if peer is None:
+        return members
+    since = min(peer.unanswered_since, now)
+    return _with(members, peer._replace(spoken_at=now, unanswered_since=since))
+
+
+def _heard(members: Members, candidate: Candidate, leaving: bool, now: float) -> Members:
+    name, incarnation, data_centre = candidate
+    peer = members.peer_by_name.get(name, Peer(name, data_centre))
+    if name == members.me or incarnation < peer.incarnation:
+        return members
+    return _with(
+        members,
+        peer._replace(
+            data_centre=data_centre,
+            incarnation=incarnation,
+            leaving=leaving,
+            heard_at=now,
+            unanswered_since=math.inf,
+        ),
+    )
+
+
+def _listed(
+    members: Members, asked_at: float, vms: tuple[VmListed, ...], now: float
+) -> Members:
+    if asked_at <= members.listed_at:
+        return members
+    peers = dict(members.peer_by_name)
+    listed = {vm.name: vm for vm in vms if vm.name != members.me}
+    for name, vm in listed.items():
+        peer = peers.get(name, Peer(name, vm.data_centre))
+        peers[name] = peer._replace(
+            data_centre=vm.data_centre,
+            inner=vm.inner,
+            leaving=peer.leaving or vm.leaving,
+            listed=True,
+            was_listed=True,
+            missing_since=math.inf,
+        )
+    for name in peers.keys() - listed.keys():
+        since = min(peers[name].missing_since, now)
+        peers[name] = peers[name]._replace(listed=False, missing_since=since)
+    return members._replace(peer_by_name=peers, listed_at=asked_at)
+
+
+def _with(members: Members, peer: Peer) -> Members:
+    return members._replace(peer_by_name={**members.peer_by_name, peer.name: peer})
+
+
+def _heartbeat_s(members: Members, name: str) -> float:
+    return FAST_HEARTBEAT_S if name in members.close else SLOW_HEARTBEAT_S
+
+
+def _answers(members: Members, peer: Peer, now: float) -> bool:
+    """Return whether a peer has not left a heartbeat without an answer for too long."""
+    allowed_s = SUSPECT_S if peer.name in members.close else SUSPECT_S + SLOW_HEARTBEAT_S
+    return now - peer.unanswered_since < allowed_s
+
+
+def _is_gone(members: Members, peer: Peer) -> bool:
+    after_s = GONE_AFTER_S if peer.was_listed else NEVER_LISTED_GONE_AFTER_S
+    # A daemon that is heard from is not gone, whatever the list says.
+    return members.listed_at - max(peer.missing_since, peer.heard_at) >= after_s
+
+
+def due_heartbeats(members: Members, now: float) -> list[Peer]:
+    """Return the peers that a heartbeat is to be sent to now."""
+    return [
+        peer
+        for peer in members.peer_by_name.values()
+        if now - peer.spoken_at >= _heartbeat_s(members, peer.name)
+        and not _is_gone(members, peer)
+    ]
+
+
+def view(members: Members, now: float, *, leaving: bool) -> PeerView:
+    """Return how the others look to the lease decisions."""
+    peers = members.peer_by_name.values()
+    alive = {
+        peer.name: Candidate(peer.name, peer.incarnation, peer.data_centre)
+        for peer in peers
+        if peer.incarnation and _answers(members, peer, now)
+    }
+    leaving_names = frozenset(peer.name for peer in peers if peer.leaving)
+    gone = frozenset(peer.name for peer in peers if _is_gone(members, peer))
+    return PeerView(alive, leaving_names, gone, leaving)
--- a/src/coltsfootstair/ownership/__init__.py
+++ b/src/coltsfootstair/ownership/__init__.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from coltsfootstair.ownership._grants import CLOCK_DRIFT, GRANT_S
+from coltsfootstair.ownership._hot import FrequentKeys
+from coltsfootstair.ownership._moves import OwnedRows, handle, is_lost, take_up
+from coltsfootstair.ownership._planner import Change, Load, apply_changes, plan
 from coltsfootstair.ownership._table import (
     HOT_ROWS_PER_SHARD,
     ROWS_PER_SHARD,
@@ -24,22 +28,33 @@
 )
 
 __all__ = [
+    'CLOCK_DRIFT',
+    'GRANT_S',
     'HOT_ROWS_PER_SHARD',
     'ROWS_PER_SHARD',
     'SHARDS_PER_TABLE',
     'SLOTS_PER_TABLE',
     'UNASSIGNED',
+    'Change',
+    'FrequentKeys',
+    'Load',
+    'OwnedRows',
     'Row',
     'Shard',
     'Table',
+    'apply_changes',
     'decode_shard',
     'encode_shard',
+    'handle',
     'initial_assignment',
+    'is_lost',
+    'plan',
     'ranked_names',
     'shard_key',
     'shard_of',
     'slot_of',
     'table_prefix',
+    'take_up',
     'token_of',
     'usable_servers',
 ]
--- /dev/null
+++ b/src/coltsfootstair/ownership/_messages.py
@@ -0,0 +1,152 @@
+"""Events that go into the decisions on a server's rows, and the effects that come out."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from coltsfootstair.ownership._grants import GrantOrder
+from coltsfootstair.ownership._table import Shard
+
+__all__ = [
+    'GrantAnswered',
+    'GrantFailed',
+    'ProbeAnswered',
+    'ProbeFailed',
+    'ProbeServer',
+    'ReadShard',
+    'RowsAdmitted',
+    'RowsEffect',
+    'RowsEvent',
+    'RowsIdle',
+    'RowsTick',
+    'SendGrant',
+    'ShardConflicted',
+    'ShardSeen',
+    'ShardUnknown',
+    'WriteShard',
+]
+
+
+class RowsTick(NamedTuple):
+    """Time has passed.
+
+    :param rights_until: until when the coordinator may act, in monotonic seconds
+    """
+
+    rights_until: float
+
+
+class ShardSeen(NamedTuple):
+    """A shard was true at a version: read, written, or heard of.
+
+    :param fresh: it was read from the store after this coordinator's rights began
+    """
+
+    shard: Shard
+    version: int
+    fresh: bool = False
+
+
+class ShardConflicted(NamedTuple):
+    """The store refused the write of a shard."""
+
+    number: int
+
+
+class ShardUnknown(NamedTuple):
+    """The store did not answer the write, or the read, of a shard."""
+
+    number: int
+
+
+class GrantAnswered(NamedTuple):
+    """The backend server answered a grant order.
+
+    :param clock: the server's clock, in seconds
+    :param asked_at: when the order was sent, in local monotonic seconds
+    """
+
+    number: int
+    accepted: bool
+    instance: str
+    clock: float
+    asked_at: float
+
+
+class GrantFailed(NamedTuple):
+    """A grant order got no answer; it may take effect, also later."""
+
+    number: int
+
+
+class ProbeAnswered(NamedTuple):
+    """The backend server answered a probe."""
+
+    instance: str
+    clock: float
+    asked_at: float
+
+
+class ProbeFailed(NamedTuple):
+    """A probe got no answer."""
+
+
+class RowsIdle(NamedTuple):
+    """No request of these rows runs any more at the server."""
+
+    rows: frozenset[int]
+
+
+RowsEvent = (
+    RowsTick
+    | ShardSeen
+    | ShardConflicted
+    | ShardUnknown
+    | GrantAnswered
+    | GrantFailed
+    | ProbeAnswered
+    | ProbeFailed
+    | RowsIdle
+)
+
+
+class ReadShard(NamedTuple):
+    """Read a shard from the store."""
+
+    number: int
+
+
+class WriteShard(NamedTuple):
+    """Write a shard if it is at version ``expected``."""
+
+    shard: Shard
+    expected: int
+
+
+class SendGrant(NamedTuple):
+    """Give the server an order."""
+
+    order: GrantOrder
+
+
+class ProbeServer(NamedTuple):
+    """Ask for the server's clock and instance."""
+
+
+class RowsAdmitted(NamedTuple):
+    """The rows that requests are admitted for.
+
+    :param token_by_row: the fencing token of each
+    :param stopping: rows that wait for ``RowsIdle``
+    :param hot_row_by_key: keys that are admitted under their own rows only
+    :param valid_until: local monotonic seconds
+    """
+
+    token_by_row: Mapping[int, int]
+    stopping: frozenset[int]
+    hot_row_by_key: Mapping[str, int]
+    valid_until: float
+
+
+RowsEffect = ReadShard | WriteShard | SendGrant | ProbeServer | RowsAdmitted
--- /dev/null
+++ b/tests/ownership/test_sole_owner.py
@@ -0,0 +1,101 @@
+"""Properties of leases, grants and moves together, under every kind of fault."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from coltsfootstair.leases import _decide as leases
+from coltsfootstair.ownership import Row, Shard
+from coltsfootstair.ownership import _moves as moves
+from coltsfootstair.ownership._messages import ProbeAnswered, RowsTick, SendGrant, ShardSeen
+from tests.ownership.model import NO_FAULTS, BrokenPromiseError, Faults, World
+
+if TYPE_CHECKING:
+    from coltsfootstair.leases import Lease
+    from coltsfootstair.ownership._messages import RowsEvent
+
+SEEDS = st.integers(0, 100_000)
+
+
+def breaks(seed: int, faults: Faults = NO_FAULTS) -> bool:
+    try:
+        World(seed, faults).run()
+    except BrokenPromiseError:
+        return True
+    return False
+
+
+@settings(max_examples=60)
+@given(SEEDS)
+def test_never_two_owners_nor_two_coordinators(seed: int) -> None:
+    World(seed).run()
+
+
+def test_the_world_is_not_idle() -> None:
+    happened: Counter[str] = Counter()
+    for seed in range(10):
+        happened += World(seed).run().happened
+    assert min(happened[what] for what in ('rights', 'moves', 'grants', 'requests')) > 30
+
+
+def confirm_always(lease: Lease, asked: Any, now: float) -> Any:
+    return lease, [leases.Confirm(asked.version, asked.record, asked.asked_at)]
+
+
+def grant_again(owned: Any, number: int, row: Row, now: float) -> moves.HeldRow:
+    return owned.held_by_row.get(number) or moves.HeldRow(row, moves.Phase.HELD, now)
+
+
+def drop_at_once(owned: moves.OwnedRows, now: float) -> moves.OwnedRows:
+    rows = frozenset(owned.held_by_row)
+    return moves._set_phase(owned, rows, moves.Phase.STOPPING, moves.Phase.DROPPING, now)
+
+
+@pytest.mark.parametrize(
+    ('module', 'name', 'wrong'),
+    [
+        pytest.param(leases, 'TAKEOVER_WAIT_S', 0.0, id='takeover without the wait'),
+        pytest.param(leases, '_take_question', confirm_always, id='epoch not checked'),
+        pytest.param(moves, 'may_hold', lambda *_: False, id='lapse not waited for'),
+        pytest.param(moves, '_advance', drop_at_once, id='requests not waited for'),
+    ],
+)
+def test_broken_decisions_are_caught(
+    monkeypatch: pytest.MonkeyPatch, module: Any, name: str, wrong: Any
+) -> None:
+    monkeypatch.setattr(module, name, wrong)
+    assert any(breaks(seed) for seed in range(150))
+
+
+@pytest.mark.parametrize('faults', [Faults(announce_early=True), Faults(tokens_unchecked=True)])
+def test_broken_surroundings_are_caught(faults: Faults) -> None:
+    assert any(breaks(seed, faults) for seed in range(150))
+
+
+def grants_of_a_new_coordinator() -> list[int]:
+    owned = moves.take_up('a', 2, checks_grants=True, now=0.0)
+    events: list[RowsEvent] = [RowsTick(100.0), ProbeAnswered('i', 5.0, 0.0)]
+    rows = {0: Row('a', 1, 'b'), 1: Row('a', 1), 2: Row('b', 1)}
+    for number in range(4):
+        shard = Shard(number, rows if number == 0 else {})
+        events.append(ShardSeen(shard, 7, fresh=True))
+    orders: list[int] = []
+    for event in [*events, RowsTick(100.0)]:
+        owned, effects = moves.handle(owned, event, 0.2 if event == events[-1] else 0.0)
+        for effect in effects:
+            if isinstance(effect, SendGrant):
+                orders += effect.order.token_by_row
+    return orders
+
+
+def test_a_new_coordinator_grants_no_row_that_is_moving(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    assert grants_of_a_new_coordinator() == [1]
+    monkeypatch.setattr(moves, '_held', grant_again)
+    assert grants_of_a_new_coordinator() != [1]
