Keep leases, grants and plans in the ownership task by the pure decisions

It takes the place of the first version, which claimed servers without a standby and never gave rows to another. Heartbeats carry the confirmations of all leases between two daemons in one message; store and server calls run on executors, so that a slow one holds up no lease.

--- a/src/coltsfootstair/coordinator/_exchange.py
+++ b/src/coltsfootstair/coordinator/_exchange.py
@@ -74,6 +74,10 @@
         """Return the seconds left for the answer; never below zero."""
         return max(0.0, self.deadline - self._clock.monotonic())
 
+    def limit(self, seconds: float) -> None:
+        """Let the backend server work on it for so long at most."""
+        self.deadline = min(self.deadline, self._clock.monotonic() + seconds)
+
     def refuse(self, refusal: Refusal) -> None:
         """Answer with a refusal; it must be the last word on this request."""
         retry_after_s = refusal.retry_after_s
--- a/src/coltsfootstair/coordinator/_messages.py
+++ b/src/coltsfootstair/coordinator/_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from coltsfootstair.admission._messages import Observed, Outcome
@@ -59,12 +61,16 @@
     """The rows that the server holds for certain until ``valid_until``.
 
     :param token_by_row: the fencing token of each row
+    :param stopping: rows that are to be reported once nothing runs for them
+    :param hot_row_by_key: keys that are admitted under their own rows only
     :param valid_until: local monotonic seconds
     """
 
     backend_server: str
-    token_by_row: dict[int, int]
-    valid_until: float
+    token_by_row: Mapping[int, int] = {}
+    stopping: frozenset[int] = frozenset()
+    hot_row_by_key: Mapping[str, int] = {}
+    valid_until: float = -math.inf
 
 
 class ServerObserved(NamedTuple):
--- a/src/coltsfootstair/coordinator/_task.py
+++ b/src/coltsfootstair/coordinator/_task.py
@@ -34,6 +34,7 @@
 )
 from coltsfootstair.document import ServiceKind, State
 from coltsfootstair.errors import CallFailedError
+from coltsfootstair.ownership import REQUEST_LIMIT_S, SLOTS_PER_TABLE
 from coltsfootstair.results import Ran, Refusal, ResultCode
 
 if TYPE_CHECKING:
@@ -46,6 +47,7 @@
     from coltsfootstair.clock import Clock
     from coltsfootstair.coordinator._messages import CoordinatorEvent
     from coltsfootstair.document import BackendServer, Service
+    from coltsfootstair.inner import RequestHead
 
 __all__ = ['Coordinator']
 
@@ -73,7 +75,7 @@
         self.port = port
         self.admission = admission
         self.exchange_by_id: dict[str, Exchange] = {}
-        self.granted = RowsGranted(server.name, {}, 0.0)
+        self.granted = RowsGranted(server.name)
 
     @property
     def idempotent(self) -> bool:
@@ -100,8 +102,23 @@
         self._open_port = open_port
         self._mailbox: queue.SimpleQueue[CoordinatorEvent | None] = queue.SimpleQueue()
         self._server_by_name: dict[str, CoordinatedServer] = {}
+        self._rows_idle: Callable[[RowsGranted, frozenset[int]], None] = _ignore
+        self._admitted: Callable[[str, int, str], None] = _ignore
         self._thread = threading.Thread(target=self._run, name='coordinator', daemon=True)
 
+    def listen(
+        self,
+        rows_idle: Callable[[RowsGranted, frozenset[int]], None],
+        admitted: Callable[[str, int, str], None],
+    ) -> None:
+        """Tell of rows that stopped, and of requests taken in, on this task's thread.
+
+        :param rows_idle: takes what was granted and the rows that nothing runs for
+        :param admitted: takes a service, a row and a key
+        """
+        self._rows_idle = rows_idle
+        self._admitted = admitted
+
     def start(self) -> None:
         """Begin to take events."""
         self._thread.start()
@@ -164,9 +181,10 @@
                 self._give_rights(server, service)
             case RightsTaken(name):
                 self._take_rights(name)
-            case RowsGranted(name, _, _):
+            case RowsGranted(name):
                 if name in self._server_by_name:
                     self._server_by_name[name].granted = event
+                    self._report_idle(self._server_by_name[name])
             case ServerObserved(name, observed):
                 self._decide(name, observed)
 
@@ -178,10 +196,11 @@
                 _not_run(ResultCode.NOT_COORDINATOR, 'another daemon coordinates it')
             )
             return
-        if coordinated.service.divided_by_key and self._token(coordinated, head.slot) is None:
+        if coordinated.service.divided_by_key and self._token(coordinated, head) is None:
             exchange.refuse(_not_run(ResultCode.KEY_MOVING, 'the key is not granted to it'))
             return
         coordinated.exchange_by_id[head.request_id] = exchange
+        self._admitted(coordinated.service.name, head.slot, head.key)
         event = Submitted(
             head.request_id,
             head.caller,
@@ -192,11 +211,24 @@
         )
         self._decide(head.backend_server, event)
 
-    def _token(self, coordinated: CoordinatedServer, row: int) -> int | None:
+    def _token(self, coordinated: CoordinatedServer, head: RequestHead) -> int | None:
         granted = coordinated.granted
         if self._clock.monotonic() >= granted.valid_until:
             return None
-        return granted.token_by_row.get(row)
+        # A hot key belongs to its own row only, and that row to no other key.
+        hot_row = granted.hot_row_by_key.get(head.key)
+        if hot_row != (head.slot if head.slot >= SLOTS_PER_TABLE else None):
+            return None
+        return granted.token_by_row.get(head.slot)
+
+    def _report_idle(self, coordinated: CoordinatedServer) -> None:
+        granted = coordinated.granted
+        if not granted.stopping:
+            return
+        heads = [exchange.head for exchange in coordinated.exchange_by_id.values()]
+        busy = {head.slot for head in heads}
+        busy |= {granted.hot_row_by_key.get(head.key, head.slot) for head in heads}
+        self._rows_idle(granted, granted.stopping - busy)
 
     def _cancel(self, request_id: str) -> None:
         for name, coordinated in self._server_by_name.items():
@@ -208,6 +240,7 @@
         if coordinated is None:
             return
         coordinated.exchange_by_id.pop(finished.request_id, None)
+        self._report_idle(coordinated)
         self._decide(name, finished)
 
     def _give_rights(self, server: BackendServer, service: Service) -> None:
@@ -233,10 +266,11 @@
             return
         self._decide(name, RightsChanged(False))
         coordinated = self._server_by_name[name]
-        coordinated.granted = RowsGranted(name, {}, 0.0)
+        coordinated.granted = RowsGranted(name)
 
     def _tick_all(self) -> None:
         for name in list(self._server_by_name):
+            self._report_idle(self._server_by_name[name])
             self._decide(name, Tick())
 
     def _decide(self, name: str, event: Event) -> None:
@@ -271,10 +305,16 @@
 
     def _exchange(self, coordinated: CoordinatedServer, exchange: Exchange) -> Outcome:
         """Run the exchange on an executor's thread and say how it ended."""
-        token = self._token(coordinated, exchange.head.slot)
-        if coordinated.service.divided_by_key and token is None:
+        divided = coordinated.service.divided_by_key
+        token = self._token(coordinated, exchange.head) if divided else None
+        if divided and token is None:
             exchange.refuse(_not_run(ResultCode.KEY_MOVING, 'the grant has lapsed'))
             return Outcome.NOT_SENT
+        if self._clock.monotonic() >= coordinated.granted.valid_until:
+            exchange.refuse(_not_run(ResultCode.NOT_COORDINATOR, 'the lease has lapsed'))
+            return Outcome.NOT_SENT
+        if divided:
+            exchange.limit(REQUEST_LIMIT_S)
         if not self._is_fresh():
             exchange.refuse(_not_run(ResultCode.DOCUMENT_STALE, 'the document may be old'))
             return Outcome.NOT_SENT
@@ -303,6 +343,10 @@
     return ServerLoad(phase, admission.occupied, len(admission.waiting), limit)
 
 
+def _ignore(*_: object) -> None:
+    """Stand in for a listener."""
+
+
 def _failed(exchange: Exchange, error: CallFailedError) -> Outcome:
     if not error.dispatched:
         exchange.refuse(_not_run(ResultCode.NO_OWNER, 'the backend server can not be reached'))
--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -17,13 +17,14 @@
 from coltsfootstair.daemon._news import NewsService
 from coltsfootstair.daemon._notes import DocumentHistory, RefusalNotes
 from coltsfootstair.daemon._operators import OperatorsAdapter
-from coltsfootstair.daemon._ownership import OwnershipTask
+from coltsfootstair.daemon._ownership import OwnershipParts, OwnershipTask
 from coltsfootstair.daemon._peers import PeerDirectory, PeerLink
 from coltsfootstair.daemon._reports import STATUS, TIMELINE, ReportDesk
 from coltsfootstair.document import ServiceKind
 from coltsfootstair.entry import CallerServer, PendingAnswers, Relay, RelayParts
 from coltsfootstair.inner import Hello, Hub, ReportAnswer, ReportRequest
 from coltsfootstair.inner._messages import PROTOCOL_VERSION
+from coltsfootstair.leases import Candidate
 from coltsfootstair.metrics import DaemonMetrics
 from coltsfootstair.news import Knowledge, StoreFeed
 from coltsfootstair.operators import DaemonState, OperatorsApp, OperatorsServer
@@ -78,21 +79,24 @@
         self.hub = Hub(hello, settings.inner, self.inbound)
         identity = StoreIdentity(settings.name, settings.data_centre, self.hub.address)
         self.store = HttpStore(settings.store_url, identity)
-        self.peers = PeerDirectory(self.store)
+        self.peers = PeerDirectory(self.store, clock)
         self.news = NewsService(
             settings, clock, self.hub, self.inbound, self.peers, self.knowledge
         )
         self.store_feed = StoreFeed(self.store, self.knowledge, clock, self.news.is_watcher)
         self.ownership = OwnershipTask(
-            settings.name,
-            settings.data_centre,
-            self.incarnation,
-            clock,
-            self.store,
-            self.router,
-            self.peers,
-            self.coordinator,
-            _open_port,
+            OwnershipParts(
+                Candidate(settings.name, self.incarnation, settings.data_centre),
+                clock,
+                self.store,
+                self.replica,
+                self.router,
+                self.peers,
+                self.hub,
+                self.inbound,
+                self.coordinator,
+                _open_port,
+            )
         )
         link = PeerLink(
             settings.name, self.hub, self.peers, self._open_exchange, self.coordinator.cancel
@@ -171,6 +175,7 @@
         self._stopping = True
         self.timeline.record(EventName.DAEMON_STOPPING, in_flight=self._in_flight())
         self._leaving.wait(BALANCER_NOTICE_S)
+        self.ownership.hand_over()
         clean = self._drain()
         self.callers.stop()
         self.operators.stop()
--- /dev/null
+++ b/src/coltsfootstair/daemon/_lease_keeper.py
@@ -0,0 +1,300 @@
+"""Keeps this daemon's leases: carries out what the lease decisions ask for."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+from concurrent.futures import Executor
+from typing import TYPE_CHECKING, NamedTuple
+
+import structlog
+
+from coltsfootstair.clock import Clock
+from coltsfootstair.errors import ProtocolError, StoreConflictError, StoreUnavailableError
+from coltsfootstair.inner import Hub
+from coltsfootstair.inner._heartbeats import Heartbeat, HeartbeatReply
+from coltsfootstair.leases import (
+    Candidate,
+    Lease,
+    LeaseRecord,
+    decode_record,
+    encode_record,
+    handle,
+    home_candidate,
+    is_coordinator,
+    is_standby,
+    record_key,
+)
+from coltsfootstair.leases import _messages as lm
+from coltsfootstair.membership import (
+    HeartbeatHeard,
+    Members,
+    Spoken,
+    VmListed,
+    VmsRead,
+    due_heartbeats,
+    view,
+)
+from coltsfootstair.membership import Tick as MembersTick
+from coltsfootstair.membership import handle as handle_members
+from coltsfootstair.store import Replica, Store, Versioned
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from coltsfootstair.document import BackendServer
+    from coltsfootstair.inner import Message, Stream
+    from coltsfootstair.leases import PeerView
+    from coltsfootstair.store import VirtualMachine
+
+__all__ = ['LeaseKeeper', 'LeaseParts']
+
+logger = structlog.get_logger()
+
+HOME_AFTER_S = 3.0
+"""How long a daemon nearer to a server must answer before it is given the lease."""
+
+
+class LeaseParts(NamedTuple):
+    """What a lease keeper works with.
+
+    :param post: has a callable run on the ownership task
+    :param gained: told of each lease that may be acted on, with its epoch
+    :param lost: told of each lease that may not be acted on any more
+    """
+
+    me: Candidate
+    clock: Clock
+    store: Store
+    replica: Replica
+    hub: Hub
+    executor: Executor
+    post: Callable[[Callable[[], None]], None]
+    gained: Callable[[str, int], None]
+    lost: Callable[[str], None]
+
+
+class LeaseKeeper:
+    """All leases as this daemon knows them; used on the ownership task's thread only."""
+
+    def __init__(self, parts: LeaseParts) -> None:
+        self._parts = parts
+        self._lease_by_server: dict[str, Lease] = {}
+        self._members = Members(parts.me.name)
+        self._asks_by_peer: dict[str, list[tuple[str, int, bytes]]] = defaultdict(list)
+        self._connecting: set[str] = set()
+        self._home_since: dict[str, float] = {}
+        self._lost_by_peer: dict[str, frozenset[str]] = {}
+        self.lost_here: frozenset[str] = frozenset()
+        self.leaving = False
+
+    def lease(self, server: str) -> Lease | None:
+        """Return the lease of a backend server."""
+        return self._lease_by_server.get(server)
+
+    def acting(self) -> list[str]:
+        """Return the servers that this daemon may act for."""
+        return [name for name, item in self._lease_by_server.items() if item.acting_epoch]
+
+    def lost_servers(self) -> frozenset[str]:
+        """Return the servers that do not answer their coordinators."""
+        return self.lost_here.union(*self._lost_by_peer.values())
+
+    def peers(self) -> PeerView:
+        """Return how the other daemons look now."""
+        return view(self._members, self._now(), leaving=self.leaving)
+
+    def tick(self, servers: Iterable[BackendServer]) -> None:
+        """Let time pass for all leases, and send the heartbeats that are due."""
+        for server in servers:
+            if server.name not in self._lease_by_server:
+                self._begin(server)
+        close = frozenset(self._close_peers())
+        self._members = handle_members(self._members, MembersTick(close), self._now())
+        peers = self.peers()
+        self._lost_by_peer = {
+            name: lost
+            for name, lost in self._lost_by_peer.items()
+            if name in peers.alive_by_name
+        }
+        for name in self._lease_by_server:
+            self.take(name, lm.Tick(peers))
+            self._send_home(name)
+        self._send_heartbeats()
+
+    def take(self, server: str, event: lm.Event) -> None:
+        """Take an event of one lease in."""
+        lease = self._lease_by_server.get(server)
+        if lease is None:
+            return
+        self._lease_by_server[server], effects = handle(lease, event, self._now())
+        for effect in effects:
+            self._perform(server, effect)
+
+    def take_object(self, item: Versioned) -> None:
+        """Follow a change of the replica."""
+        record = _decoded(item)
+        if record is not None:
+            server = item.key.removeprefix(record_key(''))
+            self.take(server, lm.RecordSeen(item.version, record))
+
+    def take_vms(self, asked_at: float, vm_by_name: Mapping[str, VirtualMachine]) -> None:
+        """Follow the platform's list."""
+        vms = tuple(VmListed(*vm) for vm in vm_by_name.values())
+        self._members = handle_members(self._members, VmsRead(asked_at, vms), self._now())
+
+    def take_heartbeat(self, stream: Stream, heartbeat: Heartbeat) -> None:
+        """Answer a heartbeat, and confirm what is asked for in it."""
+        self._hear(heartbeat)
+        self._lost_by_peer[heartbeat.name] = frozenset(heartbeat.lost)
+        confirmed = []
+        for server, version, value in heartbeat.asks:
+            lease = self._lease_by_server.get(server)
+            record = _decoded(Versioned('', version, value))
+            if lease is None or record is None:
+                continue
+            asked = lm.Asked(version, record, heartbeat.sent_at)
+            self._lease_by_server[server], effects = handle(lease, asked, self._now())
+            for effect in effects:
+                if isinstance(effect, lm.Confirm):
+                    confirmed.append((server, effect.version))
+                else:
+                    self._perform(server, effect)
+        stream.send(
+            HeartbeatReply(*self._parts.me, self.leaving, heartbeat.sent_at, confirmed)
+        )
+
+    def take_reply(self, reply: HeartbeatReply) -> None:
+        """Take the answer to a heartbeat in."""
+        self._hear(reply)
+        for server, version in reply.confirmed:
+            self.take(
+                server, lm.Confirmed(reply.name, reply.incarnation, version, reply.sent_at)
+            )
+
+    def hand_over_all(self) -> None:
+        """Give every lease that this daemon acts on to another daemon."""
+        self.leaving = True
+        peers = self.peers()
+        for server in self.acting():
+            self.take(server, lm.Tick(peers))
+            self._hand_over(server, self._successor(server))
+
+    def _successor(self, server: str) -> Candidate | None:
+        lease = self._lease_by_server[server]
+        record = lease.record
+        standby = None if record is None else lease.peers.alive_by_name.get(record.standby)
+        return home_candidate(lease) or standby
+
+    def _hand_over(self, server: str, successor: Candidate | None) -> None:
+        if successor is not None:
+            self.take(server, lm.HandOver(successor))
+
+    def _begin(self, server: BackendServer) -> None:
+        lease = Lease(server.name, server.data_centre, self._parts.me)
+        self._lease_by_server[server.name] = lease
+        self.take_object(self._parts.replica.get(record_key(server.name)))
+
+    def _close_peers(self) -> set[str]:
+        names: set[str] = set()
+        for lease in self._lease_by_server.values():
+            if lease.record is None:
+                continue
+            if is_coordinator(lease):
+                names.add(lease.record.standby)
+            elif is_standby(lease):
+                names.add(lease.record.coordinator)
+        return names - {''}
+
+    def _send_home(self, server: str) -> None:
+        """Hand a lease back to the server's own data centre once it has daemons again."""
+        lease = self._lease_by_server[server]
+        home = home_candidate(lease)
+        away = lease.me.data_centre != lease.data_centre
+        if not lease.acting_epoch or not away or home is None:
+            self._home_since.pop(server, None)
+            return
+        since = self._home_since.setdefault(server, self._now())
+        if self._now() - since >= HOME_AFTER_S:
+            self._hand_over(server, home)
+
+    def _perform(self, server: str, effect: lm.Effect) -> None:
+        match effect:
+            case lm.ReadRecord(asked_at):
+                self._parts.executor.submit(self._read, server, asked_at)
+            case lm.WriteRecord(record, expected):
+                self._parts.executor.submit(self._write, server, record, expected)
+            case lm.AskConfirmation(version, record, _):
+                ask = (server, version, encode_record(record))
+                self._asks_by_peer[record.standby].append(ask)
+            case lm.RightsGained(epoch):
+                self._parts.gained(server, epoch)
+            case lm.RightsLost():
+                self._parts.lost(server)
+
+    def _read(self, server: str, asked_at: float) -> None:
+        event: lm.Event
+        try:
+            item = self._parts.store.get(record_key(server))
+            event = lm.RecordRead(asked_at, item.version, _decoded(item))
+            self._parts.replica.apply([item] if item.version else [])
+        except StoreUnavailableError:
+            event = lm.ReadFailed()
+        self._parts.post(lambda: self.take(server, event))
+
+    def _write(self, server: str, record: LeaseRecord, expected: int) -> None:
+        event: lm.Event
+        key, value = record_key(server), encode_record(record)
+        try:
+            version = self._parts.store.put(key, value, expected=expected)
+            event = lm.WriteAnswered(record, expected, version)
+            self._parts.replica.apply([Versioned(key, version, value)])
+            logger.info('lease written', server=server, holder=record.coordinator)
+        except StoreConflictError:
+            event = lm.WriteConflicted(expected)
+        except StoreUnavailableError:
+            event = lm.WriteUnknown(expected)
+        self._parts.post(lambda: self.take(server, event))
+
+    def _hear(self, message: Heartbeat | HeartbeatReply) -> None:
+        candidate = lm.Candidate(message.name, message.incarnation, message.data_centre)
+        heard = HeartbeatHeard(candidate, message.leaving)
+        self._members = handle_members(self._members, heard, self._now())
+
+    def _send_heartbeats(self) -> None:
+        asks_by_peer, self._asks_by_peer = self._asks_by_peer, defaultdict(list)
+        due = {peer.name for peer in due_heartbeats(self._members, self._now())}
+        for name in due | asks_by_peer.keys():
+            self._send_heartbeat(name, asks_by_peer.get(name, []))
+
+    def _send_heartbeat(self, name: str, asks: list[tuple[str, int, bytes]]) -> None:
+        now = self._now()
+        self._members = handle_members(self._members, Spoken(name), now)
+        message: Message = Heartbeat(
+            *self._parts.me, self.leaving, now, asks, sorted(self.lost_here)
+        )
+        stream = self._parts.hub.open_stream(name)
+        if stream is not None:
+            stream.send(message)
+            return
+        peer = self._members.peer_by_name.get(name)
+        if peer is not None and peer.inner and name not in self._connecting:
+            self._connecting.add(name)
+            self._parts.executor.submit(self._connect, name, peer.inner)
+
+    def _connect(self, name: str, address: str) -> None:
+        self._parts.hub.stream_to(name, address)
+        self._parts.post(lambda: self._connecting.discard(name))
+
+    def _now(self) -> float:
+        return self._parts.clock.monotonic()
+
+
+def _decoded(item: Versioned) -> LeaseRecord | None:
+    if not item.value:
+        return None
+    try:
+        return decode_record(item.value)
+    except ProtocolError:
+        logger.warning('lease record refused', key=item.key, version=item.version)
+        return None
--- a/src/coltsfootstair/daemon/_ownership.py
+++ b/src/coltsfootstair/daemon/_ownership.py
@@ -1,176 +1,277 @@
-"""The task that claims backend servers, assigns tables and renews grants."""
+"""The task that keeps leases, grants rows, and plans which rows move."""
 
 from __future__ import annotations
 
+import queue
 import threading
-from typing import TYPE_CHECKING, NamedTuple
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING, NamedTuple, cast
 
 import structlog
 
-from coltsfootstair.admission import Observed
-from coltsfootstair.backend import BackendServerPort, Grant
-from coltsfootstair.coordinator import (
-    RightsGiven,
-    RightsTaken,
-    RowsGranted,
-    ServerObserved,
+from coltsfootstair.backend import BackendServerPort
+from coltsfootstair.clock import Clock
+from coltsfootstair.coordinator import Coordinator
+from coltsfootstair.daemon._inbound import Inbound
+from coltsfootstair.daemon._lease_keeper import LeaseKeeper, LeaseParts
+from coltsfootstair.daemon._peers import PeerDirectory
+from coltsfootstair.daemon._planning import (
+    TELL_EVERY_S,
+    LoadCounts,
+    Planning,
+    PlanningParts,
 )
-from coltsfootstair.document import effective_servers
-from coltsfootstair.errors import (
-    CallFailedError,
-    StoreConflictError,
-    StoreUnavailableError,
-)
-from coltsfootstair.leases import LeaseRecord, encode_record, record_key
-from coltsfootstair.ownership import (
-    encode_shard,
-    initial_assignment,
-    ranked_names,
-    shard_key,
-    token_of,
-    usable_servers,
-)
-from coltsfootstair.store import ABSENT
+from coltsfootstair.daemon._server_keeper import ServerKeeper, ServerParts
+from coltsfootstair.document import BackendServer
+from coltsfootstair.inner import Hub
+from coltsfootstair.inner._heartbeats import Heartbeat, HeartbeatReply, LoadTold
+from coltsfootstair.leases import LEASE_PREFIX, Candidate, rights_until
+from coltsfootstair.leases import _messages as lm
+from coltsfootstair.routing import Router
+from coltsfootstair.store import Replica, Store
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from coltsfootstair.coordinator import RowsGranted
+    from coltsfootstair.inner import Message, Stream
+    from coltsfootstair.store import Versioned, VirtualMachine
 
-    from coltsfootstair.clock import Clock
-    from coltsfootstair.coordinator import Coordinator
-    from coltsfootstair.daemon._peers import PeerDirectory
-    from coltsfootstair.document import BackendServer, Service
-    from coltsfootstair.routing import Router
-    from coltsfootstair.store import Store
-
-__all__ = ['OwnershipTask']
+__all__ = ['OwnershipParts', 'OwnershipTask']
 
 logger = structlog.get_logger()
 
-STEP_S = 0.1
-GRANT_S = 0.4
-PROBE_TIMEOUT_S = 0.5
+TICK_S = 0.03
+STORE_THREADS = 16
+SERVER_THREADS = 32
+HAND_OVER_TIMEOUT_S = 3.0
+HAND_OVER_POLL_S = 0.02
 
 
-class _Held(NamedTuple):
-    """A backend server that this daemon coordinates."""
+class OwnershipParts(NamedTuple):
+    """What the ownership task works with."""
 
-    port: BackendServerPort
-    instance: str
+    me: Candidate
+    clock: Clock
+    store: Store
+    replica: Replica
+    router: Router
+    peers: PeerDirectory
+    hub: Hub
+    inbound: Inbound
+    coordinator: Coordinator
+    open_port: Callable[[BackendServer], BackendServerPort]
 
 
 class OwnershipTask:
-    """Claims servers nobody coordinates, and grants their rows to those it holds."""
-
-    def __init__(
-        self,
-        name: str,
-        data_centre: str,
-        incarnation: str,
-        clock: Clock,
-        store: Store,
-        router: Router,
-        peers: PeerDirectory,
-        coordinator: Coordinator,
-        open_port: Callable[[BackendServer], BackendServerPort],
-    ) -> None:
-        self._name = name
-        self._data_centre = data_centre
-        self._incarnation = incarnation
-        self._clock = clock
-        self._store = store
-        self._router = router
-        self._peers = peers
-        self._coordinator = coordinator
-        self._open_port = open_port
-        self._held_by_name: dict[str, _Held] = {}
-        self._stopping = threading.Event()
+    """Owns the state of all leases and of the servers that this daemon coordinates."""
+
+    def __init__(self, parts: OwnershipParts) -> None:
+        self._parts = parts
+        self._mailbox: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
+        self._store_calls = ThreadPoolExecutor(STORE_THREADS, 'ownership-store')
+        self._server_calls = ThreadPoolExecutor(SERVER_THREADS, 'ownership-server')
+        self._known_by_name: dict[str, BackendServer] = {}
+        self._keeper_by_server: dict[str, ServerKeeper] = {}
+        self._ended_by_server: dict[str, ServerKeeper] = {}
+        self._counts = LoadCounts(parts.clock)
+        self._told_at = parts.clock.monotonic()
+        self._leases = LeaseKeeper(
+            LeaseParts(
+                parts.me,
+                parts.clock,
+                parts.store,
+                parts.replica,
+                parts.hub,
+                self._store_calls,
+                self.post,
+                self._gained,
+                self._lost,
+            )
+        )
+        self._planning = Planning(
+            PlanningParts(
+                parts.me.name,
+                parts.clock,
+                parts.store,
+                parts.replica,
+                self._store_calls,
+                parts.router.table,
+                self.post,
+            )
+        )
         self._thread = threading.Thread(target=self._run, name='ownership', daemon=True)
 
     def start(self) -> None:
-        """Begin to claim and grant."""
+        """Begin to keep leases."""
+        parts = self._parts
+        parts.replica.subscribe(self._object_seen)
+        parts.peers.subscribe(self._vms_read)
+        parts.inbound.add_handler(Heartbeat, self._received)
+        parts.inbound.add_handler(HeartbeatReply, self._received)
+        parts.inbound.add_handler(LoadTold, self._received)
+        parts.coordinator.listen(self._idle, self._counts.count)
+        self._vms_read(parts.clock.monotonic(), parts.peers.vm_by_name())
         self._thread.start()
 
+    def hand_over(self) -> None:
+        """Give all leases to other daemons; waits until that is known, or for a while."""
+        self.post(self._leases.hand_over_all)
+        give_up = self._parts.clock.monotonic() + HAND_OVER_TIMEOUT_S
+        pause = threading.Event()
+        while self._parts.clock.monotonic() < give_up:
+            pause.wait(HAND_OVER_POLL_S)
+            if self._leases.leaving and not self._handing_over():
+                return
+
     def stop(self) -> None:
         """End the task."""
-        self._stopping.set()
+        self._mailbox.put(None)
+        self._store_calls.shutdown(wait=False, cancel_futures=True)
+        self._server_calls.shutdown(wait=False, cancel_futures=True)
+
+    def post(self, act: Callable[[], None]) -> None:
+        """Have ``act`` run on this task, from any thread."""
+        self._mailbox.put(act)
 
     def _run(self) -> None:
-        while not self._stopping.wait(STEP_S):
+        clock = self._parts.clock
+        next_tick = clock.monotonic()
+        while True:
             try:
-                self._step()
-            except (StoreUnavailableError, StoreConflictError) as error:
-                logger.info('ownership step put off', why=str(error))
-
-    def _step(self) -> None:
-        service_by_name = {item.name: item for item in self._router.document.services}
-        for server in effective_servers(self._router.document):
-            lease = self._router.lease(server.name)
-            if lease is None:
-                self._claim(server)
-            elif (lease.coordinator, lease.incarnation) == (self._name, self._incarnation):
-                self._hold(server, service_by_name[server.service], lease)
-        for name in service_by_name:
-            self._assign(name)
-
-    def _claim(self, server: BackendServer) -> None:
-        machines = self._peers.vm_by_name().values()
-        near = [item.name for item in machines if item.data_centre == server.data_centre]
-        candidates = near or [item.name for item in machines]
-        if not candidates or ranked_names(server.name, candidates)[0] != self._name:
-            return
-        record = LeaseRecord(self._name, self._incarnation, '', '', 1)
-        self._store.put(record_key(server.name), encode_record(record), expected=ABSENT)
-
-    def _assign(self, service: str) -> None:
-        names = list(self._peers.vm_by_name())
-        servers = usable_servers(self._router.document, service)
-        known = self._router.table(service) is not None
-        if known or not servers or not names or ranked_names(service, names)[0] != self._name:
-            return
-        for shard in initial_assignment(service, servers):
-            key = shard_key(service, shard.number)
-            self._store.put(key, encode_shard(shard), expected=ABSENT)
-
-    def _hold(self, server: BackendServer, service: Service, lease: LeaseRecord) -> None:
-        held = self._held_by_name.get(server.name)
-        if held is None:
-            held = _Held(self._open_port(server), '')
-        self._coordinator.tell(RightsGiven(server, service))
+                act = self._mailbox.get(timeout=max(next_tick - clock.monotonic(), 0.001))
+                if act is None:
+                    return
+                self._guarded(act)
+            except queue.Empty:
+                pass
+            if clock.monotonic() >= next_tick:
+                next_tick = clock.monotonic() + TICK_S
+                self._guarded(self._tick)
+
+    @staticmethod
+    def _guarded(act: Callable[[], None]) -> None:
         try:
-            health = held.port.probe(PROBE_TIMEOUT_S)
-        except CallFailedError:
-            self._coordinator.tell(ServerObserved(server.name, Observed(ok=False)))
+            act()
+        except Exception:
+            logger.exception('ownership step failed')
+
+    def _tick(self) -> None:
+        document = self._parts.router.document
+        self._known_by_name.update({s.name: s for s in document.backend_servers})
+        self._leases.lost_here = frozenset(
+            name for name, keeper in self._keeper_by_server.items() if keeper.is_lost()
+        )
+        self._leases.tick(self._known_by_name.values())
+        self._finish_hand_overs()
+        for name, keeper in list(self._keeper_by_server.items()):
+            self._tick_server(name, keeper)
+        peers = self._leases.peers()
+        lost = self._leases.lost_servers()
+        self._planning.tick(document, peers, lost, self._leases.lost_here)
+        self._tell_load()
+
+    def _tick_server(self, name: str, keeper: ServerKeeper) -> None:
+        lease = self._leases.lease(name)
+        if lease is None:
             return
-        asked = self._clock.monotonic()
-        held = held._replace(instance=health.instance)
-        self._held_by_name[server.name] = held
-        observed = Observed(True, health.instance, health.cold, health.load)
-        self._coordinator.tell(ServerObserved(server.name, observed))
-        if service.divided_by_key:
-            self._grant(server, held, lease, health.clock + GRANT_S, asked + GRANT_S)
-
-    def _grant(
-        self,
-        server: BackendServer,
-        held: _Held,
-        lease: LeaseRecord,
-        until: float,
-        valid_until: float,
-    ) -> None:
-        table = self._router.table(server.service)
-        if table is None:
+        server = self._known_by_name[name]
+        for service in self._parts.router.document.services:
+            if service.name == server.service:
+                keeper.follow(server, service)
+        keeper.tick(rights_until(lease))
+
+    def _finish_hand_overs(self) -> None:
+        """Let a lease go once nothing that was begun under it is under way."""
+        for name in self._known_by_name:
+            lease = self._leases.lease(name)
+            if lease is None or lease.successor is None or lease.stopped:
+                continue
+            ended = self._ended_by_server.get(name)
+            if ended is None or not ended.writes:
+                self._leases.take(name, lm.Stopped())
+
+    def _handing_over(self) -> bool:
+        names = list(self._known_by_name)
+        leases = [self._leases.lease(name) for name in names]
+        return any(item is not None and item.successor is not None for item in leases)
+
+    def _gained(self, name: str, epoch: int) -> None:
+        server = self._known_by_name[name]
+        services = [
+            s for s in self._parts.router.document.services if s.name == server.service
+        ]
+        if not services:
             return
-        token_by_row = {
-            number: token_of(row.epoch, lease.epoch)
-            for number, row in table.rows_by_number().items()
-            if row.owner == server.name and not row.next_owner
-        }
-        grants = [Grant(row, row, token) for row, token in sorted(token_by_row.items())]
-        try:
-            reply = held.port.grant(grants, until, held.instance, PROBE_TIMEOUT_S)
-        except CallFailedError:
+        port = self._parts.open_port(server)
+        keeper = ServerKeeper(self._server_parts(), server, services[0], port, epoch)
+        self._keeper_by_server[name] = keeper
+        logger.info('lease gained', server=name, epoch=epoch)
+        keeper.begin()
+
+    def _lost(self, name: str) -> None:
+        keeper = self._keeper_by_server.pop(name, None)
+        if keeper is None:
             return
-        if reply.accepted:
-            self._coordinator.tell(RowsGranted(server.name, token_by_row, valid_until))
+        logger.info('lease lost', server=name)
+        keeper.end()
+        self._ended_by_server[name] = keeper
+
+    def _server_parts(self) -> ServerParts:
+        parts = self._parts
+        return ServerParts(
+            parts.clock,
+            parts.store,
+            parts.replica,
+            parts.coordinator,
+            self._store_calls,
+            self._server_calls,
+            self.post,
+        )
+
+    def _object_seen(self, item: Versioned) -> None:
+        self.post(lambda: self._take_object(item))
+
+    def _take_object(self, item: Versioned) -> None:
+        if item.key.startswith(LEASE_PREFIX):
+            self._leases.take_object(item)
         else:
-            self._coordinator.tell(RightsTaken(server.name))
+            for keeper in list(self._keeper_by_server.values()):
+                if item.key.startswith(f'tables/{keeper.server.service}/'):
+                    keeper.take_object(item)
+
+    def _vms_read(self, asked_at: float, vm_by_name: dict[str, VirtualMachine]) -> None:
+        self.post(lambda: self._leases.take_vms(asked_at, vm_by_name))
+
+    def _received(self, stream: Stream, message: Message) -> None:
+        self.post(lambda: self._take_message(stream, message))
+
+    def _take_message(self, stream: Stream, message: Message) -> None:
+        match message:
+            case Heartbeat():
+                self._leases.take_heartbeat(stream, message)
+            case HeartbeatReply():
+                self._leases.take_reply(message)
+            case LoadTold():
+                self._planning.take_load(message)
+
+    def _idle(self, granted: RowsGranted, rows: frozenset[int]) -> None:
+        def take() -> None:
+            keeper = self._keeper_by_server.get(granted.backend_server)
+            if keeper is not None:
+                keeper.take_idle(granted, rows)
+
+        self.post(take)
+
+    def _tell_load(self) -> None:
+        now = self._parts.clock.monotonic()
+        if now - self._told_at < TELL_EVERY_S:
+            return
+        self._told_at = now
+        peers = self._leases.peers()
+        for told in self._counts.told():
+            planner = self._planning.planner_of(told.service, peers)
+            stream = self._parts.hub.open_stream(planner)
+            if planner == self._parts.me.name:
+                self._planning.take_load(told)
+            elif stream is not None:
+                stream.send(cast('Message', told))
--- a/src/coltsfootstair/daemon/_peers.py
+++ b/src/coltsfootstair/daemon/_peers.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from coltsfootstair.clock import Clock
     from coltsfootstair.coordinator import Exchange
     from coltsfootstair.entry._relay import LinkEnd
     from coltsfootstair.inner import Hub, Message, Stream
@@ -31,8 +32,10 @@
 class PeerDirectory:
     """Follows the platform's VM list; the last list read stays while it can't be."""
 
-    def __init__(self, vm_list: VmList) -> None:
+    def __init__(self, vm_list: VmList, clock: Clock) -> None:
         self._vm_list = vm_list
+        self._clock = clock
+        self._listeners: list[Callable[[float, dict[str, VirtualMachine]], None]] = []
         self._vm_by_name: dict[str, VirtualMachine] = {}
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name='vm-list', daemon=True)
@@ -51,10 +54,17 @@
 
     def poll(self) -> None:
         """Read the list now, if it can be."""
+        asked_at = self._clock.monotonic()
         try:
             self._vm_by_name = self._vm_list.list()
         except StoreUnavailableError:
             return
+        for listener in self._listeners:
+            listener(asked_at, self._vm_by_name)
+
+    def subscribe(self, listener: Callable[[float, dict[str, VirtualMachine]], None]) -> None:
+        """Call ``listener`` after each read of the list with when it was asked for."""
+        self._listeners.append(listener)
 
     def adopt(self, rows: list[tuple[str, str, str, bool]]) -> None:
         """Take a peer's list while there is none of the platform's."""
--- /dev/null
+++ b/src/coltsfootstair/daemon/_server_keeper.py
@@ -0,0 +1,249 @@
+"""Carries out what the decisions on one coordinated server's rows ask for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import Executor
+from typing import TYPE_CHECKING, NamedTuple
+
+import structlog
+
+from coltsfootstair.admission import Observed
+from coltsfootstair.backend import Grant
+from coltsfootstair.clock import Clock
+from coltsfootstair.coordinator import (
+    Coordinator,
+    RightsGiven,
+    RightsTaken,
+    RowsGranted,
+    ServerObserved,
+)
+from coltsfootstair.errors import (
+    CallFailedError,
+    ProtocolError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from coltsfootstair.ownership import (
+    OwnedRows,
+    Shard,
+    decode_shard,
+    encode_shard,
+    handle,
+    is_lost,
+    shard_key,
+    take_up,
+)
+from coltsfootstair.ownership import _messages as om
+from coltsfootstair.store import Replica, Store, Versioned
+
+if TYPE_CHECKING:
+    from coltsfootstair.backend import BackendServerPort
+    from coltsfootstair.document import BackendServer, Service
+    from coltsfootstair.ownership._grants import GrantOrder
+
+__all__ = ['ServerKeeper', 'ServerParts', 'ranges_of']
+
+logger = structlog.get_logger()
+
+GRANT_TIMEOUT_S = 0.2
+PROBE_EVERY_S = 0.2
+
+
+class ServerParts(NamedTuple):
+    """What a server keeper works with.
+
+    :param post: has a callable run on the ownership task
+    """
+
+    clock: Clock
+    store: Store
+    replica: Replica
+    coordinator: Coordinator
+    store_calls: Executor
+    server_calls: Executor
+    post: Callable[[Callable[[], None]], None]
+
+
+class ServerKeeper:
+    """One backend server during one lease; used on the ownership task's thread only."""
+
+    def __init__(
+        self,
+        parts: ServerParts,
+        server: BackendServer,
+        service: Service,
+        port: BackendServerPort,
+        lease_epoch: int,
+    ) -> None:
+        self._parts = parts
+        self.server = server
+        self._service = service
+        self._port = port
+        self._owned: OwnedRows = take_up(
+            server.name,
+            lease_epoch,
+            checks_grants=server.checks_grants and service.divided_by_key,
+            now=self._now(),
+        )
+        self._probed_at = self._now()
+        self._probing = False
+        self._ended = False
+        self.writes = 0
+
+    def begin(self) -> None:
+        """Let the coordinator task act for the server."""
+        self._parts.coordinator.tell(RightsGiven(self.server, self._service))
+
+    def end(self) -> None:
+        """Stop the coordinator task from acting for the server."""
+        self._ended = True
+        self._parts.coordinator.tell(RightsTaken(self.server.name))
+
+    def follow(self, server: BackendServer, service: Service) -> None:
+        """Take other limits of the operators' document over."""
+        if (server, service) != (self.server, self._service):
+            self.server, self._service = server, service
+            self.begin()
+
+    def is_lost(self) -> bool:
+        """Return whether the server does not answer."""
+        return is_lost(self._owned, self._now())
+
+    def tick(self, rights_until: float) -> None:
+        """Let time pass."""
+        self.take(om.RowsTick(rights_until))
+        if not self._probing and self._now() - self._probed_at >= PROBE_EVERY_S:
+            self._probing = True
+            self._probed_at = self._now()
+            self._parts.server_calls.submit(self._probe, None)
+
+    def take_object(self, item: Versioned) -> None:
+        """Follow a change of the replica."""
+        shard = _decoded(item)
+        if shard is not None and item.key == shard_key(self.server.service, shard.number):
+            self.take(om.ShardSeen(shard, item.version))
+
+    def take(self, event: om.RowsEvent) -> None:
+        """Take an event in."""
+        if self._ended:
+            return
+        self._owned, effects = handle(self._owned, event, self._now())
+        for effect in effects:
+            self._perform(effect)
+
+    def _perform(self, effect: om.RowsEffect) -> None:
+        match effect:
+            case om.ReadShard(number):
+                self._parts.store_calls.submit(self._read, number)
+            case om.WriteShard(shard, expected):
+                self.writes += 1
+                self._parts.store_calls.submit(self._write, shard, expected)
+            case om.SendGrant(order):
+                self._parts.server_calls.submit(self._grant, order)
+            case om.ProbeServer():
+                self._parts.server_calls.submit(self._probe, om.ProbeFailed())
+            case om.RowsAdmitted():
+                self._parts.coordinator.tell(self._granted(effect))
+
+    def take_idle(self, granted: RowsGranted, rows: frozenset[int]) -> None:
+        """Take the coordinator task's word on rows, if it knew what is admitted now."""
+        if self._owned.admitted is not None and granted == self._granted(self._owned.admitted):
+            self.take(om.RowsIdle(rows))
+
+    def _granted(self, admitted: om.RowsAdmitted) -> RowsGranted:
+        if not self._service.divided_by_key:
+            admitted = admitted._replace(token_by_row={}, hot_row_by_key={})
+        return RowsGranted(self.server.name, *admitted)
+
+    def _post(self, event: om.RowsEvent) -> None:
+        self._parts.post(lambda: self.take(event))
+
+    def _read(self, number: int) -> None:
+        key = shard_key(self.server.service, number)
+        try:
+            item = self._parts.store.get(key)
+        except StoreUnavailableError:
+            self._post(om.ShardUnknown(number))
+            return
+        shard = _decoded(item) or Shard(number, {})
+        self._parts.replica.apply([item] if item.version else [])
+        self._post(om.ShardSeen(shard, item.version, fresh=True))
+
+    def _write(self, shard: Shard, expected: int) -> None:
+        key, value = shard_key(self.server.service, shard.number), encode_shard(shard)
+        event: om.RowsEvent
+        try:
+            version = self._parts.store.put(key, value, expected=expected)
+            event = om.ShardSeen(shard, version)
+            self._parts.replica.apply([Versioned(key, version, value)])
+        except StoreConflictError:
+            event = om.ShardConflicted(shard.number)
+        except StoreUnavailableError:
+            event = om.ShardUnknown(shard.number)
+        self._parts.post(self._wrote)
+        self._post(event)
+
+    def _wrote(self) -> None:
+        self.writes -= 1
+
+    def _grant(self, order: GrantOrder) -> None:
+        asked_at = self._now()
+        try:
+            reply = self._port.grant(
+                ranges_of(order), order.until, order.instance, GRANT_TIMEOUT_S
+            )
+        except CallFailedError:
+            self._post(om.GrantFailed(order.number))
+            return
+        self._post(
+            om.GrantAnswered(
+                order.number, reply.accepted, reply.instance, reply.clock, asked_at
+            )
+        )
+
+    def _probe(self, on_failure: om.RowsEvent | None) -> None:
+        """Probe the server, for the rows' sake or for the admission's alone."""
+        asked_at = self._now()
+        event = on_failure
+        try:
+            health = self._port.probe(GRANT_TIMEOUT_S)
+            observed = Observed(True, health.instance, health.cold, health.load)
+            if on_failure is not None:
+                event = om.ProbeAnswered(health.instance, health.clock, asked_at)
+        except CallFailedError:
+            observed = Observed(ok=False)
+        self._parts.post(lambda: self._probed(observed, event))
+
+    def _probed(self, observed: Observed, event: om.RowsEvent | None) -> None:
+        if self._ended:
+            return
+        self._parts.coordinator.tell(ServerObserved(self.server.name, observed))
+        if event is None:
+            self._probing = False
+        else:
+            self.take(event)
+
+    def _now(self) -> float:
+        return self._parts.clock.monotonic()
+
+
+def ranges_of(order: GrantOrder) -> list[Grant]:
+    """Return the rows of an order as ranges of neighbours with the same token."""
+    ranges: list[Grant] = []
+    for row, token in sorted(order.token_by_row.items()):
+        if ranges and ranges[-1].last == row - 1 and ranges[-1].token == token:
+            ranges[-1] = Grant(ranges[-1].first, row, token)
+        else:
+            ranges.append(Grant(row, row, token))
+    return ranges
+
+
+def _decoded(item: Versioned) -> Shard | None:
+    if not item.value:
+        return None
+    try:
+        return decode_shard(item.value)
+    except ProtocolError:
+        logger.warning('shard refused', key=item.key, version=item.version)
+        return None
--- /dev/null
+++ b/src/coltsfootstair/inner/_heartbeats.py
@@ -0,0 +1,57 @@
+"""The messages by which daemons keep each other's leases and tell what they measure."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from coltsfootstair.inner._messages import register
+
+__all__ = ['Heartbeat', 'HeartbeatReply', 'LoadTold']
+
+
+class Heartbeat(NamedTuple):
+    """A sign of life, with the leases that the receiver is to confirm as standby.
+
+    :param sent_at: the sender's monotonic seconds, given back in the reply
+    :param asks: backend server, version and record of each lease
+    :param lost: backend servers that do not answer the sender, their coordinator
+    """
+
+    name: str
+    incarnation: str
+    data_centre: str
+    leaving: bool
+    sent_at: float
+    asks: list[tuple[str, int, bytes]]
+    lost: list[str]
+
+
+class HeartbeatReply(NamedTuple):
+    """The answer to a heartbeat.
+
+    :param confirmed: backend server and version of each lease that is confirmed
+    """
+
+    name: str
+    incarnation: str
+    data_centre: str
+    leaving: bool
+    sent_at: float
+    confirmed: list[tuple[str, int]]
+
+
+class LoadTold(NamedTuple):
+    """What a coordinator measured, for the daemon that plans the service's table.
+
+    :param rows: row and requests a second
+    :param keys: frequent key and requests a second
+    """
+
+    service: str
+    rows: list[tuple[int, float]]
+    keys: list[tuple[str, float]]
+
+
+register(20, Heartbeat)
+register(21, HeartbeatReply)
+register(22, LoadTold)
--- a/src/coltsfootstair/ownership/__init__.py
+++ b/src/coltsfootstair/ownership/__init__.py
@@ -4,7 +4,13 @@
 
 from coltsfootstair.ownership._grants import CLOCK_DRIFT, GRANT_S
 from coltsfootstair.ownership._hot import FrequentKeys
-from coltsfootstair.ownership._moves import OwnedRows, handle, is_lost, take_up
+from coltsfootstair.ownership._moves import (
+    REQUEST_LIMIT_S,
+    OwnedRows,
+    handle,
+    is_lost,
+    take_up,
+)
 from coltsfootstair.ownership._planner import Change, Load, apply_changes, plan
 from coltsfootstair.ownership._table import (
     HOT_ROWS_PER_SHARD,
@@ -31,6 +37,7 @@
     'CLOCK_DRIFT',
     'GRANT_S',
     'HOT_ROWS_PER_SHARD',
+    'REQUEST_LIMIT_S',
     'ROWS_PER_SHARD',
     'SHARDS_PER_TABLE',
     'SLOTS_PER_TABLE',
--- a/src/coltsfootstair/ownership/_moves.py
+++ b/src/coltsfootstair/ownership/_moves.py
@@ -55,7 +55,7 @@
     'take_up',
 ]
 
-SERVER_LOST_S = 0.3
+SERVER_LOST_S = 0.45
 """Silence after which a backend server is taken to be lost, in seconds."""
 
 STORE_RETRY_S = 0.1
--- a/src/coltsfootstair/ownership/_planner.py
+++ b/src/coltsfootstair/ownership/_planner.py
@@ -29,6 +29,9 @@
 HOT_SHARE = 0.02
 """Share of a server's mean load from which a key gets a row of its own."""
 
+QUIET_RATE = 50.0
+"""Requests a second of a service below which the measured load says nothing."""
+
 _COLD_SHARE = HOT_SHARE / 4
 _ROW_WEIGHT = 0.05
 """Part of the load that is counted evenly over slots, so that idle ones count too."""
@@ -52,18 +55,24 @@
     row: Row
 
 
-def plan(table: Table, usable: frozenset[str], load: Load) -> list[Change]:
+def plan(
+    table: Table, usable: frozenset[str], load: Load, *, balance: bool = True
+) -> list[Change]:
     """Return the rows to mark as moving, those of servers that are lost or out first.
 
     :param usable: the servers that may own rows
+    :param balance: whether to even out the load of those as well
     """
     if not usable:
         return []
+    if sum(load.by_row.values()) < QUIET_RATE:
+        load = Load()
     planning = _Planning(table, usable, load)
     planning.place_orphans()
-    planning.return_cold_keys()
-    planning.place_hot_keys()
-    planning.even_out()
+    if balance:
+        planning.return_cold_keys()
+        planning.place_hot_keys()
+        planning.even_out()
     return [Change(n, row) for n, row in sorted(planning.changes_by_row.items())]
 
 
