--- a/src/coltsfootstair/demo/__init__.py
+++ b/src/coltsfootstair/demo/__init__.py
@@ -14,23 +14,43 @@
     seconds,
     unavailable,
 )
-from coltsfootstair.demo._observed import Happening, HappeningKind, Observed, Watched
+from coltsfootstair.demo._observed import Happening, HappeningKind, Observed, Watched, window
+from coltsfootstair.demo._plan import DaemonPlan, Plan, ServerPlan, document_of
+from coltsfootstair.demo._report import (
+    latency_table,
+    ownership_table,
+    report,
+    seconds_table,
+    table,
+    verdict_table,
+)
 
 __all__ = [
     'Churn',
+    'DaemonPlan',
     'Happening',
     'HappeningKind',
     'Latency',
     'Observed',
+    'Plan',
     'Promise',
     'Second',
+    'ServerPlan',
     'Unavailable',
     'Verdict',
     'Watched',
     'churn',
+    'document_of',
     'imbalance',
     'judge',
     'latency',
+    'latency_table',
+    'ownership_table',
+    'report',
     'seconds',
+    'seconds_table',
+    'table',
     'unavailable',
+    'verdict_table',
+    'window',
 ]
