Note on the time line who owns what, and order it over inner streams

A stamp goes ahead of a message when events have been noted or heard of since the last one sent on the stream, so that an event that a message caused comes after its cause on the merged time line. Ruled out: a stamp in each frame, which would cost bytes where nothing has happened.

Each change of an owner is noted by the one daemon that coordinates the server, as ranges of rows.

--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -13,6 +13,7 @@
 
 from coltsfootstair.backend import HttpBackendServer
 from coltsfootstair.coordinator import Coordinator, Exchange
+from coltsfootstair.daemon._event_notes import OwnershipNotes, StateNotes
 from coltsfootstair.daemon._inbound import Inbound
 from coltsfootstair.daemon._news import NewsService
 from coltsfootstair.daemon._notes import DocumentHistory, RefusalNotes
@@ -67,6 +68,8 @@
         self.timeline = Timeline(settings.name, clock)
         self.document_history = DocumentHistory(self.timeline)
         self.replica.subscribe(self.document_history.take)
+        ownership_notes = OwnershipNotes(settings.name, self.router, self.timeline)
+        self.replica.subscribe(ownership_notes.take)
         self.refusals = RefusalNotes(self.timeline)
         self.pending = PendingAnswers()
         self._executor = ThreadPoolExecutor(EXCHANGE_THREADS, 'exchange')
@@ -75,7 +78,7 @@
         )
         self.inbound = Inbound(clock, self.coordinator, self.pending)
         hello = Hello(PROTOCOL_VERSION, settings.name, settings.data_centre, self.incarnation)
-        self.hub = Hub(hello, settings.inner, self.inbound)
+        self.hub = Hub(hello, settings.inner, self.inbound, self.timeline)
         identity = StoreIdentity(settings.name, settings.data_centre, self.hub.address)
         self.store = HttpStore(settings.store_url, identity)
         self.peers = PeerDirectory(self.store)
@@ -119,6 +122,13 @@
         self.operators = OperatorsServer(
             settings.operators, OperatorsApp(adapter, self.metrics.page)
         )
+        self.state_notes = StateNotes(
+            self.timeline,
+            self.coordinator.loads,
+            self.knowledge.may_give_new_work,
+            lambda: self.store_feed.reachable,
+            self.hub.peers,
+        )
         self._ready = False
         self._stopping = False
         self._leaving = threading.Event()
@@ -139,6 +149,7 @@
         self.peers.poll()
         self.peers.start()
         self.ownership.start()
+        self.state_notes.start()
         self.callers.start()
         self.operators.start()
         self._ready = True
@@ -176,6 +187,7 @@
         self.operators.stop()
         self.ownership.stop()
         self.peers.stop()
+        self.state_notes.stop()
         self.news.stop()
         self.store_feed.stop()
         self.reports.stop()
--- /dev/null
+++ b/src/coltsfootstair/daemon/_event_notes.py
@@ -0,0 +1,184 @@
+"""Puts on the time line what changes in a daemon's parts."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from coltsfootstair.leases import LEASE_PREFIX
+from coltsfootstair.timeline import EventName, format_rows
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from coltsfootstair.coordinator import ServerLoad
+    from coltsfootstair.leases import LeaseRecord
+    from coltsfootstair.routing import Router
+    from coltsfootstair.store import Versioned
+    from coltsfootstair.timeline import Timeline
+
+__all__ = ['OwnershipNotes', 'StateNotes']
+
+POLL_S = 0.2
+TABLE_PREFIX = 'tables/'
+
+
+class OwnershipNotes:
+    """Notes changes of leases and owners, in the one daemon that coordinates the server.
+
+    It follows the replica after the router, whose answers it compares to the last ones.
+    """
+
+    def __init__(self, own: str, router: Router, timeline: Timeline) -> None:
+        self._own = own
+        self._router = router
+        self._timeline = timeline
+        self._lease_by_server: dict[str, LeaseRecord] = {}
+        self._owners_by_service: dict[str, dict[int, tuple[str, str]]] = {}
+        self._lock = threading.Lock()
+
+    def take(self, item: Versioned) -> None:
+        """Follow a change of the replica."""
+        with self._lock:
+            if item.key.startswith(LEASE_PREFIX):
+                self._take_lease(item.key.removeprefix(LEASE_PREFIX))
+            elif item.key.startswith(TABLE_PREFIX):
+                self._take_table(item.key.split('/')[1])
+
+    def _take_lease(self, server: str) -> None:
+        lease, before = self._router.lease(server), self._lease_by_server.get(server)
+        if lease is None:
+            return
+        self._lease_by_server[server] = lease
+        had = before is not None and before.coordinator == self._own
+        has = lease.coordinator == self._own
+        if has and (before is None or before.epoch != lease.epoch):
+            self._timeline.record(
+                EventName.COORDINATOR_STARTED,
+                server=server,
+                epoch=lease.epoch,
+                before=before.coordinator if before is not None else '',
+            )
+            self._note_owned(server)
+        if had and not has:
+            self._timeline.record(
+                EventName.COORDINATOR_STOPPED, server=server, after=lease.coordinator
+            )
+        if has and lease.standby and (before is None or before.standby != lease.standby):
+            self._timeline.record(
+                EventName.STANDBY_CHANGED, server=server, standby=lease.standby
+            )
+
+    def _take_table(self, service: str) -> None:
+        table = self._router.table(service)
+        if table is None:
+            return
+        owners = {
+            number: (row.owner, row.next_owner)
+            for number, row in table.rows_by_number().items()
+        }
+        before = self._owners_by_service.get(service, {})
+        self._owners_by_service[service] = owners
+        assigned: dict[str, list[int]] = {}
+        released: dict[str, list[int]] = {}
+        moving: dict[str, list[int]] = {}
+        for number, (owner, next_owner) in owners.items():
+            old_owner, old_next = before.get(number, ('', ''))
+            if owner != old_owner:
+                released.setdefault(old_owner, []).append(number)
+                assigned.setdefault(owner, []).append(number)
+            if next_owner and next_owner != old_next:
+                moving.setdefault(owner, []).append(number)
+        self._note_rows(EventName.OWNER_RELEASED, service, released)
+        self._note_rows(EventName.OWNER_MOVING, service, moving)
+        self._note_rows(EventName.OWNER_ASSIGNED, service, assigned)
+
+    def _note_owned(self, server: str) -> None:
+        """Note all that a server owns, as its coordinator was another daemon so far."""
+        for service, owners in self._owners_by_service.items():
+            rows = [number for number, (owner, _) in owners.items() if owner == server]
+            self._note_rows(EventName.OWNER_ASSIGNED, service, {server: rows})
+
+    def _note_rows(
+        self, name: EventName, service: str, rows_by_server: dict[str, list[int]]
+    ) -> None:
+        for server, rows in rows_by_server.items():
+            lease = self._lease_by_server.get(server)
+            if rows and lease is not None and lease.coordinator == self._own:
+                text = format_rows(rows)
+                self._timeline.record(name, service=service, server=server, rows=text)
+
+
+class StateNotes:
+    """Looks at states that have no events of their own, and notes when they change.
+
+    :param loads: what each coordinated server is given
+    :param is_fresh: whether the document in force may be relied on
+    :param store_reachable: whether the store answered last
+    :param peers: the peers with an open stream
+    """
+
+    def __init__(
+        self,
+        timeline: Timeline,
+        loads: Callable[[], dict[str, ServerLoad]],
+        is_fresh: Callable[[], bool],
+        store_reachable: Callable[[], bool],
+        peers: Callable[[], Iterable[str]],
+    ) -> None:
+        self._timeline = timeline
+        self._loads = loads
+        self._is_fresh = is_fresh
+        self._store_reachable = store_reachable
+        self._peers = peers
+        self._phase_by_server: dict[str, str] = {}
+        self._known_peers: set[str] = set()
+        self._was_fresh = True
+        self._was_reachable = True
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name='state-notes', daemon=True)
+
+    def start(self) -> None:
+        """Begin to look."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the task."""
+        self._stopping.set()
+
+    def look(self) -> None:
+        """Note what has changed since the last look."""
+        self._look_at_servers()
+        self._look_at_peers()
+        fresh, reachable = self._is_fresh(), self._store_reachable()
+        if fresh != self._was_fresh:
+            self._timeline.record(
+                EventName.DOCUMENT_FRESH if fresh else EventName.DOCUMENT_STALE
+            )
+        if reachable != self._was_reachable:
+            self._timeline.record(EventName.STORE_FOUND if reachable else EventName.STORE_LOST)
+        self._was_fresh, self._was_reachable = fresh, reachable
+
+    def _look_at_servers(self) -> None:
+        for server, load in self._loads().items():
+            if self._phase_by_server.get(server) != load.phase:
+                self._phase_by_server[server] = load.phase
+                self._timeline.record(
+                    EventName.SERVER_PHASE,
+                    server=server,
+                    phase=load.phase,
+                    in_flight=load.in_flight,
+                    limit=load.limit,
+                )
+
+    def _look_at_peers(self) -> None:
+        peers = set(self._peers())
+        for peer in sorted(peers - self._known_peers):
+            self._timeline.record(EventName.PEER_FOUND, peer=peer)
+        for peer in sorted(self._known_peers - peers):
+            self._timeline.record(EventName.PEER_LOST, peer=peer)
+        self._known_peers = peers
+
+    def _run(self) -> None:
+        while not self._stopping.wait(POLL_S):
+            self.look()
--- a/src/coltsfootstair/inner/_hub.py
+++ b/src/coltsfootstair/inner/_hub.py
@@ -12,7 +12,8 @@
 
 from coltsfootstair.errors import ProtocolError
 from coltsfootstair.inner._codec import Decoder, encode
-from coltsfootstair.inner._messages import PROTOCOL_VERSION, Hello
+from coltsfootstair.inner._messages import PROTOCOL_VERSION, Hello, StampTold
+from coltsfootstair.timeline import HybridTime
 
 if TYPE_CHECKING:
     from coltsfootstair.inner._messages import Message
@@ -26,6 +27,16 @@
 CONNECT_TIMEOUT_S = 1.0
 
 
+class EventClock(Protocol):
+    """Orders the events of all daemons; safe for threads."""
+
+    def latest(self) -> HybridTime:
+        """Return the stamp of the last event noted here, or heard of."""
+
+    def receive(self, remote: HybridTime) -> bool:
+        """Take note of a peer's stamp."""
+
+
 class HubListener(Protocol):
     """Is told what happens on the inner streams, on the hub's own thread."""
 
@@ -48,6 +59,7 @@
         self._lock = threading.Lock()
         self._outgoing: collections.deque[memoryview] = collections.deque()
         self._greeted = False
+        self._told = 0
 
     def fileno(self) -> int:
         """Return the socket's descriptor, for the selector."""
@@ -59,9 +71,13 @@
         May be called from any thread; messages arrive in the order of the calls.
         """
         frame = encode(message)
+        stamp = 0 if isinstance(message, Hello) else self._hub.latest_stamp()
         with self._lock:
             if not self.open:
                 return False
+            if stamp > self._told:
+                self._told = stamp
+                frame = encode(StampTold(stamp)) + frame
             idle = not self._outgoing
             self._outgoing.append(memoryview(frame))
             if idle:
@@ -136,8 +152,15 @@
 class Hub:
     """Accepts, opens and serves the inner streams of one daemon."""
 
-    def __init__(self, hello: Hello, listen: str, listener: HubListener) -> None:
+    def __init__(
+        self,
+        hello: Hello,
+        listen: str,
+        listener: HubListener,
+        event_clock: EventClock | None = None,
+    ) -> None:
         self._hello = hello
+        self._event_clock = event_clock
         self._listener = listener
         self._selector = selectors.DefaultSelector()
         self._server = _listen(listen)
@@ -192,6 +215,10 @@
         """Return the names of the peers with an open stream."""
         return [peer for peer, stream in list(self._stream_by_peer.items()) if stream.open]
 
+    def latest_stamp(self) -> int:
+        """Return the latest stamp of this daemon's events, packed."""
+        return 0 if self._event_clock is None else self._event_clock.latest().packed()
+
     def wants_writing(self, stream: Stream) -> None:
         """Ask the task to send the rest of ``stream`` when it can."""
         self._changes.append(('write', stream))
@@ -265,7 +292,10 @@
 
     def _deliver(self, stream: Stream, message: Message) -> None:
         if stream.greeted:
-            self._listener.received(stream, message)
+            if isinstance(message, StampTold):
+                self._take_stamp(message)
+            else:
+                self._listener.received(stream, message)
             return
         if not isinstance(message, Hello):
             raise ProtocolError('the first message is not a hello')
@@ -275,6 +305,10 @@
             self._stream_by_peer[stream.peer] = stream
         self._listener.received(stream, message)
 
+    def _take_stamp(self, told: StampTold) -> None:
+        if self._event_clock is not None:
+            self._event_clock.receive(HybridTime.unpacked(told.stamp))
+
     def _accept(self) -> None:
         try:
             connection, _ = self._server.accept()
--- a/src/coltsfootstair/inner/_messages.py
+++ b/src/coltsfootstair/inner/_messages.py
@@ -22,6 +22,7 @@
     'Message',
     'Refused',
     'RequestHead',
+    'StampTold',
     'register',
 ]
 
@@ -37,6 +38,15 @@
     incarnation: str
 
 
+class StampTold(NamedTuple):
+    """Comes before a message when events have been noted since the last one sent.
+
+    :param stamp: the sender's latest hybrid time, packed
+    """
+
+    stamp: int
+
+
 class RequestHead(NamedTuple):
     """A caller's request on its way to the coordinator of its backend server.
 
@@ -154,3 +164,4 @@
 register(6, AnswerHead)
 register(7, AnswerChunk)
 register(8, Refused)
+register(9, StampTold)
--- a/src/coltsfootstair/timeline/__init__.py
+++ b/src/coltsfootstair/timeline/__init__.py
@@ -5,6 +5,7 @@
 from coltsfootstair.timeline._clock import HybridClock, HybridTime
 from coltsfootstair.timeline._events import EventName, FieldValue, TimelineEvent
 from coltsfootstair.timeline._merge import merge, owner_at, refusal_of
+from coltsfootstair.timeline._rows import format_rows, has_row
 from coltsfootstair.timeline._timeline import Timeline
 
 __all__ = [
@@ -14,6 +15,8 @@
     'HybridTime',
     'Timeline',
     'TimelineEvent',
+    'format_rows',
+    'has_row',
     'merge',
     'owner_at',
     'refusal_of',
--- a/src/coltsfootstair/timeline/_clock.py
+++ b/src/coltsfootstair/timeline/_clock.py
@@ -43,6 +43,11 @@
     def __init__(self) -> None:
         self._last = HybridTime(0, 0)
 
+    @property
+    def latest(self) -> HybridTime:
+        """The last stamp given or received."""
+        return self._last
+
     def tick(self, now_ms: int) -> HybridTime:
         """Return the stamp of an event that happens at the machine's ``now_ms``."""
         self._last = max(HybridTime(now_ms, 0), _next(self._last))
--- a/src/coltsfootstair/timeline/_events.py
+++ b/src/coltsfootstair/timeline/_events.py
@@ -20,52 +20,34 @@
     """(data_centre, incarnation)"""
     DAEMON_STOPPING = 'daemon stopping'
     """(in_flight)"""
-    DAEMON_STOPPED = 'daemon stopped'
-    """()"""
     DOCUMENT_ACCEPTED = 'document accepted'
     """(version, changes): a daemon has written it to the store"""
     DOCUMENT_REFUSED = 'document refused'
-    """(reason)"""
+    """(reason): an operator's change was not made"""
     DOCUMENT_IN_FORCE = 'document in force'
-    """(version, source): this daemon acts on it from now on"""
+    """(version): this daemon acts on it from now on"""
     DOCUMENT_STALE = 'document stale'
-    """(age_s): this daemon can't know any more what is in, and gives no new work"""
+    """(): this daemon can't know any more what is in, and gives no new work"""
+    DOCUMENT_FRESH = 'document fresh'
+    """(): it knows again"""
     COORDINATOR_STARTED = 'coordinator started'
-    """(server, epoch)"""
+    """(server, epoch, before): this daemon is named as coordinator in the store"""
     COORDINATOR_STOPPED = 'coordinator stopped'
-    """(server, reason)"""
+    """(server, after): another daemon is"""
     STANDBY_CHANGED = 'standby changed'
-    """(standby)"""
-    TAKEOVER_STARTED = 'takeover started'
-    """(daemon)"""
-    TAKEOVER_FINISHED = 'takeover finished'
-    """(daemon)"""
+    """(server, standby)"""
     OWNER_ASSIGNED = 'owner assigned'
-    """(service, first, last, server, token)"""
+    """(service, server, rows): the store names the server as owner of the rows"""
     OWNER_MOVING = 'owner moving'
-    """(service, first, last, server, next)"""
+    """(service, server, rows): the server is to release the rows"""
     OWNER_RELEASED = 'owner released'
-    """(service, first, last, server, token)"""
-    GRANT_GIVEN = 'grant given'
-    """(server, ranges): the first after a start or a change, not each renewal"""
-    GRANT_LAPSED = 'grant lapsed'
-    """(server)"""
+    """(service, server, rows): the store names another owner, or none"""
+    SERVER_PHASE = 'backend server phase'
+    """(server, phase, in_flight, limit): what its coordinator makes of it"""
     REQUEST_REFUSED = 'request refused'
-    """(request_id, service, key, code, ran, detail)"""
+    """(request_id, service, key, code, ran, detail): it was not run"""
     REQUEST_BROKEN = 'request broken'
-    """(request_id, service, key, server, code): dispatched, and without a whole answer"""
-    SERVER_RESTARTED = 'backend server restarted'
-    """(server, instance)"""
-    SERVER_COLD = 'backend server cold'
-    """(server)"""
-    SERVER_WARM = 'backend server warm'
-    """(server)"""
-    SERVER_UNREACHABLE = 'backend server unreachable'
-    """(server)"""
-    SERVER_DRAINING = 'backend server draining'
-    """(server, in_flight)"""
-    SERVER_DRAINED = 'backend server drained'
-    """(server)"""
+    """(request_id, service, key, code, ran, detail): it is not known whether it ran"""
     STORE_LOST = 'store lost'
     """()"""
     STORE_FOUND = 'store found'
--- a/src/coltsfootstair/timeline/_merge.py
+++ b/src/coltsfootstair/timeline/_merge.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from coltsfootstair.timeline._events import EventName, TimelineEvent
+from coltsfootstair.timeline._rows import has_row
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -63,7 +64,7 @@
     if event.name not in (EventName.OWNER_ASSIGNED, EventName.OWNER_RELEASED):
         return False
     fields = event.fields
-    return fields['service'] == service and int(fields['first']) <= slot <= int(fields['last'])
+    return fields['service'] == service and has_row(str(fields['rows']), slot)
 
 
 def _order(event: TimelineEvent) -> tuple[HybridTime, str]:
--- /dev/null
+++ b/src/coltsfootstair/timeline/_rows.py
@@ -0,0 +1,27 @@
+"""Writes row numbers as ranges, and finds a row in them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+__all__ = ['format_rows', 'has_row']
+
+
+def format_rows(rows: Iterable[int]) -> str:
+    """Return row numbers as ranges, such as ``0-3 7 9-12``."""
+    ranges: list[tuple[int, int]] = []
+    for row in sorted(rows):
+        if ranges and ranges[-1][1] == row - 1:
+            ranges[-1] = (ranges[-1][0], row)
+        else:
+            ranges.append((row, row))
+    return ' '.join(str(a) if a == b else f'{a}-{b}' for a, b in ranges)
+
+
+def has_row(text: str, row: int) -> bool:
+    """Return whether ``row`` is in ranges that ``format_rows`` wrote."""
+    for part in text.split():
+        first, _, last = part.partition('-')
+        if int(first) <= row <= int(last or first):
+            return True
+    return False
--- a/src/coltsfootstair/timeline/_timeline.py
+++ b/src/coltsfootstair/timeline/_timeline.py
@@ -16,7 +16,7 @@
 __all__ = ['Timeline']
 
 DEFAULT_CAPACITY = 4096
-MAX_FIELD_LENGTH = 200
+MAX_FIELD_LENGTH = 2000
 
 _PER_REQUEST = (EventName.REQUEST_REFUSED, EventName.REQUEST_BROKEN)
 
@@ -55,6 +55,11 @@
         with self._lock:
             return self._hybrid.tick(self._now_ms())
 
+    def latest(self) -> HybridTime:
+        """Return the stamp of the last event noted here, or heard of."""
+        with self._lock:
+            return self._hybrid.latest
+
     def receive(self, remote: HybridTime) -> bool:
         """Take note of the stamp on a message; false if it is too far ahead to follow."""
         with self._lock:
--- /dev/null
+++ b/tests/daemon/test_event_notes.py
@@ -0,0 +1,85 @@
+"""Tests of what a daemon puts on the time line by itself."""
+
+from __future__ import annotations
+
+import random
+
+from coltsfootstair.clock import ManualClock
+from coltsfootstair.coordinator import ServerLoad
+from coltsfootstair.daemon._event_notes import OwnershipNotes, StateNotes
+from coltsfootstair.leases import LeaseRecord, encode_record, record_key
+from coltsfootstair.ownership import Row, Shard, encode_shard, shard_key
+from coltsfootstair.routing import Router
+from coltsfootstair.store import Versioned
+from coltsfootstair.timeline import EventName, HybridTime, Timeline, owner_at
+
+
+def test_the_coordinator_notes_owners_and_takes_over_their_notes() -> None:
+    router = Router(random.Random(1), lambda: True)
+    timeline = Timeline('d1', ManualClock())
+    notes = OwnershipNotes('d1', router, timeline)
+
+    def change(version: int, key: str, value: bytes) -> HybridTime:
+        item = Versioned(key, version, value)
+        router.take(item)
+        notes.take(item)
+        return timeline.stamp()
+
+    def rows(version: int, *owners: Row) -> HybridTime:
+        shard = Shard(0, dict(enumerate(owners)))
+        return change(version, shard_key('s', 0), encode_shard(shard))
+
+    def lease(version: int, coordinator: str, epoch: int) -> HybridTime:
+        record = LeaseRecord(coordinator, 'i', 'd3', 'j', epoch)
+        return change(version, record_key('b-1'), encode_record(record))
+
+    lease(1, 'd2', 1)
+    elsewhere = rows(2, Row('b-1', 1), Row('b-1', 1))
+    here = lease(3, 'd1', 2)
+    rows(4, Row('b-1', 1, 'b-2'), Row('b-1', 1))
+    moved = rows(5, Row('b-2', 2), Row('b-1', 1))
+    lease(6, 'd2', 3)
+    events = timeline.events()
+    assert [event.name for event in events] == [
+        EventName.COORDINATOR_STARTED,
+        EventName.OWNER_ASSIGNED,
+        EventName.OWNER_MOVING,
+        EventName.OWNER_RELEASED,
+        EventName.COORDINATOR_STOPPED,
+    ]
+    assert owner_at(events, 's', 0, elsewhere) is None
+    assert owner_at(events, 's', 0, here) == 'b-1'
+    assert owner_at(events, 's', 0, moved) == ''
+    assert owner_at(events, 's', 1, moved) == 'b-1'
+
+
+def test_states_are_noted_when_they_change() -> None:
+    timeline = Timeline('d1', ManualClock())
+    load = {'b-1': ServerLoad('ramping', 1, 0, 1)}
+    state = {'fresh': True, 'reachable': True}
+    peers = ['d2']
+    notes = StateNotes(
+        timeline,
+        lambda: load,
+        lambda: state['fresh'],
+        lambda: state['reachable'],
+        lambda: peers,
+    )
+    notes.look()
+    notes.look()
+    load['b-1'] = ServerLoad('warm', 4, 0, 4)
+    state.update(fresh=False, reachable=False)
+    peers.clear()
+    notes.look()
+    state.update(fresh=True, reachable=True)
+    notes.look()
+    assert [event.name for event in timeline.events()] == [
+        EventName.SERVER_PHASE,
+        EventName.PEER_FOUND,
+        EventName.SERVER_PHASE,
+        EventName.PEER_LOST,
+        EventName.DOCUMENT_STALE,
+        EventName.STORE_LOST,
+        EventName.DOCUMENT_FRESH,
+        EventName.STORE_FOUND,
+    ]
