--- a/src/coltsfootstair/demo/_measures.py
+++ b/src/coltsfootstair/demo/_measures.py
@@ -48,7 +48,7 @@
 
     answered: int
     refused: int
-    lost: int
+    failed: int
     p50_ms: float
     p99_ms: float
     p999_ms: float
@@ -106,8 +106,8 @@
     """Return how requests were answered."""
     outcomes = Counter(sample.outcome for sample in samples)
     answered, refused = outcomes[Outcome.WHOLE], outcomes[Outcome.REFUSED]
-    lost = len(samples) - answered - refused
-    return Latency(answered, refused, lost, *latencies_ms(samples, 50, 99, 99.9))
+    failed = len(samples) - answered - refused
+    return Latency(answered, refused, failed, *latencies_ms(samples, 50, 99, 99.9))
 
 
 def seconds(observed: Observed, services: frozenset[str]) -> list[Second]:
--- a/src/coltsfootstair/demo/_report.py
+++ b/src/coltsfootstair/demo/_report.py
@@ -96,7 +96,7 @@
         )
         for service in sorted({sample.service for sample in observed.samples})
     ]
-    heads = ('service', 'answered', 'refused', 'lost', 'p50 ms', 'p99 ms', 'p99.9 ms')
+    heads = ('service', 'answered', 'refused', 'failed', 'p50 ms', 'p99 ms', 'p99.9 ms')
     return table('Latency over the whole run', heads, rows)
 
 
@@ -106,7 +106,7 @@
         (each.number, *_latency_cells(each.latency)[:5], each.title)
         for each in seconds(observed, services)
     ]
-    heads = ('second', 'answered', 'refused', 'lost', 'p50 ms', 'p99 ms', 'what was done')
+    heads = ('second', 'answered', 'refused', 'failed', 'p50 ms', 'p99 ms', 'what was done')
     return table(f'Service second by second: {", ".join(sorted(services))}', heads, rows)
 
 
@@ -132,4 +132,4 @@
 def _latency_cells(measured: Latency) -> tuple[object, ...]:
     times = (measured.p50_ms, measured.p99_ms, measured.p999_ms)
     shown = [f'{each:.1f}' if measured.answered else '-' for each in times]
-    return (measured.answered, measured.refused, measured.lost, *shown)
+    return (measured.answered, measured.refused, measured.failed, *shown)
--- a/src/coltsfootstair/load/_caller.py
+++ b/src/coltsfootstair/load/_caller.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 from collections.abc import Iterable
+from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
 from coltsfootstair.load._samples import NO_RESULT, Outcome
@@ -131,8 +132,9 @@
     request_id = response.getheader('Coltsfootstair-Request-Id') or ''
     if result != ANSWERED:
         return Answer(Outcome.REFUSED, result, _ran(body), request_id)
+    failed = response.status >= HTTPStatus.BAD_REQUEST
     return Answer(
-        Outcome.WHOLE,
+        Outcome.FAILED if failed else Outcome.WHOLE,
         result,
         '',
         request_id,
--- a/src/coltsfootstair/load/_generator.py
+++ b/src/coltsfootstair/load/_generator.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections.abc import Callable, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 from coltsfootstair.load._arrivals import arrivals
@@ -41,19 +42,18 @@
         self._samples: list[Sample] = []
         self._surroundings = Surroundings(daemons, clock, self._stopping, self._samples.append)
         self._workers = [worker for load in loads for worker in self._workers_of(load)]
-        self._threads: list[threading.Thread] = []
+        self._executor = ThreadPoolExecutor(len(self._workers), 'load')
+        self._running: list[Future[None]] = []
         self._timer = threading.Timer(seconds, self._stopping.set)
         self._timer.daemon = True
 
     def start(self) -> None:
         """Begin to send."""
         started_at = self._clock.monotonic()
-        self._threads = [
-            threading.Thread(target=worker.run, args=(started_at,), name='load', daemon=True)
-            for worker in self._workers
+        self._running = [
+            self._executor.submit(worker.run, started_at) for worker in self._workers
         ]
-        for thread in (*self._threads, self._timer):
-            thread.start()
+        self._timer.start()
 
     def stop(self) -> None:
         """Send nothing more."""
@@ -62,8 +62,9 @@
 
     def join(self) -> list[Sample]:
         """Wait until the load has ended; return what became of each request."""
-        for thread in self._threads:
-            thread.join()
+        for worker in self._running:
+            worker.result()
+        self._executor.shutdown()
         self._timer.cancel()
         return self.samples()
 
--- a/src/coltsfootstair/load/_samples.py
+++ b/src/coltsfootstair/load/_samples.py
@@ -20,13 +20,14 @@
 
 
 class Outcome(enum.StrEnum):
-    """How a request ended for its caller."""
+    """How a request ended for its caller; ``FAILED`` is a backend server's own error."""
 
     WHOLE = 'whole'
     REFUSED = 'refused'
     NO_ANSWER = 'no answer'
     CUT = 'cut'
     FOREIGN = 'foreign'
+    FAILED = 'failed'
 
 
 class Sample(NamedTuple):
--- a/tests/load/test_generator.py
+++ b/tests/load/test_generator.py
@@ -48,6 +48,8 @@
                 exchange.answer(200, body, headers, send_bytes=1)
             case 'dropped':
                 exchange.drop()
+            case 'failed':
+                exchange.answer(500, b'', headers)
             case 'crossed body':
                 exchange.answer(200, body[::-1], headers)
             case 'crossed key':
@@ -76,6 +78,7 @@
     [
         ('none', Outcome.WHOLE),
         ('refused', Outcome.REFUSED),
+        ('failed', Outcome.FAILED),
         ('cut', Outcome.CUT),
         ('dropped', Outcome.NO_ANSWER),
         ('crossed body', Outcome.FOREIGN),
@@ -99,3 +102,14 @@
 def test_an_unanswered_booking_is_resent(daemon: FakeDaemon) -> None:
     samples = run(daemon, BookingLoad('bookings', 30.0, resend_share=0.0))
     assert len(samples) == 3 * len({each.operation_id for each in samples})
+
+
+def test_a_load_that_fails_does_not_end_as_if_it_had_been_sent() -> None:
+    def no_daemons() -> list[str]:
+        raise LookupError
+
+    load = LookupLoad('lookups', 100.0)
+    generator = LoadGenerator(no_daemons, [load], SECONDS, 1, SystemClock())
+    generator.start()
+    with pytest.raises(LookupError):
+        generator.join()
