--- a/bench/_processes.py
+++ b/bench/_processes.py
@@ -132,10 +132,14 @@
             Watched(server, self._truth_by_lost.get(server.name) or self._truth(server.name))
             for server in self._document.backend_servers
         ]
-        divided = frozenset(each.name for each in self.plan.services if each.divided_by_key)
-        happenings = tuple(self._happenings)
         return Observed(
-            tuple(watched), tuple(samples), happenings, divided, started_at, ended_at
+            tuple(watched),
+            tuple(samples),
+            tuple(self._happenings),
+            self.plan.divided(),
+            started_at,
+            ended_at,
+            self.plan.uploads(),
         )
 
     def _start(self, options_by_name: dict[str, list[str]]) -> None:
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -22,7 +22,7 @@
     latency,
     latency_table,
     ownership_table,
-    seconds_table,
+    seconds_tables,
     table,
     unavailable,
     verdict_table,
@@ -76,11 +76,7 @@
     ]
     for phase in (measured.calm, measured.leaving, measured.lost):
         parts += [f'== {phase.title}', ownership_table(phase.observed)]
-    services = frozenset(service.name for service in plan.services)
-    parts += [
-        f'== {measured.leaving.title}',
-        seconds_table(measured.leaving.observed, services),
-    ]
+    parts += [f'== {measured.leaving.title}', seconds_tables(measured.leaving.observed)]
     for phase in (measured.calm, measured.slowed, measured.leaving, measured.lost):
         parts += [f'== {phase.title}', latency_table(phase.observed)]
     calls = measured.store_calls_per_s
--- a/src/coltsfootstair/demo/__init__.py
+++ b/src/coltsfootstair/demo/__init__.py
@@ -20,7 +20,7 @@
     latency_table,
     ownership_table,
     report,
-    seconds_table,
+    seconds_tables,
     table,
     verdict_table,
 )
@@ -48,7 +48,7 @@
     'ownership_table',
     'report',
     'seconds',
-    'seconds_table',
+    'seconds_tables',
     'table',
     'unavailable',
     'verdict_table',
--- a/src/coltsfootstair/demo/_observed.py
+++ b/src/coltsfootstair/demo/_observed.py
@@ -45,6 +45,7 @@
     """All that one run showed.
 
     :param divided: names of the services that are divided by key
+    :param uploads: names of the services that take uploads
     :param ended_at: monotonic seconds just before truth was asked for
     :param daemon_lost: whether a daemon was ended without a graceful shutdown
     """
@@ -55,6 +56,7 @@
     divided: frozenset[str]
     started_at: float
     ended_at: float
+    uploads: frozenset[str] = frozenset()
     daemon_lost: bool = False
 
 
--- a/src/coltsfootstair/demo/_plan.py
+++ b/src/coltsfootstair/demo/_plan.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from coltsfootstair.document import BackendServer, DataCentre, Document, Service
+from coltsfootstair.document import BackendServer, DataCentre, Document, Service, ServiceKind
 
 __all__ = ['DaemonPlan', 'Plan', 'ServerPlan', 'document_of']
 
@@ -47,6 +47,14 @@
         """Return the names of the backend servers in a data centre."""
         return frozenset(s.name for s in self.servers if s.data_centre == data_centre)
 
+    def divided(self) -> frozenset[str]:
+        """Return the names of the services that are divided by key."""
+        return frozenset(s.name for s in self.services if s.divided_by_key)
+
+    def uploads(self) -> frozenset[str]:
+        """Return the names of the services that take uploads."""
+        return frozenset(s.name for s in self.services if s.kind is ServiceKind.UPLOAD)
+
 
 def document_of(plan: Plan, address_by_name: Mapping[str, str]) -> Document:
     """Return the operators' document that describes ``plan``."""
--- a/src/coltsfootstair/demo/_report.py
+++ b/src/coltsfootstair/demo/_report.py
@@ -22,7 +22,7 @@
     'latency_table',
     'ownership_table',
     'report',
-    'seconds_table',
+    'seconds_tables',
     'table',
     'verdict_table',
 ]
@@ -32,10 +32,9 @@
 
 def report(observed: Observed, verdicts: Sequence[Verdict]) -> str:
     """Return all tables of a run."""
-    services = frozenset(sample.service for sample in observed.samples)
     return '\n'.join(
         [
-            seconds_table(observed, services),
+            seconds_tables(observed),
             latency_table(observed),
             ownership_table(observed),
             verdict_table(verdicts),
@@ -100,8 +99,14 @@
     return table('Latency over the whole run', heads, rows)
 
 
-def seconds_table(observed: Observed, services: frozenset[str]) -> str:
-    """Return how requests were answered second by second."""
+def seconds_tables(observed: Observed) -> str:
+    """Return how requests were answered second by second; uploads on their own."""
+    services = frozenset(sample.service for sample in observed.samples)
+    groups = (services - observed.uploads, services & observed.uploads)
+    return '\n'.join(_seconds_table(observed, group) for group in groups if group)
+
+
+def _seconds_table(observed: Observed, services: frozenset[str]) -> str:
     rows = [
         (each.number, *_latency_cells(each.latency)[:5], each.title)
         for each in seconds(observed, services)
--- a/src/coltsfootstair/demo/_system.py
+++ b/src/coltsfootstair/demo/_system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 from coltsfootstair.daemon import Daemon
@@ -80,7 +81,8 @@
 
     def stop(self) -> bool:
         """Shut the daemons down gracefully; return whether nothing was left in flight."""
-        clean = [daemon.stop() for daemon in self._daemons]
+        with ThreadPoolExecutor() as executor:
+            clean = list(executor.map(Daemon.stop, self._daemons))
         for server in self._server_by_name.values():
             server.stop()
         self._store.stop()
@@ -126,9 +128,10 @@
             ),
             tuple(samples),
             tuple(self._happenings),
-            frozenset(each.name for each in self.plan.services if each.divided_by_key),
+            self.plan.divided(),
             started_at,
             ended_at,
+            self.plan.uploads(),
         )
 
     def _settings(self, daemon: DaemonPlan) -> DaemonSettings:
