--- a/src/coltsfootstair/coordinator/_messages.py
+++ b/src/coltsfootstair/coordinator/_messages.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from coltsfootstair.admission import Observed, Outcome
 from coltsfootstair.coordinator._exchange import Exchange
 from coltsfootstair.document import BackendServer, Service
-from coltsfootstair.inner import NotesMessage, Stream
-from coltsfootstair.operations import RowRecord
+from coltsfootstair.inner import NotesMessage, RowHanded, Stream
 from coltsfootstair.results import Refusal
 
 __all__ = [
@@ -19,6 +20,7 @@
     'NotesReceived',
     'RightsGiven',
     'RightsTaken',
+    'RowReceived',
     'RowsGranted',
     'RowsOwned',
     'ServerLoad',
@@ -80,12 +82,16 @@
     """The rows that the server holds for certain until ``valid_until``.
 
     :param token_by_row: the fencing token of each row
+    :param stopping: rows that are to be reported once nothing runs for them
+    :param hot_row_by_key: keys that are admitted under their own rows only
     :param valid_until: local monotonic seconds
     """
 
     backend_server: str
-    token_by_row: dict[int, int]
-    valid_until: float
+    token_by_row: Mapping[int, int] = {}
+    stopping: frozenset[int] = frozenset()
+    hot_row_by_key: Mapping[str, int] = {}
+    valid_until: float = -math.inf
 
 
 class ServerObserved(NamedTuple):
@@ -98,16 +104,23 @@
 class RowsOwned(NamedTuple):
     """The rows of the table that this coordinator's server owns, and who stands by.
 
+    :param epoch_by_row: the epoch of each row, which rises with its owner
+    :param stopping: rows of them that take no new operations
     :param standby: the daemon that the record names, or an empty string
     :param lease_epoch: rises with each change of the coordinator
-    :param handed: what the coordinators before have handed over with rows
     """
 
     backend_server: str
-    rows: frozenset[int]
+    epoch_by_row: Mapping[int, int]
+    stopping: frozenset[int]
     standby: str
     lease_epoch: int
-    handed: tuple[RowRecord, ...] = ()
+
+
+class RowReceived(NamedTuple):
+    """A coordinator has handed over what it knew of a row's operations."""
+
+    message: RowHanded
 
 
 class StandbySeen(NamedTuple):
@@ -161,6 +174,7 @@
     | RowsGranted
     | ServerObserved
     | RowsOwned
+    | RowReceived
     | StandbySeen
     | StandbyLinked
     | StreamClosed
--- a/src/coltsfootstair/coordinator/_notes.py
+++ b/src/coltsfootstair/coordinator/_notes.py
@@ -11,15 +11,25 @@
     NoteRows,
     NotesBegun,
     RowDropped,
+    RowHanded,
 )
-from coltsfootstair.operations import StandbyNotes
+from coltsfootstair.operations import RowRecord, StandbyNotes
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from coltsfootstair.clock import Clock
     from coltsfootstair.inner import NotesMessage, Stream
-    from coltsfootstair.operations import RowRecord
 
-__all__ = ['NotesDesk']
+__all__ = ['NotesDesk', 'portions']
+
+
+def portions(backend_server: str, row_epoch: int, record: RowRecord) -> Iterator[RowHanded]:
+    """Return the messages that hand a row over; only the last one closes its gap."""
+    for snapshot in record.snapshots:
+        part = RowRecord(record.row, (snapshot,), 0.0)
+        yield RowHanded(backend_server, row_epoch, part)
+    yield RowHanded(backend_server, row_epoch, record._replace(snapshots=()))
 
 
 class NotesDesk:
--- a/src/coltsfootstair/coordinator/_operations.py
+++ b/src/coltsfootstair/coordinator/_operations.py
@@ -41,6 +41,8 @@
     handle,
     id_age_s,
     new_memory,
+    not_coordinator,
+    row_record,
 )
 from coltsfootstair.results import Ran
 
@@ -50,7 +52,7 @@
     from coltsfootstair.clock import Clock
     from coltsfootstair.coordinator._exchange import Exchange
     from coltsfootstair.coordinator._messages import ExchangeEnded, RowsOwned
-    from coltsfootstair.inner import Message, Stream
+    from coltsfootstair.inner import Message, RowHanded, Stream
     from coltsfootstair.operations import Effect, Event, Snapshot
     from coltsfootstair.results import Refusal
 
@@ -72,6 +74,9 @@
     def withdraw(self, exchange: Exchange) -> None:
         """Take the request out of the queue, or give its unused slot back."""
 
+    def hand_over(self, backend_server: str, row_epoch: int, record: RowRecord) -> None:
+        """Pass what is known of a row's operations to its next owner's coordinator."""
+
     def link(self, standby: str) -> None:
         """Open the way to a standby, and tell of it by ``StandbyLinked``."""
 
@@ -97,7 +102,9 @@
         self._exchange_by_id: dict[str, Exchange] = {}
         self._stream: Stream | None = None
         self._standby: str | None = None
-        self._rows: frozenset[int] = frozenset()
+        self._epoch_by_row: dict[int, int] = {}
+        self._stopping: frozenset[int] = frozenset()
+        self._handed_by_row: dict[int, list[RowHanded]] = {}
         self._lease_epoch = 0
         self._epoch = 0
         self._link_at = 0.0
@@ -111,6 +118,9 @@
         head = exchange.head
         if head.request_id in self._exchange_by_id:
             return
+        if head.slot in self._stopping:
+            exchange.refuse(not_coordinator(Ran.UNKNOWN))
+            return
         self._exchange_by_id[head.request_id] = exchange
         body = head.body if head.complete else str(head.body_length).encode()
         age_s = id_age_s(head.operation_id, self._clock.now().timestamp())
@@ -162,16 +172,26 @@
 
     def owned(self, owned: RowsOwned) -> None:
         """Follow the rows of the server and the standby that the record names."""
+        if owned.lease_epoch != self._lease_epoch:
+            # What others ran under the leases between is not known here.
+            self._memory = new_memory()
+            self._epoch_by_row = {}
         if owned.lease_epoch != self._lease_epoch or owned.standby != self._standby:
             self._lease_epoch = owned.lease_epoch
             self._standby = owned.standby
             self._unlink()
-        taken = owned.rows - self._rows
-        if taken:
-            self._take_rows(taken, owned)
-        for row in self._rows - owned.rows:
-            self._handle(RowLost(row))
-        self._rows = owned.rows
+        self._lose_rows(owned)
+        self._take_rows(owned)
+        self._stopping = owned.stopping
+
+    def handed(self, message: RowHanded) -> None:
+        """Take what the coordinator of a row's earlier owner knew of its operations."""
+        row = message.record.row
+        known = self._epoch_by_row.get(row)
+        if known is None:
+            self._handed_by_row.setdefault(row, []).append(message)
+        elif known == message.row_epoch + 1:
+            self._handle(RowTaken(message.record))
 
     def linked(self, standby: str, stream: Stream | None) -> None:
         """Take the way to the standby; ``None`` if there is none."""
@@ -206,18 +226,29 @@
         self._link_at = 0.0
         self._handle(StandbyUnreachable(waived=self._standby == ''))
 
-    def _take_rows(self, taken: frozenset[int], owned: RowsOwned) -> None:
-        record_by_row = {record.row: record for record in owned.handed}
-        if not self._rows:
-            first = owned.lease_epoch == 1
-            known = () if first else self._take_over(self._name, tuple(taken))
-            record_by_row |= {record.row: record for record in known}
-            fresh = None if first else 0.0
-        else:
-            fresh = 0.0
+    def _lose_rows(self, owned: RowsOwned) -> None:
+        now = self._clock.monotonic()
+        for row in self._epoch_by_row.keys() - owned.epoch_by_row.keys():
+            epoch = self._epoch_by_row.pop(row)
+            record = row_record(self._memory, row, now)
+            self._handle(RowLost(row))
+            self._user.hand_over(self._name, epoch, record)
+
+    def _take_rows(self, owned: RowsOwned) -> None:
+        taken = owned.epoch_by_row.keys() - self._epoch_by_row.keys()
+        if not taken:
+            return
+        first_lease = owned.lease_epoch == 1
+        known = () if first_lease else self._take_over(self._name, tuple(taken))
+        record_by_row = {record.row: record for record in known}
         for row in taken:
-            record = record_by_row.get(row, RowRecord(row, (), fresh))
-            self._handle(RowTaken(record))
+            epoch = owned.epoch_by_row[row]
+            self._epoch_by_row[row] = epoch
+            fresh = first_lease and epoch == 1
+            record = RowRecord(row, (), None if fresh else 0.0)
+            self._handle(RowTaken(record_by_row.get(row, record)))
+            for message in self._handed_by_row.pop(row, []):
+                self.handed(message)
 
     def _handle(self, event: Event) -> None:
         self._memory, effects = handle(self._memory, event, self._clock.monotonic())
--- a/src/coltsfootstair/coordinator/_runner.py
+++ b/src/coltsfootstair/coordinator/_runner.py
@@ -12,6 +12,7 @@
 from coltsfootstair.coordinator._messages import ExchangeEnded, ExchangeLost
 from coltsfootstair.errors import CallFailedError
 from coltsfootstair.operations import is_own_id
+from coltsfootstair.ownership import REQUEST_LIMIT_S
 from coltsfootstair.results import Ran, Refusal, ResultCode
 
 if TYPE_CHECKING:
@@ -90,13 +91,14 @@
         self._tell(ExchangeEnded(name, request_id, end.outcome, seconds, end.refusal))
 
     def _exchange(self, coordinated: CoordinatedServer, exchange: Exchange) -> _End:
-        token = coordinated.token(exchange.head.slot, self._clock.monotonic())
-        if coordinated.service.divided_by_key and token is None:
-            refusal = not_run(ResultCode.KEY_MOVING, 'the grant has lapsed')
-            return _End(Outcome.NOT_SENT, refusal)
-        if not self._is_fresh():
-            refusal = not_run(ResultCode.DOCUMENT_STALE, 'the document may be old')
+        now = self._clock.monotonic()
+        divided = coordinated.service.divided_by_key
+        token = coordinated.token(exchange.head, now) if divided else None
+        refusal = self._put_off(coordinated, token, now)
+        if refusal is not None:
             return _End(Outcome.NOT_SENT, refusal)
+        if divided:
+            exchange.limit(REQUEST_LIMIT_S)
         request = exchange.request(_control_headers(coordinated, exchange, token))
         try:
             coordinated.port.exchange(request, exchange)
@@ -110,6 +112,18 @@
         failed = exchange.status >= FIRST_ERROR_STATUS
         return _End(Outcome.FAILED if failed else Outcome.ANSWERED)
 
+    def _put_off(
+        self, coordinated: CoordinatedServer, token: int | None, now: float
+    ) -> Refusal | None:
+        """Return why a request that has a slot must not be sent after all."""
+        if coordinated.service.divided_by_key and token is None:
+            return not_run(ResultCode.KEY_MOVING, 'the grant has lapsed')
+        if now >= coordinated.granted.valid_until:
+            return not_run(ResultCode.NOT_COORDINATOR, 'the lease has lapsed')
+        if not self._is_fresh():
+            return not_run(ResultCode.DOCUMENT_STALE, 'the document may be old')
+        return None
+
     def _settle(self, coordinated: CoordinatedServer, exchange: Exchange) -> None:
         """Hold the slot until the server says that the request no longer runs."""
         name = coordinated.server.name
--- a/src/coltsfootstair/coordinator/_server.py
+++ b/src/coltsfootstair/coordinator/_server.py
@@ -6,6 +6,7 @@
 
 from coltsfootstair.coordinator._messages import RowsGranted, ServerLoad
 from coltsfootstair.document import ServiceKind
+from coltsfootstair.ownership import SLOTS_PER_TABLE
 
 if TYPE_CHECKING:
     from coltsfootstair.admission import AdmissionState
@@ -36,18 +37,30 @@
         self.keeper = keeper
         self.lease_epoch = 0
         self.exchange_by_id: dict[str, Exchange] = {}
-        self.granted = RowsGranted(server.name, {}, 0.0)
+        self.granted = RowsGranted(server.name)
 
     @property
     def idempotent(self) -> bool:
         """Whether requests of the service may be repeated."""
         return self.service.kind is ServiceKind.LOOKUP
 
-    def token(self, row: int, now: float) -> int | None:
-        """Return the fencing token of a row that is granted at ``now``."""
-        if now >= self.granted.valid_until:
+    def token(self, head: RequestHead, now: float) -> int | None:
+        """Return the fencing token of a request's row, if it is granted at ``now``."""
+        granted = self.granted
+        if now >= granted.valid_until:
             return None
-        return self.granted.token_by_row.get(row)
+        # A hot key belongs to its own row only, and that row to no other key.
+        hot_row = granted.hot_row_by_key.get(head.key)
+        if hot_row != (head.slot if head.slot >= SLOTS_PER_TABLE else None):
+            return None
+        return granted.token_by_row.get(head.slot)
+
+    def busy_rows(self) -> frozenset[int]:
+        """Return the rows that a request waits or runs for."""
+        heads = [exchange.head for exchange in self.exchange_by_id.values()]
+        rows = {head.slot for head in heads}
+        rows |= {self.granted.hot_row_by_key.get(head.key, head.slot) for head in heads}
+        return frozenset(rows)
 
     def remembers(self, head: RequestHead) -> bool:
         """Tell whether a request's operation id keeps it from running twice."""
--- a/src/coltsfootstair/coordinator/_task.py
+++ b/src/coltsfootstair/coordinator/_task.py
@@ -29,6 +29,7 @@
     NotesReceived,
     RightsGiven,
     RightsTaken,
+    RowReceived,
     RowsGranted,
     RowsOwned,
     ServerLoad,
@@ -38,7 +39,7 @@
     StreamClosed,
     SubmitExchange,
 )
-from coltsfootstair.coordinator._notes import NotesDesk
+from coltsfootstair.coordinator._notes import NotesDesk, portions
 from coltsfootstair.coordinator._operations import OperationKeeper
 from coltsfootstair.coordinator._runner import ExchangeRunner, not_run
 from coltsfootstair.coordinator._server import CoordinatedServer
@@ -57,6 +58,7 @@
     from coltsfootstair.coordinator._messages import CoordinatorEvent
     from coltsfootstair.document import BackendServer, Service
     from coltsfootstair.inner import Stream
+    from coltsfootstair.operations import RowRecord
 
 __all__ = ['Coordinator']
 
@@ -71,6 +73,8 @@
     """Owns the admission state of each server that this daemon coordinates.
 
     :param is_fresh: whether the document in force may still be relied on
+    :param next_owner: tells the next or present owner of a service's row, and which other
+        daemon coordinates it, if one does
     :param open_stream: opens an inner stream to a daemon by its name; may block
     """
 
@@ -81,17 +85,34 @@
         open_port: Callable[[BackendServer], BackendServerPort],
         is_fresh: Callable[[], bool],
         open_stream: Callable[[str], Stream | None],
+        next_owner: Callable[[str, int], tuple[str, str]],
     ) -> None:
         self._clock = clock
         self._executor = executor
         self._open_port = open_port
         self._open_stream = open_stream
+        self._next_owner = next_owner
         self._runner = ExchangeRunner(clock, executor, self.tell, is_fresh)
         self._notes = NotesDesk(clock)
         self._mailbox: queue.SimpleQueue[CoordinatorEvent | None] = queue.SimpleQueue()
         self._server_by_name: dict[str, CoordinatedServer] = {}
+        self._rows_idle: Callable[[RowsGranted, frozenset[int]], None] = _ignore
+        self._admitted: Callable[[str, int, str], None] = _ignore
         self._thread = threading.Thread(target=self._run, name='coordinator', daemon=True)
 
+    def listen(
+        self,
+        rows_idle: Callable[[RowsGranted, frozenset[int]], None],
+        admitted: Callable[[str, int, str], None],
+    ) -> None:
+        """Tell of rows that stopped, and of requests taken in, on this task's thread.
+
+        :param rows_idle: takes what was granted and the rows that nothing runs for
+        :param admitted: takes a service, a row and a key
+        """
+        self._rows_idle = rows_idle
+        self._admitted = admitted
+
     def start(self) -> None:
         """Begin to take events."""
         self._thread.start()
@@ -157,13 +178,17 @@
                 self._give_rights(server, service)
             case RightsTaken(name):
                 self._take_rights(name)
-            case RowsGranted(name, _, _):
+            case RowsGranted(name):
                 if name in self._server_by_name:
                     self._server_by_name[name].granted = event
+                    self._report_idle(self._server_by_name[name])
             case ServerObserved(name, observed):
                 self._decide(name, observed)
             case RowsOwned() | StandbySeen() | StandbyLinked():
                 self._follow(event)
+            case RowReceived(message):
+                if message.backend_server in self._server_by_name:
+                    self._server_by_name[message.backend_server].keeper.handed(message)
             case StreamClosed(stream):
                 for coordinated in self._server_by_name.values():
                     coordinated.keeper.stream_closed(stream)
@@ -177,7 +202,7 @@
             exchange.refuse(not_run(ResultCode.NOT_COORDINATOR, 'another daemon does'))
             return
         now = self._clock.monotonic()
-        if coordinated.service.divided_by_key and coordinated.token(head.slot, now) is None:
+        if coordinated.service.divided_by_key and coordinated.token(head, now) is None:
             exchange.refuse(not_run(ResultCode.KEY_MOVING, 'the key is not granted to it'))
         elif coordinated.remembers(head):
             coordinated.keeper.ask(exchange)
@@ -189,6 +214,7 @@
         head = exchange.head
         coordinated = self._server_by_name[head.backend_server]
         coordinated.exchange_by_id[head.request_id] = exchange
+        self._admitted(coordinated.service.name, head.slot, head.key)
         event = Submitted(
             head.request_id,
             head.caller,
@@ -213,6 +239,20 @@
         unused = Finished(head.request_id, Outcome.NOT_SENT, 0.0)
         self._decide(head.backend_server, unused)
 
+    def hand_over(self, backend_server: str, row_epoch: int, record: RowRecord) -> None:
+        """Pass what is known of a row's operations to its next owner's coordinator."""
+        service = self._server_by_name[backend_server].service.name
+        self._executor.submit(self._hand_over, service, row_epoch, record)
+
+    def _hand_over(self, service: str, row_epoch: int, record: RowRecord) -> None:
+        owner, coordinator = self._next_owner(service, record.row)
+        stream = self._open_stream(coordinator) if coordinator else None
+        for message in portions(owner, row_epoch, record):
+            if stream is None:
+                self.tell(RowReceived(message))
+            else:
+                stream.send(message)
+
     def link(self, standby: str) -> None:
         """Open the way to a standby on a thread that may block."""
         self._executor.submit(self._link, standby)
@@ -222,6 +262,11 @@
         for name in list(self._server_by_name):
             self.tell(StandbyLinked(name, standby, stream))
 
+    def _report_idle(self, coordinated: CoordinatedServer) -> None:
+        granted = coordinated.granted
+        if granted.stopping:
+            self._rows_idle(granted, granted.stopping - coordinated.busy_rows())
+
     def _cancel(self, request_id: str) -> None:
         for coordinated in self._server_by_name.values():
             if coordinated.keeper.holds(request_id):
@@ -243,6 +288,7 @@
         coordinated.exchange_by_id.pop(event.request_id, None)
         if exchange is not None and coordinated.remembers(exchange.head):
             coordinated.keeper.ended(event)
+        self._report_idle(coordinated)
         self._decide(event.backend_server, finished)
 
     def _follow(self, event: RowsOwned | StandbySeen | StandbyLinked) -> None:
@@ -297,10 +343,11 @@
         self._decide(name, RightsChanged(False))
         coordinated = self._server_by_name[name]
         coordinated.keeper.rights(may_act=False)
-        coordinated.granted = RowsGranted(name, {}, 0.0)
+        coordinated.granted = RowsGranted(name)
 
     def _tick_all(self) -> None:
         for name, coordinated in list(self._server_by_name.items()):
+            self._report_idle(coordinated)
             self._decide(name, Tick())
             coordinated.keeper.tick()
         self._notes.tick()
@@ -327,3 +374,7 @@
                 exchange.refuse(refusal)
                 if coordinated.remembers(exchange.head):
                     coordinated.keeper.refused(exchange, refusal)
+
+
+def _ignore(*_: object) -> None:
+    """Stand in for a listener."""
--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -13,17 +13,19 @@
 
 from coltsfootstair.backend import HttpBackendServer
 from coltsfootstair.coordinator import Coordinator, Exchange
+from coltsfootstair.daemon._event_notes import OwnershipNotes, StateNotes
 from coltsfootstair.daemon._inbound import Inbound
 from coltsfootstair.daemon._news import NewsService
 from coltsfootstair.daemon._notes import DocumentHistory, RefusalNotes
 from coltsfootstair.daemon._operators import OperatorsAdapter
-from coltsfootstair.daemon._ownership import OwnershipTask
+from coltsfootstair.daemon._ownership import OwnershipParts, OwnershipTask
 from coltsfootstair.daemon._peers import PeerDirectory, PeerLink
 from coltsfootstair.daemon._reports import STATUS, TIMELINE, ReportDesk
 from coltsfootstair.document import ServiceKind
 from coltsfootstair.entry import CallerServer, PendingAnswers, Relay, RelayParts
 from coltsfootstair.inner import Hello, Hub, ReportAnswer, ReportRequest
 from coltsfootstair.inner._messages import PROTOCOL_VERSION
+from coltsfootstair.leases import Candidate
 from coltsfootstair.metrics import DaemonMetrics
 from coltsfootstair.news import Knowledge, StoreFeed
 from coltsfootstair.operators import DaemonState, OperatorsApp, OperatorsServer
@@ -58,7 +60,7 @@
     def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
         self.settings = settings
         self.clock = clock
-        self.incarnation = uuid.uuid4().hex
+        self.incarnation = _new_incarnation(clock)
         self.metrics = DaemonMetrics(settings.name)
         self.replica = Replica()
         self.knowledge = Knowledge(self.replica, clock, settings.data_centre)
@@ -67,6 +69,8 @@
         self.timeline = Timeline(settings.name, clock)
         self.document_history = DocumentHistory(self.timeline)
         self.replica.subscribe(self.document_history.take)
+        ownership_notes = OwnershipNotes(settings.name, self.router, self.timeline)
+        self.replica.subscribe(ownership_notes.take)
         self.refusals = RefusalNotes(self.timeline)
         self.pending = PendingAnswers()
         self._executor = ThreadPoolExecutor(EXCHANGE_THREADS, 'exchange')
@@ -76,27 +80,31 @@
             _open_port,
             self.knowledge.may_give_new_work,
             self._open_stream,
+            self._next_owner,
         )
         self.inbound = Inbound(clock, self.coordinator, self.pending)
         hello = Hello(PROTOCOL_VERSION, settings.name, settings.data_centre, self.incarnation)
-        self.hub = Hub(hello, settings.inner, self.inbound)
+        self.hub = Hub(hello, settings.inner, self.inbound, self.timeline)
         identity = StoreIdentity(settings.name, settings.data_centre, self.hub.address)
         self.store = HttpStore(settings.store_url, identity)
-        self.peers = PeerDirectory(self.store)
+        self.peers = PeerDirectory(self.store, clock)
         self.news = NewsService(
             settings, clock, self.hub, self.inbound, self.peers, self.knowledge
         )
         self.store_feed = StoreFeed(self.store, self.knowledge, clock, self.news.is_watcher)
         self.ownership = OwnershipTask(
-            settings.name,
-            settings.data_centre,
-            self.incarnation,
-            clock,
-            self.store,
-            self.router,
-            self.peers,
-            self.coordinator,
-            _open_port,
+            OwnershipParts(
+                Candidate(settings.name, self.incarnation, settings.data_centre),
+                clock,
+                self.store,
+                self.replica,
+                self.router,
+                self.peers,
+                self.hub,
+                self.inbound,
+                self.coordinator,
+                _open_port,
+            )
         )
         link = PeerLink(
             settings.name, self.hub, self.peers, self._open_exchange, self.coordinator.cancel
@@ -123,6 +131,13 @@
         self.operators = OperatorsServer(
             settings.operators, OperatorsApp(adapter, self.metrics.page)
         )
+        self.state_notes = StateNotes(
+            self.timeline,
+            self.coordinator.loads,
+            self.knowledge.may_give_new_work,
+            lambda: self.store_feed.reachable,
+            self.hub.peers,
+        )
         self._ready = False
         self._stopping = False
         self._leaving = threading.Event()
@@ -143,6 +158,7 @@
         self.peers.poll()
         self.peers.start()
         self.ownership.start()
+        self.state_notes.start()
         self.callers.start()
         self.operators.start()
         self._ready = True
@@ -175,11 +191,13 @@
         self._stopping = True
         self.timeline.record(EventName.DAEMON_STOPPING, in_flight=self._in_flight())
         self._leaving.wait(BALANCER_NOTICE_S)
+        self.ownership.hand_over()
         clean = self._drain()
         self.callers.stop()
         self.operators.stop()
         self.ownership.stop()
         self.peers.stop()
+        self.state_notes.stop()
         self.news.stop()
         self.store_feed.stop()
         self.reports.stop()
@@ -215,6 +233,16 @@
             return self.hub.open_stream(peer)
         return self.hub.stream_to(peer, machine.inner)
 
+    def _next_owner(self, service: str, row: int) -> tuple[str, str]:
+        table = self.router.table(service)
+        known = None if table is None else table.rows_by_number().get(row)
+        if known is None:
+            return '', ''
+        owner = known.next_owner or known.owner
+        lease = self.router.lease(owner)
+        elsewhere = lease is not None and lease.coordinator != self.settings.name
+        return owner, lease.coordinator if lease is not None and elsewhere else ''
+
     def _upload_services(self) -> frozenset[str]:
         return frozenset(
             service.name
@@ -225,3 +253,9 @@
 
 def _open_port(server: BackendServer) -> BackendServerPort:
     return HttpBackendServer(server.address)
+
+
+def _new_incarnation(clock: Clock) -> str:
+    """Return a name for this process that sorts after those of earlier ones."""
+    milliseconds = int(clock.now().timestamp() * 1000)
+    return f'{milliseconds:012x}-{uuid.uuid4().hex[:12]}'
--- a/src/coltsfootstair/daemon/_inbound.py
+++ b/src/coltsfootstair/daemon/_inbound.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from coltsfootstair.coordinator import Exchange, NotesReceived, StreamClosed
+from coltsfootstair.coordinator import Exchange, NotesReceived, RowReceived, StreamClosed
 from coltsfootstair.inner import (
     AnswerChunk,
     AnswerHead,
@@ -20,6 +20,7 @@
     Refused,
     RequestHead,
     RowDropped,
+    RowHanded,
 )
 
 if TYPE_CHECKING:
@@ -79,6 +80,8 @@
                 | RowDropped()
             ):
                 self._coordinator.tell(NotesReceived(stream, message))
+            case RowHanded():
+                self._coordinator.tell(RowReceived(message))
             case _:
                 self._to_handler(stream, message)
 
--- a/src/coltsfootstair/inner/__init__.py
+++ b/src/coltsfootstair/inner/__init__.py
@@ -33,6 +33,7 @@
     NotesBegun,
     NotesMessage,
     RowDropped,
+    RowHanded,
 )
 
 __all__ = [
@@ -63,6 +64,7 @@
     'ReportRequest',
     'RequestHead',
     'RowDropped',
+    'RowHanded',
     'Stream',
     'VmsTold',
     'encode',
--- a/src/coltsfootstair/inner/_notes.py
+++ b/src/coltsfootstair/inner/_notes.py
@@ -15,6 +15,7 @@
     'NotesBegun',
     'NotesMessage',
     'RowDropped',
+    'RowHanded',
 ]
 
 
@@ -69,6 +70,20 @@
     row: int
 
 
+class RowHanded(NamedTuple):
+    """What the coordinator of a row's earlier owner knew of its operations.
+
+    Several messages may bring one row; the last has the true age of its gap.
+
+    :param backend_server: the row's next owner
+    :param row_epoch: the epoch of the row under its earlier owner
+    """
+
+    backend_server: str
+    row_epoch: int
+    record: RowRecord
+
+
 NotesMessage = NotesBegun | NoteOperation | NoteConfirmed | NoteRows | NoteDropped | RowDropped
 
 register(60, NotesBegun)
@@ -77,3 +92,4 @@
 register(63, NoteRows)
 register(64, NoteDropped)
 register(65, RowDropped)
+register(66, RowHanded)
--- a/src/coltsfootstair/operations/__init__.py
+++ b/src/coltsfootstair/operations/__init__.py
@@ -43,6 +43,7 @@
     Tick,
     Withdraw,
 )
+from coltsfootstair.operations._replies import not_coordinator
 from coltsfootstair.operations._standby import StandbyNotes
 
 __all__ = [
@@ -85,6 +86,7 @@
     'id_age_s',
     'is_own_id',
     'new_memory',
+    'not_coordinator',
     'own_id',
     'row_record',
 ]
--- a/src/coltsfootstair/ownership/_table.py
+++ b/src/coltsfootstair/ownership/_table.py
@@ -29,6 +29,7 @@
     'encode_shard',
     'initial_assignment',
     'ranked_names',
+    'row_epoch_of',
     'shard_key',
     'shard_of',
     'slot_of',
@@ -119,6 +120,11 @@
     return token
 
 
+def row_epoch_of(token: int) -> int:
+    """Return the epoch of the row that a fencing token was made for."""
+    return token >> _LEASE_EPOCH_BITS
+
+
 def encode_shard(shard: Shard) -> bytes:
     """Return a shard as the store keeps it."""
     rows = [[number, *row] for number, row in sorted(shard.rows_by_number.items())]
