--- a/src/coltsfootstair/daemon/_lease_keeper.py
+++ b/src/coltsfootstair/daemon/_lease_keeper.py
@@ -29,6 +29,7 @@
 from coltsfootstair.membership import (
     HeartbeatHeard,
     Members,
+    Refused,
     Spoken,
     VmListed,
     VmsRead,
@@ -51,6 +52,9 @@
 
 logger = structlog.get_logger()
 
+REFUSED_WITHIN_S = 0.3
+"""A connection that fails sooner was refused, in seconds."""
+
 HOME_AFTER_S = 3.0
 """How long a daemon nearer to a server must answer before it is given the lease."""
 
@@ -283,8 +287,15 @@
             self._parts.executor.submit(self._connect, name, peer.inner)
 
     def _connect(self, name: str, address: str) -> None:
-        self._parts.hub.stream_to(name, address)
-        self._parts.post(lambda: self._connecting.discard(name))
+        asked_at = self._now()
+        stream = self._parts.hub.stream_to(name, address)
+        refused = stream is None and self._now() - asked_at < REFUSED_WITHIN_S
+        self._parts.post(lambda: self._connected(name, refused=refused))
+
+    def _connected(self, name: str, *, refused: bool) -> None:
+        self._connecting.discard(name)
+        if refused:
+            self._members = handle_members(self._members, Refused(name), self._now())
 
     def _now(self) -> float:
         return self._parts.clock.monotonic()
--- a/src/coltsfootstair/daemon/_server_keeper.py
+++ b/src/coltsfootstair/daemon/_server_keeper.py
@@ -116,7 +116,7 @@
         if not self._probing and self._now() - self._probed_at >= PROBE_EVERY_S:
             self._probing = True
             self._probed_at = self._now()
-            self._parts.server_calls.submit(self._probe, None)
+            self._parts.server_calls.submit(self._probe, for_rows=False)
 
     def take_object(self, item: Versioned) -> None:
         """Follow a change of the replica."""
@@ -142,7 +142,7 @@
             case om.SendGrant(order):
                 self._parts.server_calls.submit(self._grant, order)
             case om.ProbeServer():
-                self._parts.server_calls.submit(self._probe, om.ProbeFailed())
+                self._parts.server_calls.submit(self._probe, for_rows=True)
             case om.RowsAdmitted():
                 self._parts.coordinator.tell(self._granted(effect))
 
@@ -193,8 +193,8 @@
             reply = self._port.grant(
                 ranges_of(order), order.until, order.instance, GRANT_TIMEOUT_S
             )
-        except CallFailedError:
-            self._post(om.GrantFailed(order.number))
+        except CallFailedError as error:
+            self._post(om.GrantFailed(order.number, refused=not error.dispatched))
             return
         self._post(
             om.GrantAnswered(
@@ -202,18 +202,18 @@
             )
         )
 
-    def _probe(self, on_failure: om.RowsEvent | None) -> None:
+    def _probe(self, *, for_rows: bool) -> None:
         """Probe the server, for the rows' sake or for the admission's alone."""
         asked_at = self._now()
-        event = on_failure
+        event: om.RowsEvent
         try:
             health = self._port.probe(GRANT_TIMEOUT_S)
             observed = Observed(True, health.instance, health.cold, health.load)
-            if on_failure is not None:
-                event = om.ProbeAnswered(health.instance, health.clock, asked_at)
-        except CallFailedError:
+            event = om.ProbeAnswered(health.instance, health.clock, asked_at)
+        except CallFailedError as error:
             observed = Observed(ok=False)
-        self._parts.post(lambda: self._probed(observed, event))
+            event = om.ProbeFailed(refused=not error.dispatched)
+        self._parts.post(lambda: self._probed(observed, event if for_rows else None))
 
     def _probed(self, observed: Observed, event: om.RowsEvent | None) -> None:
         if self._ended:
--- a/src/coltsfootstair/membership/_detector.py
+++ b/src/coltsfootstair/membership/_detector.py
@@ -13,6 +13,7 @@
     'HeartbeatHeard',
     'Members',
     'Peer',
+    'Refused',
     'Spoken',
     'Tick',
     'VmListed',
@@ -41,6 +42,12 @@
     name: str
 
 
+class Refused(NamedTuple):
+    """A daemon's address refused a connection: its process has most likely ended."""
+
+    name: str
+
+
 class HeartbeatHeard(NamedTuple):
     """A daemon was heard from, directly."""
 
@@ -70,7 +77,7 @@
     close: frozenset[str]
 
 
-Event = Spoken | HeartbeatHeard | VmsRead | Tick
+Event = Spoken | Refused | HeartbeatHeard | VmsRead | Tick
 
 
 class Peer(NamedTuple):
@@ -112,6 +119,8 @@
             return _named(members, close, now)
         case Spoken(name):
             return _spoken(members, name, now)
+        case Refused(name):
+            return _refused(members, name)
         case HeartbeatHeard(candidate, leaving):
             return _heard(members, candidate, leaving, now)
         case VmsRead(asked_at, vms):
@@ -133,6 +142,13 @@
     return _with(members, peer._replace(spoken_at=now, unanswered_since=since))
 
 
+def _refused(members: Members, name: str) -> Members:
+    peer = members.peer_by_name.get(name)
+    if peer is None:
+        return members
+    return _with(members, peer._replace(unanswered_since=-math.inf))
+
+
 def _heard(members: Members, candidate: Candidate, leaving: bool, now: float) -> Members:
     name, incarnation, data_centre = candidate
     peer = members.peer_by_name.get(name, Peer(name, data_centre))
--- a/src/coltsfootstair/ownership/_messages.py
+++ b/src/coltsfootstair/ownership/_messages.py
@@ -75,9 +75,13 @@
 
 
 class GrantFailed(NamedTuple):
-    """A grant order got no answer; it may take effect, also later."""
+    """A grant order got no answer; it may take effect, also later.
+
+    :param refused: whether the server could not be connected to
+    """
 
     number: int
+    refused: bool = False
 
 
 class ProbeAnswered(NamedTuple):
@@ -89,7 +93,12 @@
 
 
 class ProbeFailed(NamedTuple):
-    """A probe got no answer."""
+    """A probe got no answer.
+
+    :param refused: whether the server could not be connected to
+    """
+
+    refused: bool = False
 
 
 class RowsIdle(NamedTuple):
--- a/src/coltsfootstair/ownership/_moves.py
+++ b/src/coltsfootstair/ownership/_moves.py
@@ -55,9 +55,12 @@
     'take_up',
 ]
 
-SERVER_LOST_S = 0.45
+SERVER_LOST_S = 0.7
 """Silence after which a backend server is taken to be lost, in seconds."""
 
+REFUSED_LOST_S = 0.25
+"""The same for one that can not be connected to, in seconds."""
+
 STORE_RETRY_S = 0.1
 """Pause between two reads of one shard, in seconds."""
 
@@ -84,11 +87,13 @@
     """A row that the table gives to the server.
 
     :param since: when the phase began, in monotonic seconds
+    :param inherited: whether an earlier coordinator may have begun to release it
     """
 
     row: Row
     phase: Phase
     since: float
+    inherited: bool = False
 
 
 class OwnedRows(NamedTuple):
@@ -102,6 +107,7 @@
     :param read_at: when each shard was last asked for
     :param answered_at: when the server was last heard from
     :param asked_at: when the server was last sent a probe or an order
+    :param refused: whether the last call could not connect
     :param asking: whether a probe or an order is under way
     """
 
@@ -121,6 +127,7 @@
     answered_at: float = -math.inf
     asked_at: float = -math.inf
     asking: bool = False
+    refused: bool = False
     admitted: RowsAdmitted | None = None
 
 
@@ -135,7 +142,8 @@
 
 def is_lost(owned: OwnedRows, now: float) -> bool:
     """Return whether the server has not answered for too long."""
-    return now - owned.answered_at >= SERVER_LOST_S
+    allowed_s = REFUSED_LOST_S if owned.refused else SERVER_LOST_S
+    return now - owned.answered_at >= allowed_s
 
 
 def handle(
@@ -162,12 +170,12 @@
         case GrantAnswered(number, accepted, instance, clock, asked_at):
             owned = owned._replace(book=answered(owned.book, number, accepted=accepted))
             if not accepted:
-                return owned._replace(asking=False, answered_at=now)
+                return owned._replace(asking=False, answered_at=now, refused=False)
             return _take_clock(owned, instance, clock, asked_at, now)
         case ProbeAnswered(instance, clock, asked_at):
             return _take_clock(owned, instance, clock, asked_at, now)
-        case GrantFailed() | ProbeFailed():
-            return owned._replace(asking=False)
+        case GrantFailed(_, refused) | ProbeFailed(refused):
+            return owned._replace(asking=False, refused=refused)
         case RowsIdle(rows):
             return _set_phase(owned, rows, Phase.STOPPING, Phase.DROPPING, now)
 
@@ -176,7 +184,7 @@
     owned: OwnedRows, instance: str, clock: float, asked_at: float, now: float
 ) -> OwnedRows:
     book = note_clock(owned.book, instance, clock, asked_at, now)
-    return owned._replace(book=book, asking=False, answered_at=now)
+    return owned._replace(book=book, asking=False, answered_at=now, refused=False)
 
 
 def _take_shard(owned: OwnedRows, seen: ShardSeen, now: float) -> OwnedRows:
@@ -192,7 +200,7 @@
     held = {n: h for n, h in owned.held_by_row.items() if shard_of(n) != number}
     for row_number, row in seen.shard.rows_by_number.items():
         if row.owner == owned.backend_server:
-            held[row_number] = _held(owned, row_number, row, now)
+            held[row_number] = _held(owned, row_number, row, seen, now)
     hot = {k: n for k, n in owned.hot_row_by_key.items() if shard_of(n) != number}
     hot |= {row.key: n for n, row in seen.shard.rows_by_number.items() if row.key}
     return owned._replace(
@@ -204,29 +212,35 @@
     )
 
 
-def _held(owned: OwnedRows, number: int, row: Row, now: float) -> HeldRow:
+def _held(owned: OwnedRows, number: int, row: Row, seen: ShardSeen, now: float) -> HeldRow:
     known = owned.held_by_row.get(number)
     if not row.next_owner:
         if known is not None and known.phase is Phase.HELD:
             return known._replace(row=row)
         return HeldRow(row, Phase.HELD, now)
-    if known is None and row.key:
-        # Requests for the key may be on their way under the row of its slot.
-        return HeldRow(row, Phase.STOPPING, now)
+    if known is None and seen.fresh:
+        # The write that releases it may be under way: it is not granted as it stands.
+        return HeldRow(row, Phase.DROPPING, now, inherited=True)
     if known is None:
-        # Another coordinator may have let go of it already: it is not granted again.
-        return HeldRow(row, Phase.DROPPING, now)
-    if known.phase is Phase.HELD:
-        return HeldRow(row, Phase.STOPPING, now)
+        return HeldRow(row, Phase.HELD, now)
     if known.phase is Phase.WRITING:
-        return HeldRow(row, Phase.DROPPING, known.since)
+        return known._replace(row=row, phase=Phase.DROPPING)
     return known._replace(row=row)
 
 
 def _advance(owned: OwnedRows, now: float) -> OwnedRows:
-    if not is_lost(owned, now):
+    """Begin to release what is marked as moving.
+
+    A row stays in use until the requests of earlier coordinators, which are not known
+    here, have been waited out; unless the server is lost.
+    """
+    lost = is_lost(owned, now)
+    marked = frozenset(n for n, row in _rows_in(owned, Phase.HELD).items() if row.next_owner)
+    if lost or now >= owned.began_at + SETTLE_S:
+        owned = _set_phase(owned, marked, Phase.HELD, Phase.STOPPING, now)
+    if not lost:
         return owned
-    # The slot of a hot key stays granted, so its requests are waited for all the same.
+    # Where the slot of a hot key stays granted its requests are waited for all the same.
     rows = frozenset(
         number
         for number, held in owned.held_by_row.items()
@@ -242,7 +256,7 @@
     for number in rows:
         known = held.get(number)
         if known is not None and known.phase is old:
-            held[number] = HeldRow(known.row, new, now)
+            held[number] = known._replace(phase=new, since=now)
     return owned._replace(held_by_row=held)
 
 
@@ -323,30 +337,44 @@
         if shard_number in owned.writing:
             continue
         shard, version = owned.shard_by_number[shard_number]
-        effects.append(WriteShard(_released(shard, rows), version))
+        held_by_row = owned.held_by_row
+        kept = {n for n in rows if _is_withdrawn(owned, held_by_row[n], now)}
+        effects.append(WriteShard(_released(shard, rows, kept), version))
         owned = _set_phase(owned, frozenset(rows), Phase.DROPPING, Phase.WRITING, now)
         owned = owned._replace(writing={**owned.writing, shard_number: version})
     return owned, effects
 
 
 def _is_free(owned: OwnedRows, number: int, held: HeldRow, now: float) -> bool:
-    """Return whether the server can neither hold the row nor work on it any more.
+    """Return whether the row may be written: released, or its mark withdrawn.
 
-    Requests of an earlier coordinator are not known here, so they are waited out; at a
-    lost server only its grants are.
+    It is released when the server can neither hold it nor work on it any more.
     """
+    if _is_withdrawn(owned, held, now):
+        return True
     if not owned.checks_grants:
         return now >= max(held.since, owned.began_at) + SETTLE_S
-    if now < owned.began_at + SETTLE_S and not is_lost(owned, now):
-        return False
     return not may_hold(owned.book, number, now)
 
 
-def _released(shard: Shard, numbers: list[int]) -> Shard:
+def _is_withdrawn(owned: OwnedRows, held: HeldRow, now: float) -> bool:
+    """Return whether the mark is taken back rather than the row released."""
+    in_slot = held.row.key and slot_of(held.row.key) in owned.held_by_row
+    return held.inherited and (bool(in_slot) or not is_lost(owned, now))
+
+
+def _released(shard: Shard, numbers: list[int], kept: set[int]) -> Shard:
+    """Return the shard with rows released, or with their marks withdrawn.
+
+    A mark is withdrawn so that a release which an earlier coordinator sent, and which
+    expects the marked version, can not take effect any more.
+    """
     rows = dict(shard.rows_by_number)
     for number in numbers:
         row = rows[number]
-        if row.next_owner == row.owner:
+        if number in kept:
+            rows[number] = row._replace(next_owner='')
+        elif row.next_owner == row.owner:
             # The one key of a hot row goes back to its slot, which has the same owner.
             rows[number] = Row('', row.epoch + 1)
         else:
--- a/src/coltsfootstair/ownership/_planner.py
+++ b/src/coltsfootstair/ownership/_planner.py
@@ -29,6 +29,15 @@
 HOT_SHARE = 0.02
 """Share of a server's mean load from which a key gets a row of its own."""
 
+MOVES_AT_ONCE = 32
+"""Rows that are moved off one server at once to relieve it."""
+
+LEAST_GAIN = 0.05
+"""Load over the mean by which a move must lower the higher of two servers."""
+
+LEAST_ROW_PART = 4 * SLOTS_PER_TABLE
+"""A row with less than one part in so many of the load is not moved to relieve."""
+
 QUIET_RATE = 50.0
 """Requests a second of a service below which the measured load says nothing."""
 
@@ -163,13 +172,17 @@
                 self._fill(server)
 
     def _relieve(self, server: str, bound: float) -> None:
-        for number in self._movable(server):
+        least = self._mean * len(self._usable) / LEAST_ROW_PART
+        heaviest = self._movable(server)[:MOVES_AT_ONCE]
+        for number in heaviest:
+            weight = self._weight(number)
             excess = self._load_by_server[server] - bound
-            if excess <= 0:
+            # Rows that hardly weigh anything are not worth moving.
+            if excess <= 0 or weight < least:
                 return
             target = self._least_loaded()
-            weight = self._weight(number)
-            if weight and self._load_by_server[target] + weight <= self._mean:
+            gain = self._load_by_server[server] - self._load_by_server[target] - weight
+            if gain > LEAST_GAIN * self._mean:
                 self._move(number, target)
 
     def _fill(self, server: str) -> None:
