--- a/src/coltsfootstair/coordinator/_notes.py
+++ b/src/coltsfootstair/coordinator/_notes.py
@@ -24,12 +24,14 @@
 __all__ = ['NotesDesk', 'portions']
 
 
-def portions(backend_server: str, row_epoch: int, record: RowRecord) -> Iterator[RowHanded]:
+def portions(
+    backend_server: str, row_epoch: int, lease_epoch: int, record: RowRecord
+) -> Iterator[RowHanded]:
     """Return the messages that hand a row over; only the last one closes its gap."""
     for snapshot in record.snapshots:
         part = RowRecord(record.row, (snapshot,), 0.0)
-        yield RowHanded(backend_server, row_epoch, part)
-    yield RowHanded(backend_server, row_epoch, record._replace(snapshots=()))
+        yield RowHanded(backend_server, row_epoch, lease_epoch, part)
+    yield RowHanded(backend_server, row_epoch, lease_epoch, record._replace(snapshots=()))
 
 
 class NotesDesk:
@@ -56,9 +58,10 @@
             case RowDropped(name, epoch, row):
                 self._notes.drop_row(name, epoch, row)
 
-    def take_over(self, backend_server: str, rows: tuple[int, ...]) -> tuple[RowRecord, ...]:
+    def take_over(self, backend_server: str) -> tuple[RowRecord, ...]:
         """Return what is known of the operations of a server that is taken over."""
         now = self._clock.monotonic()
+        rows = self._notes.copied_rows(backend_server)
         return self._notes.take_over(backend_server, rows, now, waived=False)
 
     def drop(self, backend_server: str) -> None:
--- a/src/coltsfootstair/coordinator/_operations.py
+++ b/src/coltsfootstair/coordinator/_operations.py
@@ -60,6 +60,8 @@
 
 LINK_PAUSE_S = 0.25
 EPOCH_BITS = 32
+NOTES_FOR_S = 2.0
+"""How long after a takeover a row is taken to be the one that was noted, in seconds."""
 
 
 class OperationUser(Protocol):
@@ -92,7 +94,7 @@
         backend_server: str,
         clock: Clock,
         user: OperationUser,
-        take_over: Callable[[str, tuple[int, ...]], tuple[RowRecord, ...]],
+        take_over: Callable[[str], tuple[RowRecord, ...]],
     ) -> None:
         self._name = backend_server
         self._clock = clock
@@ -104,6 +106,9 @@
         self._standby: str | None = None
         self._epoch_by_row: dict[int, int] = {}
         self._stopping: frozenset[int] = frozenset()
+        self._noted_by_row: dict[int, RowRecord] = {}
+        self._noted_until = 0.0
+        self._left = False
         self._handed_by_row: dict[int, list[RowHanded]] = {}
         self._lease_epoch = 0
         self._epoch = 0
@@ -176,6 +181,10 @@
             # What others ran under the leases between is not known here.
             self._memory = new_memory()
             self._epoch_by_row = {}
+            self._left = False
+            noted = self._take_over(self._name) if owned.lease_epoch > 1 else ()
+            self._noted_by_row = {record.row: record for record in noted}
+            self._noted_until = self._clock.monotonic() + NOTES_FOR_S
         if owned.lease_epoch != self._lease_epoch or owned.standby != self._standby:
             self._lease_epoch = owned.lease_epoch
             self._standby = owned.standby
@@ -188,11 +197,27 @@
         """Take what the coordinator of a row's earlier owner knew of its operations."""
         row = message.record.row
         known = self._epoch_by_row.get(row)
-        if known is None:
+        if known is None or message.lease_epoch >= self._lease_epoch:
             self._handed_by_row.setdefault(row, []).append(message)
-        elif known == message.row_epoch + 1:
+        elif (message.lease_epoch == 0 and known == message.row_epoch + 1) or (
+            message.lease_epoch == self._lease_epoch - 1 and known == message.row_epoch
+        ):
             self._handle(RowTaken(message.record))
 
+    def leave(self, epoch: int) -> list[tuple[int, RowRecord]]:
+        """Return all rows with their epochs for the coordinator under lease ``epoch``.
+
+        Nothing, if that is not the next lease, or they have been given before.
+        """
+        if epoch != self._lease_epoch + 1 or self._left:
+            return []
+        self._left = True
+        now = self._clock.monotonic()
+        return [
+            (row_epoch, row_record(self._memory, row, now))
+            for row, row_epoch in self._epoch_by_row.items()
+        ]
+
     def linked(self, standby: str, stream: Stream | None) -> None:
         """Take the way to the standby; ``None`` if there is none."""
         if standby != self._standby or stream is None or self._stream is not None:
@@ -238,15 +263,14 @@
         taken = owned.epoch_by_row.keys() - self._epoch_by_row.keys()
         if not taken:
             return
-        first_lease = owned.lease_epoch == 1
-        known = () if first_lease else self._take_over(self._name, tuple(taken))
-        record_by_row = {record.row: record for record in known}
+        if self._clock.monotonic() >= self._noted_until:
+            self._noted_by_row.clear()
         for row in taken:
             epoch = owned.epoch_by_row[row]
             self._epoch_by_row[row] = epoch
-            fresh = first_lease and epoch == 1
-            record = RowRecord(row, (), None if fresh else 0.0)
-            self._handle(RowTaken(record_by_row.get(row, record)))
+            fresh = owned.lease_epoch == 1 and epoch == 1
+            unknown = RowRecord(row, (), None if fresh else 0.0)
+            self._handle(RowTaken(self._noted_by_row.pop(row, unknown)))
             for message in self._handed_by_row.pop(row, []):
                 self.handed(message)
 
--- a/src/coltsfootstair/coordinator/_task.py
+++ b/src/coltsfootstair/coordinator/_task.py
@@ -75,6 +75,7 @@
     :param is_fresh: whether the document in force may still be relied on
     :param next_owner: tells the next or present owner of a service's row, and which other
         daemon coordinates it, if one does
+    :param next_lease: tells which other daemon coordinates a server, and the lease's epoch
     :param open_stream: opens an inner stream to a daemon by its name; may block
     """
 
@@ -86,12 +87,14 @@
         is_fresh: Callable[[], bool],
         open_stream: Callable[[str], Stream | None],
         next_owner: Callable[[str, int], tuple[str, str]],
+        next_lease: Callable[[str], tuple[str, int]],
     ) -> None:
         self._clock = clock
         self._executor = executor
         self._open_port = open_port
         self._open_stream = open_stream
         self._next_owner = next_owner
+        self._next_lease = next_lease
         self._runner = ExchangeRunner(clock, executor, self.tell, is_fresh)
         self._notes = NotesDesk(clock)
         self._mailbox: queue.SimpleQueue[CoordinatorEvent | None] = queue.SimpleQueue()
@@ -244,10 +247,28 @@
         service = self._server_by_name[backend_server].service.name
         self._executor.submit(self._hand_over, service, row_epoch, record)
 
+    def _leave(self, coordinated: CoordinatedServer) -> None:
+        """Give the next coordinator of a server what this one knows of its operations."""
+        name = coordinated.server.name
+        coordinator, epoch = self._next_lease(name)
+        rows = coordinated.keeper.leave(epoch) if coordinator else []
+        if rows:
+            self._executor.submit(self._give_rows, name, coordinator, epoch - 1, rows)
+
+    def _give_rows(
+        self, name: str, coordinator: str, epoch: int, rows: list[tuple[int, RowRecord]]
+    ) -> None:
+        stream = self._open_stream(coordinator)
+        if stream is None:
+            return
+        for row_epoch, record in rows:
+            for message in portions(name, row_epoch, epoch, record):
+                stream.send(message)
+
     def _hand_over(self, service: str, row_epoch: int, record: RowRecord) -> None:
         owner, coordinator = self._next_owner(service, record.row)
         stream = self._open_stream(coordinator) if coordinator else None
-        for message in portions(owner, row_epoch, record):
+        for message in portions(owner, row_epoch, 0, record):
             if stream is None:
                 self.tell(RowReceived(message))
             else:
@@ -348,6 +369,8 @@
     def _tick_all(self) -> None:
         for name, coordinated in list(self._server_by_name.items()):
             self._report_idle(coordinated)
+            if not coordinated.admission.may_act and not coordinated.exchange_by_id:
+                self._leave(coordinated)
             self._decide(name, Tick())
             coordinated.keeper.tick()
         self._notes.tick()
--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -81,6 +81,7 @@
             self.knowledge.may_give_new_work,
             self._open_stream,
             self._next_owner,
+            self._next_lease,
         )
         self.inbound = Inbound(clock, self.coordinator, self.pending)
         hello = Hello(PROTOCOL_VERSION, settings.name, settings.data_centre, self.incarnation)
@@ -243,6 +244,12 @@
         elsewhere = lease is not None and lease.coordinator != self.settings.name
         return owner, lease.coordinator if lease is not None and elsewhere else ''
 
+    def _next_lease(self, server: str) -> tuple[str, int]:
+        lease = self.router.lease(server)
+        if lease is None or lease.coordinator == self.settings.name:
+            return '', 0
+        return lease.coordinator, lease.epoch
+
     def _upload_services(self) -> frozenset[str]:
         return frozenset(
             service.name
--- a/src/coltsfootstair/inner/_notes.py
+++ b/src/coltsfootstair/inner/_notes.py
@@ -71,16 +71,18 @@
 
 
 class RowHanded(NamedTuple):
-    """What the coordinator of a row's earlier owner knew of its operations.
+    """What a row's earlier coordinator knew of its operations when it had stopped acting.
 
     Several messages may bring one row; the last has the true age of its gap.
 
-    :param backend_server: the row's next owner
-    :param row_epoch: the epoch of the row under its earlier owner
+    :param backend_server: the row's next, or still its present, owner
+    :param row_epoch: the epoch of the row at the sender
+    :param lease_epoch: the epoch of the sender's lease; 0 if the row has a new owner
     """
 
     backend_server: str
     row_epoch: int
+    lease_epoch: int
     record: RowRecord
 
 
--- a/src/coltsfootstair/operations/_standby.py
+++ b/src/coltsfootstair/operations/_standby.py
@@ -79,6 +79,11 @@
         if notes is not None:
             notes.by_id.pop(operation_id, None)
 
+    def copied_rows(self, coordinator: str) -> tuple[int, ...]:
+        """Return the rows of which ``coordinator`` has sent all that it knew."""
+        notes = self._by_coordinator.get(coordinator)
+        return () if notes is None else tuple(notes.gap_at_by_row)
+
     def take_over(
         self, coordinator: str, rows: tuple[int, ...], now: float, *, waived: bool
     ) -> tuple[RowRecord, ...]:
