--- a/tests/scenarios/operators.feature
+++ b/tests/scenarios/operators.feature
@@ -21,6 +21,13 @@
     And a daemon is killed and started again
     Then it has the document in force, and answers callers
 
+  Scenario: Daemons that were frozen and cut off do not act on the document they knew
+    When the daemons of south are frozen
+    And south is taken out while 1 uploads run
+    And they go on after 5 s, cut off from all others, with requests waiting for them
+    Then no work begins in south later than 3 s after that
+    And they learn the document when they are no longer cut off
+
   Scenario: Reports for scripts are clean
     When south is taken out while 1 uploads run
     Then the status is JSON that names every daemon and the version in force
--- a/tests/scenarios/test_operators.py
+++ b/tests/scenarios/test_operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import socket
 import threading
 import time
@@ -21,6 +22,7 @@
 scenarios('operators.feature')
 
 DAEMONS = {'d1': 'north', 'd2': 'north', 'd3': 'north', 'd4': 'south', 'd5': 'south'}
+NORTH, SOUTH = ['d1', 'd2', 'd3'], ['d4', 'd5']
 SERVERS = [
     ('scan-n', 'scans', 'north'),
     ('scan-s', 'scans', 'south'),
@@ -103,6 +105,10 @@
             number += 1
             self.system.get(list(DAEMONS)[number % 5], '/lookups/x', f'key-{number % 50}')
 
+    def signal(self, daemons: list[str], number: int) -> None:
+        for name in daemons:
+            self.system.process_by_name[name].signal(number)
+
     def work_in_south(self) -> list[dict[str, Any]]:
         names = [name for name, _, place in SERVERS if place == 'south']
         return [one for name in names for one in self.system.truth(name)['requests']]
@@ -219,6 +225,35 @@
     world.system.process_by_name['d3'].wait_ready()
 
 
+@when('the daemons of south are frozen')
+def freeze(world: World) -> None:
+    world.signal(SOUTH, signal.SIGSTOP)
+
+
+@when('they go on after 5 s, cut off from all others, with requests waiting for them')
+def thaw(world: World) -> None:
+    waiting = [
+        world.executor.submit(world.system.get, name, path, f'key-{number}')
+        for number in range(5)
+        for name in SOUTH
+        for path in ('/lookups/x', '/scans/x')
+    ]
+    world.stopping.wait(5)
+    world.system.fault('store', down=True)
+    world.signal(NORTH, signal.SIGSTOP)
+    world.signal(SOUTH, signal.SIGCONT)
+    codes = {one.result(30).headers['coltsfootstair-result'] for one in waiting}
+    assert codes <= {'300', '301', '302', '303', '304', '306', '308'}
+
+
+@then('they learn the document when they are no longer cut off')
+def learn_again(world: World) -> None:
+    world.system.fault('store', down=False)
+    world.signal(NORTH, signal.SIGCONT)
+    version = world.status()['version']
+    world.wait_in_force(list(DAEMONS), lambda seen: seen == version)
+
+
 @then('it has the document in force, and answers callers')
 def learnt(world: World) -> None:
     version = world.status('d1')['version']
