--- a/src/coltsfootstair/demo/_report.py
+++ b/src/coltsfootstair/demo/_report.py
@@ -22,7 +22,7 @@
     'latency_table',
     'ownership_table',
     'report',
-    'seconds_table',
+    'seconds_tables',
     'table',
     'verdict_table',
 ]
@@ -32,10 +32,9 @@
 
 def report(observed: Observed, verdicts: Sequence[Verdict]) -> str:
     """Return all tables of a run."""
-    services = frozenset(sample.service for sample in observed.samples)
     return '\n'.join(
         [
-            seconds_table(observed, services),
+            seconds_tables(observed),
             latency_table(observed),
             ownership_table(observed),
             verdict_table(verdicts),
@@ -96,17 +95,23 @@
         )
         for service in sorted({sample.service for sample in observed.samples})
     ]
-    heads = ('service', 'answered', 'refused', 'lost', 'p50 ms', 'p99 ms', 'p99.9 ms')
+    heads = ('service', 'answered', 'refused', 'failed', 'p50 ms', 'p99 ms', 'p99.9 ms')
     return table('Latency over the whole run', heads, rows)
 
 
-def seconds_table(observed: Observed, services: frozenset[str]) -> str:
-    """Return how requests were answered second by second."""
+def seconds_tables(observed: Observed) -> str:
+    """Return how requests were answered second by second; uploads on their own."""
+    services = frozenset(sample.service for sample in observed.samples)
+    groups = (services - observed.uploads, services & observed.uploads)
+    return '\n'.join(_seconds_table(observed, group) for group in groups if group)
+
+
+def _seconds_table(observed: Observed, services: frozenset[str]) -> str:
     rows = [
         (each.number, *_latency_cells(each.latency)[:5], each.title)
         for each in seconds(observed, services)
     ]
-    heads = ('second', 'answered', 'refused', 'lost', 'p50 ms', 'p99 ms', 'what was done')
+    heads = ('second', 'answered', 'refused', 'failed', 'p50 ms', 'p99 ms', 'what was done')
     return table(f'Service second by second: {", ".join(sorted(services))}', heads, rows)
 
 
@@ -132,4 +137,4 @@
 def _latency_cells(measured: Latency) -> tuple[object, ...]:
     times = (measured.p50_ms, measured.p99_ms, measured.p999_ms)
     shown = [f'{each:.1f}' if measured.answered else '-' for each in times]
-    return (measured.answered, measured.refused, measured.lost, *shown)
+    return (measured.answered, measured.refused, measured.failed, *shown)
--- a/src/coltsfootstair/leases/_record.py
+++ b/src/coltsfootstair/leases/_record.py
@@ -18,7 +18,8 @@
     """Which daemon coordinates a backend server, and which one may replace it.
 
     :param coordinator: the daemon that coordinates
-    :param incarnation: the process of the coordinator that holds the lease
+    :param incarnation: the process of the coordinator that holds the lease; that of a
+        later process of the same daemon sorts after it
     :param standby: the daemon that may replace it, or an empty string
     :param standby_incarnation: the process of the standby that may do so
     :param epoch: rises with each change of the coordinator
