Restart a daemon that is neither coordinator nor standby of the key

Cause: with the store down, a coordinator whose standby is lost may not act either, since then nothing confirms its lease; the scenario restarted that standby in one run. Ruled out: addresses of peers, which the restarted daemon had learnt.

--- a/tests/scenarios/test_operators.py
+++ b/tests/scenarios/test_operators.py
@@ -13,6 +13,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from coltsfootstair.leases import decode_record, record_key
 from tests.scenarios.processes import System, call, document_text, wait_until
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
         self.out_at = 0.0
         self.back_at = 0.0
         self.restarted = ''
+        self.key_depends_on: set[str] = set()
 
     def text(self, slots: int = 4) -> str:
         servers = [
@@ -216,17 +218,19 @@
 
 @when('the store goes down')
 def store_down(world: World) -> None:
+    owner = world.system.get('d1', '/lookups/x', 'k').headers['served-by']
+    stored = call(world.system.store, 'GET', f'/objects/{record_key(owner)}')
+    record = decode_record(stored.body)
+    assert record.standby
+    world.key_depends_on = {record.coordinator, record.standby}
     world.system.fault('store', down=True)
 
 
 @when('a daemon is killed and started again')
 def restart(world: World) -> None:
-    # Nobody may replace a lost coordinator while the store is down, so the daemon that is
-    # restarted is one that the key does not depend on.
-    owner = world.system.get('d1', '/lookups/x', 'k').headers['served-by']
-    servers = {one['name']: one for one in world.status()['backend_servers']}
-    names = [name for name in DAEMONS if name != servers[owner]['coordinator']]
-    world.restarted = names[-1]
+    # While the store is down nobody may replace a lost coordinator or a lost standby, so
+    # the daemon that is restarted is one that the key does not depend on.
+    world.restarted = next(name for name in DAEMONS if name not in world.key_depends_on)
     world.system.process_by_name[world.restarted].stop()
     world.system.restart_daemon(world.restarted)
     world.system.process_by_name[world.restarted].wait_ready()
