--- a/src/coltsfootstair/daemon/_ownership.py
+++ b/src/coltsfootstair/daemon/_ownership.py
@@ -158,16 +158,16 @@
     def _tick(self) -> None:
         document = self._parts.router.document
         self._known_by_name.update({s.name: s for s in document.backend_servers})
+        self._leases.tick(self._known_by_name.values())
+        self._finish_hand_overs()
+        for name, keeper in list(self._keeper_by_server.items()):
+            self._tick_server(name, keeper)
         lost_here = frozenset(
             name for name, keeper in self._keeper_by_server.items() if keeper.is_lost()
         )
         if lost_here != self._leases.lost_here:
             logger.info('backend servers lost', servers=sorted(lost_here))
         self._leases.lost_here = lost_here
-        self._leases.tick(self._known_by_name.values())
-        self._finish_hand_overs()
-        for name, keeper in list(self._keeper_by_server.items()):
-            self._tick_server(name, keeper)
         peers = self._leases.peers()
         lost = self._leases.lost_servers()
         self._planning.tick(document, peers, lost, self._leases.lost_here)
--- a/src/coltsfootstair/daemon/_planning.py
+++ b/src/coltsfootstair/daemon/_planning.py
@@ -156,9 +156,13 @@
         usable = frozenset(usable_servers(document, service)) - lost
         if service in self._writing or not usable:
             return
-        if table is None:
-            shards = initial_assignment(service, usable)
-            self._submit(service, [(shard, 0) for shard in shards])
+        first = [
+            (shard, 0)
+            for shard in initial_assignment(service, usable)
+            if table is None or not table.shard(shard.number)[1]
+        ]
+        if first or table is None:
+            self._submit(service, first)
             return
         load = Load(self._rate_by_row.get(service, {}), self._rate_by_key.get(service, {}))
         changes = plan(table, usable, load, balance=balance)
@@ -178,15 +182,16 @@
         self._parts.executor.submit(self._write, service, writes)
 
     def _write(self, service: str, writes: list[tuple[Shard, int]]) -> None:
-        try:
-            for shard, expected in writes:
-                key, value = shard_key(service, shard.number), encode_shard(shard)
-                version = self._parts.store.put(key, value, expected=expected)
-                self._parts.replica.apply([Versioned(key, version, value)])
-        except (StoreConflictError, StoreUnavailableError) as error:
-            logger.info('marking put off', service=service, why=str(error))
-        finally:
-            self._parts.post(lambda: self._writing.discard(service))
+        for shard, expected in writes:
+            try:
+                self._put(shard_key(service, shard.number), encode_shard(shard), expected)
+            except (StoreConflictError, StoreUnavailableError) as error:
+                logger.info('marking put off', service=service, why=str(error))
+        self._parts.post(lambda: self._writing.discard(service))
+
+    def _put(self, key: str, value: bytes, expected: int) -> None:
+        version = self._parts.store.put(key, value, expected=expected)
+        self._parts.replica.apply([Versioned(key, version, value)])
 
     def _forget_idle(self) -> None:
         for rates in self._rate_by_row.values():
--- a/src/coltsfootstair/membership/_detector.py
+++ b/src/coltsfootstair/membership/_detector.py
@@ -32,6 +32,9 @@
 FAST_HEARTBEAT_S = 0.1
 """Between daemons that share a lease, in seconds."""
 
+PAUSE_S = 0.2
+"""Time between two ticks from which this process counts as paused, in seconds."""
+
 SLOW_HEARTBEAT_S = 1.0
 """Between other daemons, in seconds."""
 
@@ -110,13 +113,16 @@
     peer_by_name: Mapping[str, Peer] = {}
     close: frozenset[str] = frozenset()
     listed_at: float = -math.inf
+    ticked_at: float = math.inf
 
 
 def handle(members: Members, event: Event, now: float) -> Members:
     """Take one event in and return the new state."""
     match event:
         case Tick(close):
-            return _named(members, close, now)
+            if now - members.ticked_at >= PAUSE_S:
+                members = _resumed(members)
+            return _named(members, close, now)._replace(ticked_at=now)
         case Spoken(name):
             return _spoken(members, name, now)
         case Refused(name):
@@ -127,6 +133,15 @@
             return _listed(members, asked_at, vms, now)
 
 
+def _resumed(members: Members) -> Members:
+    """Give every peer the time to answer anew: this process itself was paused."""
+    peers = {
+        name: peer._replace(unanswered_since=math.inf)
+        for name, peer in members.peer_by_name.items()
+    }
+    return members._replace(peer_by_name=peers)
+
+
 def _named(members: Members, close: frozenset[str], now: float) -> Members:
     """Take in who shares a lease; one never heard of may have ended before this start."""
     new = close - members.peer_by_name.keys() - {members.me}
--- a/src/coltsfootstair/ownership/_moves.py
+++ b/src/coltsfootstair/ownership/_moves.py
@@ -58,6 +58,9 @@
 SERVER_LOST_S = 0.7
 """Silence after which a backend server is taken to be lost, in seconds."""
 
+PAUSE_S = 0.2
+"""Time between two ticks from which this process counts as paused, in seconds."""
+
 REFUSED_LOST_S = 0.25
 """The same for one that can not be connected to, in seconds."""
 
@@ -108,6 +111,7 @@
     :param answered_at: when the server was last heard from
     :param asked_at: when the server was last sent a probe or an order
     :param refused: whether the last call could not connect
+    :param ticked_at: when time was last told to have passed
     :param asking: whether a probe or an order is under way
     """
 
@@ -126,6 +130,7 @@
     read_at: Mapping[int, float] = {}
     answered_at: float = -math.inf
     asked_at: float = -math.inf
+    ticked_at: float = math.inf
     asking: bool = False
     refused: bool = False
     admitted: RowsAdmitted | None = None
@@ -162,7 +167,10 @@
 def _take(owned: OwnedRows, event: RowsEvent, now: float) -> OwnedRows:
     match event:
         case RowsTick(rights_until):
-            return owned._replace(rights_until=rights_until)
+            if now - owned.ticked_at >= PAUSE_S:
+                # What this process missed while it was paused says nothing of the server.
+                owned = owned._replace(answered_at=now)
+            return owned._replace(rights_until=rights_until, ticked_at=now)
         case ShardSeen():
             return _take_shard(owned, event, now)
         case ShardConflicted(number) | ShardUnknown(number):
