Hand a lease over only while the store is seen to answer

A coordinator gives up its rights before it writes its successor down. With the store just gone it held the keys unserved until the store was back.

--- a/src/coltsfootstair/daemon/_lease_keeper.py
+++ b/src/coltsfootstair/daemon/_lease_keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable
 from concurrent.futures import Executor
@@ -14,6 +15,7 @@
 from coltsfootstair.inner import Hub
 from coltsfootstair.inner._heartbeats import Heartbeat, HeartbeatReply
 from coltsfootstair.leases import (
+    STORE_FRESH_S,
     Candidate,
     Lease,
     LeaseRecord,
@@ -88,6 +90,7 @@
         self._asks_by_peer: dict[str, list[tuple[str, int, bytes]]] = defaultdict(list)
         self._connecting: set[str] = set()
         self._home_since: dict[str, float] = {}
+        self._read_at: dict[str, float] = {}
         self._lost_by_peer: dict[str, frozenset[str]] = {}
         self.lost_here: frozenset[str] = frozenset()
         self.leaving = False
@@ -123,7 +126,7 @@
         }
         for name in self._lease_by_server:
             self.take(name, lm.Tick(peers))
-            self._send_home(name)
+            self._give_away(name)
         self._send_heartbeats()
 
     def take(self, server: str, event: lm.Event) -> None:
@@ -176,23 +179,9 @@
                 server, lm.Confirmed(reply.name, reply.incarnation, version, reply.sent_at)
             )
 
-    def hand_over_all(self) -> None:
-        """Give every lease that this daemon acts on to another daemon."""
+    def leave(self) -> None:
+        """Take on nothing more, and give every lease to another daemon."""
         self.leaving = True
-        peers = self.peers()
-        for server in self.acting():
-            self.take(server, lm.Tick(peers))
-            self._hand_over(server, self._successor(server))
-
-    def _successor(self, server: str) -> Candidate | None:
-        lease = self._lease_by_server[server]
-        record = lease.record
-        standby = None if record is None else lease.peers.alive_by_name.get(record.standby)
-        return home_candidate(lease) or standby
-
-    def _hand_over(self, server: str, successor: Candidate | None) -> None:
-        if successor is not None:
-            self.take(server, lm.HandOver(successor))
 
     def _begin(self, server: BackendServer) -> None:
         lease = Lease(server.name, server.data_centre, self._parts.me)
@@ -210,17 +199,31 @@
                 names.add(lease.record.coordinator)
         return names - {''}
 
-    def _send_home(self, server: str) -> None:
-        """Hand a lease back to the server's own data centre once it has daemons again."""
+    def _give_away(self, server: str) -> None:
+        """Hand a lease over that another daemon is to have; the store must be seen up."""
         lease = self._lease_by_server[server]
-        home = home_candidate(lease)
-        away = lease.me.data_centre != lease.data_centre
-        if not lease.acting_epoch or not away or home is None:
-            self._home_since.pop(server, None)
+        successor = self._successor(lease)
+        if successor is None or not lease.acting_epoch or lease.successor is not None:
+            return
+        if self._now() - lease.read_at > STORE_FRESH_S:
+            if self._now() - self._read_at.get(server, -math.inf) >= STORE_FRESH_S:
+                self._read_at[server] = self._now()
+                self._parts.executor.submit(self._read, server, self._now())
             return
-        since = self._home_since.setdefault(server, self._now())
-        if self._now() - since >= HOME_AFTER_S:
-            self._hand_over(server, home)
+        self.take(server, lm.HandOver(successor))
+
+    def _successor(self, lease: Lease) -> Candidate | None:
+        """Return who is to have the lease in this daemon's place, if anyone."""
+        home = home_candidate(lease)
+        if self.leaving:
+            record = lease.record
+            standby = None if record is None else lease.peers.alive_by_name.get(record.standby)
+            return home or standby
+        if home is None or lease.me.data_centre == lease.data_centre:
+            self._home_since.pop(lease.backend_server, None)
+            return None
+        since = self._home_since.setdefault(lease.backend_server, self._now())
+        return home if self._now() - since >= HOME_AFTER_S else None
 
     def _perform(self, server: str, effect: lm.Effect) -> None:
         match effect:
--- a/src/coltsfootstair/daemon/_ownership.py
+++ b/src/coltsfootstair/daemon/_ownership.py
@@ -26,7 +26,7 @@
 from coltsfootstair.document import BackendServer
 from coltsfootstair.inner import Hub
 from coltsfootstair.inner._heartbeats import Heartbeat, HeartbeatReply, LoadTold
-from coltsfootstair.leases import LEASE_PREFIX, Candidate, rights_until
+from coltsfootstair.leases import LEASE_PREFIX, Candidate, is_coordinator, rights_until
 from coltsfootstair.leases import _messages as lm
 from coltsfootstair.routing import Router
 from coltsfootstair.store import Replica, Store
@@ -115,12 +115,12 @@
 
     def hand_over(self) -> None:
         """Give all leases to other daemons; waits until that is known, or for a while."""
-        self.post(self._leases.hand_over_all)
+        self.post(self._leases.leave)
         give_up = self._parts.clock.monotonic() + HAND_OVER_TIMEOUT_S
         pause = threading.Event()
         while self._parts.clock.monotonic() < give_up:
             pause.wait(HAND_OVER_POLL_S)
-            if self._leases.leaving and not self._handing_over():
+            if not self._holds_any():
                 return
 
     def stop(self) -> None:
@@ -193,10 +193,9 @@
             if ended is None or not ended.writes:
                 self._leases.take(name, lm.Stopped())
 
-    def _handing_over(self) -> bool:
-        names = list(self._known_by_name)
-        leases = [self._leases.lease(name) for name in names]
-        return any(item is not None and item.successor is not None for item in leases)
+    def _holds_any(self) -> bool:
+        leases = [self._leases.lease(name) for name in list(self._known_by_name)]
+        return any(item is not None and is_coordinator(item) for item in leases)
 
     def _gained(self, name: str, epoch: int) -> None:
         server = self._known_by_name[name]
--- a/src/coltsfootstair/leases/__init__.py
+++ b/src/coltsfootstair/leases/__init__.py
@@ -15,6 +15,7 @@
 from coltsfootstair.leases._state import (
     HEARTBEAT_S,
     LEASE_S,
+    STORE_FRESH_S,
     SUSPECT_S,
     TAKEOVER_WAIT_S,
     Lease,
@@ -28,6 +29,7 @@
     'HEARTBEAT_S',
     'LEASE_PREFIX',
     'LEASE_S',
+    'STORE_FRESH_S',
     'SUSPECT_S',
     'TAKEOVER_WAIT_S',
     'Candidate',
--- a/src/coltsfootstair/leases/_decide.py
+++ b/src/coltsfootstair/leases/_decide.py
@@ -158,7 +158,9 @@
 
 
 def _begin_hand_over(lease: Lease, order: HandOver, now: float) -> Lease:
-    if not may_act(lease, now) or lease.pending is not None:
+    # Without the store the lease could neither be given away nor kept.
+    fresh = now - lease.read_at <= STORE_FRESH_S
+    if not may_act(lease, now) or lease.pending is not None or not fresh:
         return lease
     return lease._replace(successor=order.successor, stopped=False)
 
