Show owners as ranges, standbys by server, and who owned a key at a time

The status listed each row of each table on its own line. It now gives one entry for each owner, and the console answers who owned a key at a moment.

The store's feed tried again without a pause while the first read failed (about 200 times a second in a scenario with the store down); it now waits between tries.

--- a/src/coltsfootstair/cli/_report.py
+++ b/src/coltsfootstair/cli/_report.py
@@ -7,20 +7,21 @@
 
 __all__ = ['print_status', 'print_timeline']
 
-_DAEMON = ('name', 'data_centre', 'state', 'version', 'document_age_s', 'standby')
+_DAEMON = ('name', 'data_centre', 'state', 'version', 'document_age_s')
 _SERVER = (
     'name',
     'service',
     'data_centre',
     'state',
     'coordinator',
+    'standby',
     'phase',
     'in_flight',
     'waiting',
     'limit',
     'slots',
 )
-_OWNER = ('service', 'first', 'last', 'server', 'token', 'next_server')
+_OWNER = ('service', 'server', 'row_count', 'next_server')
 
 
 def print_status(report: dict[str, Any]) -> None:
--- a/src/coltsfootstair/daemon/_operators.py
+++ b/src/coltsfootstair/daemon/_operators.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from coltsfootstair.coordinator import ServerLoad
 from coltsfootstair.daemon._reports import STATUS, TIMELINE
 from coltsfootstair.document import State, dangers, effective_servers, parse
 from coltsfootstair.errors import StoreUnavailableError
@@ -24,18 +25,20 @@
 )
 from coltsfootstair.ownership import token_of
 from coltsfootstair.results import title
-from coltsfootstair.timeline import EventName, TimelineEvent, merge
+from coltsfootstair.timeline import EventName, TimelineEvent, format_rows, merge
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from coltsfootstair.coordinator import ServerLoad
     from coltsfootstair.daemon._application import Daemon
     from coltsfootstair.document import BackendServer
     from coltsfootstair.operators import ApplyResult
 
 __all__ = ['DaemonReport', 'OperatorsAdapter']
 
+UNREPORTED = ServerLoad('unknown', 0, 0, 0)
+"""Stands for the load of a server whose coordinator gave no report."""
+
 
 class DaemonReport(NamedTuple):
     """What one daemon says of itself and of the backend servers that it coordinates."""
@@ -128,7 +131,7 @@
         router = self._daemon.router
         loads = self._daemon.coordinator.loads()
         servers = tuple(
-            _server_status(server, self._daemon.settings.name, loads[server.name])
+            self._server_status(server, loads[server.name])
             for server in effective_servers(router.document)
             if server.name in loads and self._coordinates(server.name)
         )
@@ -153,7 +156,6 @@
             daemon.router.document_version,
             -1.0 if age_s == float('inf') else age_s,
             daemon.store_feed.reachable,
-            '',
             refusals,
         )
 
@@ -172,21 +174,24 @@
         reported = {one.name: one for report in reports for one in report.backend_servers}
         router = self._daemon.router
         return [
-            reported.get(server.name) or self._unreported(server)
+            reported.get(server.name) or self._server_status(server, UNREPORTED)
             for server in effective_servers(router.document)
         ]
 
-    def _unreported(self, server: BackendServer) -> ServerStatus:
+    def _server_status(self, server: BackendServer, load: ServerLoad) -> ServerStatus:
         lease = self._daemon.router.lease(server.name)
-        coordinator = lease.coordinator if lease is not None else ''
         return ServerStatus(
             server.name,
             server.service,
             server.data_centre,
             server.state.value,
-            coordinator,
-            phase='unknown',
-            slots=server.slots,
+            lease.coordinator if lease is not None else '',
+            lease.standby if lease is not None else '',
+            load.phase,
+            load.in_flight,
+            load.waiting,
+            load.limit,
+            server.slots,
         )
 
     def _owners(self) -> Iterable[OwnerStatus]:
@@ -194,12 +199,12 @@
             table = self._daemon.router.table(service.name)
             if table is None:
                 continue
-            for number, row in sorted(table.rows_by_number().items()):
-                lease = self._daemon.router.lease(row.owner)
-                token = token_of(row.epoch, lease.epoch if lease is not None else 0)
-                yield OwnerStatus(
-                    service.name, number, number, row.owner, token, row.next_owner
-                )
+            rows_by_owner: dict[tuple[str, str], list[int]] = {}
+            for number, row in table.rows_by_number().items():
+                rows_by_owner.setdefault((row.owner, row.next_owner), []).append(number)
+            for (owner, next_owner), rows in sorted(rows_by_owner.items()):
+                text = format_rows(rows)
+                yield OwnerStatus(service.name, owner, text, len(rows), next_owner)
 
     def _load(self) -> Mapping[str, float]:
         in_use: dict[str, float] = {}
@@ -218,18 +223,3 @@
         elif not isinstance(result, Applied):
             self._daemon.timeline.record(EventName.DOCUMENT_REFUSED, reason=str(result))
         return result
-
-
-def _server_status(server: BackendServer, coordinator: str, load: ServerLoad) -> ServerStatus:
-    return ServerStatus(
-        server.name,
-        server.service,
-        server.data_centre,
-        server.state.value,
-        coordinator,
-        load.phase,
-        load.in_flight,
-        load.waiting,
-        load.limit,
-        server.slots,
-    )
--- a/src/coltsfootstair/news/_store_feed.py
+++ b/src/coltsfootstair/news/_store_feed.py
@@ -70,8 +70,6 @@
             try:
                 self._step()
                 self._set_reachable(True)
-            except RevisionTooOldError:
-                self._scan()
             except StoreUnavailableError as error:
                 self._set_reachable(False, str(error))
                 self._stopping.wait(RETRY_S)
@@ -89,17 +87,17 @@
             return
         asked_at = self._clock.monotonic()
         after = self._knowledge.revision
-        objects, revision = self._store.watch('', after, WATCH_TIMEOUT_S)
+        try:
+            objects, revision = self._store.watch('', after, WATCH_TIMEOUT_S)
+        except RevisionTooOldError:
+            self._scan()
+            return
         self._knowledge.store_said(objects, revision, asked_at)
         self._first.set()
 
     def _scan(self) -> None:
         asked_at = self._clock.monotonic()
-        try:
-            objects, revision = self._store.scan('')
-        except StoreUnavailableError as error:
-            self._set_reachable(False, str(error))
-            return
+        objects, revision = self._store.scan('')
         self._knowledge.store_said(objects, revision, asked_at)
         self._first.set()
 
--- a/src/coltsfootstair/operators/_console.py
+++ b/src/coltsfootstair/operators/_console.py
@@ -19,6 +19,7 @@
 from coltsfootstair.operators._guard import TOKEN_FIELD, FormGuard
 from coltsfootstair.operators._http import HttpError, Request, Response
 from coltsfootstair.operators._outcome import result_page
+from coltsfootstair.operators._ownership_page import owners_page
 from coltsfootstair.operators._pages import page, style
 from coltsfootstair.timeline import EventName, TimelineEvent
 
@@ -71,7 +72,7 @@
             case '/change':
                 return self._review_change(query, token)
             case '/owners':
-                return self._owners(query)
+                return owners_page(self._port, self._document()[0], query)
             case '/refusals':
                 return self._refusals(query)
             case '/timeline':
@@ -123,19 +124,6 @@
             return result_page(self._port.set_data_centre(name, state, force), token)
         return result_page(self._port.set_backend_server(name, state, force), token)
 
-    def _owners(self, query: dict[str, str]) -> Response:
-        service, key = query.get('service', ''), query.get('key', '')
-        found = self._port.owner_of(service, key) if service and key else None
-        document, _ = self._document()
-        return page(
-            'owners',
-            report=self._port.status(),
-            services=[one.name for one in document.services if one.divided_by_key],
-            service=service,
-            key=key,
-            found=found,
-        )
-
     def _refusals(self, query: dict[str, str]) -> Response:
         events = self._events(query)
         refusals = [event for event in events if event.name in _OF_REQUESTS]
--- /dev/null
+++ b/src/coltsfootstair/operators/_ownership_page.py
@@ -0,0 +1,60 @@
+"""The console's page about who owns a key, now and earlier."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING
+
+from coltsfootstair.operators._pages import page
+from coltsfootstair.timeline import HybridTime, TimelineEvent, events_of_row, owner_at
+
+if TYPE_CHECKING:
+    from coltsfootstair.document import Document
+    from coltsfootstair.operators._http import Response
+    from coltsfootstair.operators._ports import DaemonPort
+    from coltsfootstair.operators._types import OwnerReport
+
+__all__ = ['owners_page']
+
+BAD_TIME = 'must be a time in UTC such as 2026-01-31T12:00:00.250'
+
+
+def owners_page(port: DaemonPort, document: Document, query: dict[str, str]) -> Response:
+    """Show the owner of a key, the changes of its row, and all owners."""
+    service, key, at = (query.get(name, '') for name in ('service', 'key', 'at'))
+    found = port.owner_of(service, key) if service and key else None
+    events = events_of_row(port.timeline(), service, found.row) if found else []
+    moment = _moment(at)
+    return page(
+        'owners',
+        report=port.status(),
+        services=[one.name for one in document.services if one.divided_by_key],
+        service=service,
+        key=key,
+        at=at,
+        fault=BAD_TIME if at and moment is None else '',
+        found=found,
+        then=_owner_then(events, found, moment),
+        events=events,
+    )
+
+
+def _owner_then(
+    events: Sequence[TimelineEvent], found: OwnerReport | None, moment: HybridTime | None
+) -> str:
+    if found is None or moment is None:
+        return ''
+    owner = owner_at(events, found.service, found.row, moment)
+    if owner is None:
+        return 'It is not remembered who owned it then.'
+    return f'{owner} owned it then.' if owner else 'No backend server owned it then.'
+
+
+def _moment(text: str) -> HybridTime | None:
+    """Return the last stamp of a moment given as the time line shows it."""
+    try:
+        moment = datetime.fromisoformat(text.partition('Z')[0])
+    except ValueError:
+        return None
+    return HybridTime(int(moment.replace(tzinfo=UTC).timestamp() * 1000) + 1, 0)
--- a/src/coltsfootstair/operators/_types.py
+++ b/src/coltsfootstair/operators/_types.py
@@ -45,7 +45,6 @@
 
     :param version: the version of the document in force there; 0 if none is
     :param document_age_s: seconds since that version was known to be the newest, or -1
-    :param standby: the daemon that may replace it
     """
 
     name: str
@@ -55,7 +54,6 @@
     version: int = 0
     document_age_s: float = -1.0
     store_reachable: bool = False
-    standby: str = ''
     refusals: tuple[RefusalCount, ...] = ()
 
 
@@ -63,6 +61,7 @@
     """One backend server, as its coordinator sees it.
 
     :param state: ``in`` or ``out`` by the document, with its data centre counted in
+    :param standby: the daemon that may replace its coordinator
     :param phase: what its coordinator makes of it, such as ``cold``
     :param limit: requests that it is given at once at present
     """
@@ -72,6 +71,7 @@
     data_centre: str
     state: str
     coordinator: str = ''
+    standby: str = ''
     phase: str = ''
     in_flight: int = 0
     waiting: int = 0
@@ -80,16 +80,16 @@
 
 
 class OwnerStatus(NamedTuple):
-    """The backend server that owns the rows ``first`` to ``last`` of a service's table.
+    """The rows of a service's table that one backend server owns.
 
+    :param rows: their numbers, as ranges
     :param next_server: where the rows are moving; empty if they stay
     """
 
     service: str
-    first: int
-    last: int
     server: str
-    token: int
+    rows: str
+    row_count: int
     next_server: str = ''
 
 
--- a/src/coltsfootstair/timeline/_merge.py
+++ b/src/coltsfootstair/timeline/_merge.py
@@ -13,9 +13,13 @@
 
     from coltsfootstair.timeline._clock import HybridTime
 
-__all__ = ['merge', 'owner_at', 'refusal_of']
+__all__ = ['events_of_row', 'merge', 'owner_at']
 
-_REFUSALS = (EventName.REQUEST_REFUSED, EventName.REQUEST_BROKEN)
+_OF_ROWS = (
+    EventName.OWNER_ASSIGNED,
+    EventName.OWNER_MOVING,
+    EventName.OWNER_RELEASED,
+)
 
 
 def merge(by_daemon: Iterable[Sequence[TimelineEvent]]) -> list[TimelineEvent]:
@@ -51,17 +55,15 @@
     return owner
 
 
-def refusal_of(events: Iterable[TimelineEvent], request_id: str) -> list[TimelineEvent]:
-    """Return what the daemons noted about a request that got no whole answer."""
-    return [
-        event
-        for event in events
-        if event.name in _REFUSALS and event.fields.get('request_id') == request_id
-    ]
+def events_of_row(
+    events: Iterable[TimelineEvent], service: str, row: int
+) -> list[TimelineEvent]:
+    """Return the changes of the owner of a row."""
+    return [event for event in events if _covers(event, service, row)]
 
 
 def _covers(event: TimelineEvent, service: str, slot: int) -> bool:
-    if event.name not in (EventName.OWNER_ASSIGNED, EventName.OWNER_RELEASED):
+    if event.name not in _OF_ROWS:
         return False
     fields = event.fields
     return fields['service'] == service and has_row(str(fields['rows']), slot)
--- a/tests/operators/test_console.py
+++ b/tests/operators/test_console.py
@@ -17,6 +17,7 @@
     from syrupy.assertion import SnapshotAssertion
 
 PAGES = ['/', '/document', '/owners?service=slots&key=k', '/refusals', '/timeline?word=north']
+OLD = ('2025-01-01T00:00:00', 'not remembered')
 REVIEW = '/change?entry=data-centre&state=out&name=south'
 
 
@@ -220,8 +221,14 @@
     user.open('/owners')
     user.fill('Service', 'slots')
     user.fill('Key', '<i>')
+    user.fill('Time, for its owner then', 'noon')
     user.press('Show its owner')
     assert 'row 5 is assigned' in user.page.get_text()
+    assert 'must be a time in UTC' in user.fault_beside('Time, for its owner then')
+    for time, then in (('2026-01-01T00:16:40.000Z+1', 'slots-2 owned it then'), OLD):
+        user.fill('Time, for its owner then', time)
+        user.press('Show its owner')
+        assert then in user.page.get_text()
     user.open('/refusals')
     user.fill('Request id, service, key or other word', 'r-1')
     user.press('Show')
