--- a/bench/_processes.py
+++ b/bench/_processes.py
@@ -97,6 +97,15 @@
         """Return the callers' addresses of the daemons."""
         return [self._ready_by_name[each.name]['callers'] for each in self.plan.daemons]
 
+    def address(self, name: str) -> str:
+        """Return the address of a stand-in."""
+        return self._ready_by_name[name]['address']
+
+    def coordinator(self, server: str) -> str:
+        """Return the name of the daemon that coordinates a backend server."""
+        servers = self._operators().status()['backend_servers']
+        return next(str(s['coordinator']) for s in servers if s['name'] == server)
+
     def set_data_centre(self, name: str, state: State) -> None:
         """Take a data centre out or bring it back, as operators do."""
         result = self._operators().set_data_centre(name, state, force=False)
--- a/src/coltsfootstair/load/_caller.py
+++ b/src/coltsfootstair/load/_caller.py
@@ -130,15 +130,16 @@
 def _answer(response: http.client.HTTPResponse, body: bytes) -> Answer:
     result = int(response.getheader('Coltsfootstair-Result') or NO_RESULT)
     request_id = response.getheader('Coltsfootstair-Request-Id') or ''
+    served_by = response.getheader('Served-By') or ''
     if result != ANSWERED:
-        return Answer(Outcome.REFUSED, result, _ran(body), request_id)
+        return Answer(Outcome.REFUSED, result, _ran(body), request_id, served_by)
     failed = response.status >= HTTPStatus.BAD_REQUEST
     return Answer(
         Outcome.FAILED if failed else Outcome.WHOLE,
         result,
         '',
         request_id,
-        response.getheader('Served-By') or '',
+        served_by,
         response.getheader('Coltsfootstair-Key') or '',
         body,
     )
