--- a/src/coltsfootstair/coordinator/_messages.py
+++ b/src/coltsfootstair/coordinator/_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from coltsfootstair.admission._messages import Observed, Outcome
@@ -15,6 +17,7 @@
     'RightsGiven',
     'RightsTaken',
     'RowsGranted',
+    'ServerLoad',
     'ServerObserved',
     'SubmitExchange',
 ]
@@ -58,12 +61,16 @@
     """The rows that the server holds for certain until ``valid_until``.
 
     :param token_by_row: the fencing token of each row
+    :param stopping: rows that are to be reported once nothing runs for them
+    :param hot_row_by_key: keys that are admitted under their own rows only
     :param valid_until: local monotonic seconds
     """
 
     backend_server: str
-    token_by_row: dict[int, int]
-    valid_until: float
+    token_by_row: Mapping[int, int] = {}
+    stopping: frozenset[int] = frozenset()
+    hot_row_by_key: Mapping[str, int] = {}
+    valid_until: float = -math.inf
 
 
 class ServerObserved(NamedTuple):
@@ -73,6 +80,20 @@
     observed: Observed
 
 
+class ServerLoad(NamedTuple):
+    """What a server is given at present.
+
+    :param phase: what its coordinator makes of it, for people
+    :param in_flight: requests that may be running there
+    :param limit: requests that may run there at once at present
+    """
+
+    phase: str
+    in_flight: int
+    waiting: int
+    limit: int
+
+
 CoordinatorEvent = (
     SubmitExchange
     | CancelExchange
--- a/src/coltsfootstair/demo/_judge.py
+++ b/src/coltsfootstair/demo/_judge.py
@@ -139,7 +139,7 @@
 def _whole_answers(observed: Observed) -> Iterator[_Finding]:
     for sample in observed.samples:
         match sample.outcome:
-            case Outcome.WHOLE:
+            case Outcome.WHOLE | Outcome.FAILED:
                 wrong = False
             case Outcome.REFUSED:
                 wrong = sample.ran not in ('no', 'unknown')
@@ -205,7 +205,8 @@
 
 def _span(watched: Watched, request: RequestTruth, ended_at: float) -> Span:
     end = ended_at if request['end'] is None else request['end']
-    return Span(request['start'], end, watched.server.name, request['token'] or 0)
+    start = request['start']
+    return Span(start, max(start, end), watched.server.name, request['token'] or 0)
 
 
 _CHECKS: dict[Promise, _Check] = {
--- a/src/coltsfootstair/entry/_server.py
+++ b/src/coltsfootstair/entry/_server.py
@@ -11,17 +11,21 @@
 import threading
 import urllib.parse
 import uuid
+from functools import partial
+from http.client import responses
 from typing import TYPE_CHECKING, Any
 
 import structlog
 from cheroot import wsgi
 
+from coltsfootstair.entry._body import BODY_KEY, CallerBody, CallerGateway
 from coltsfootstair.entry._relay import AnswerCutError, CallerRequest
 from coltsfootstair.results import Ran, Refusal, ResultCode, http_status, title
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
+    from coltsfootstair.clock import Clock
     from coltsfootstair.entry._relay import Relay, RelayedAnswer
 
 __all__ = ['CallerServer']
@@ -69,16 +73,20 @@
     def __init__(
         self,
         address: str,
+        clock: Clock,
         relay: Relay,
         is_ready: Callable[[], bool],
         upload_services: Callable[[], frozenset[str]],
         count: Callable[[str, ResultCode], None],
+        note_refusal: Callable[[str, str, str, Refusal], None] | None = None,
     ) -> None:
         host, _, port = address.rpartition(':')
+        self._clock = clock
         self._relay = relay
         self._is_ready = is_ready
         self._upload_services = upload_services
         self._count = count
+        self._note_refusal = note_refusal
         self._active = 0
         self._lock = threading.Lock()
         self._server = wsgi.Server(
@@ -88,6 +96,7 @@
             request_queue_size=BACKLOG,
             timeout=IDLE_TIMEOUT_S,
         )
+        self._server.gateway = CallerGateway
         self._thread = threading.Thread(target=self._serve, name='callers', daemon=True)
 
     @property
@@ -123,12 +132,14 @@
         with self._lock:
             self._active += 1
         try:
-            return _Closing(self._answer(environ, start), self._ended)
+            body: CallerBody = environ[BODY_KEY]
+            return _Closing(self._answer(environ, start), partial(self._ended, body))
         except BaseException:
-            self._ended()
+            self._ended(environ[BODY_KEY])
             raise
 
-    def _ended(self) -> None:
+    def _ended(self, body: CallerBody) -> None:
+        body.discard(self._clock)
         with self._lock:
             self._active -= 1
 
@@ -136,21 +147,28 @@
         request_id = uuid.uuid4().hex
         request = _parse(environ, request_id, self._upload_services())
         if isinstance(request, Refusal):
-            return self._refuse('', request_id, request, start)
+            return self._refuse('', '', request_id, request, start)
         try:
             outcome = self._relay.serve(request)
         except Exception:
             logger.exception('request failed', request_id=request_id)
             outcome = Refusal(ResultCode.INTERNAL, Ran.UNKNOWN, 'the daemon failed')
         if isinstance(outcome, Refusal):
-            return self._refuse(request.service, request_id, outcome, start)
+            return self._refuse(request.service, request.key, request_id, outcome, start)
         self._count(request.service, ResultCode.ANSWERED)
         return _pass_on(request_id, outcome, start)
 
     def _refuse(
-        self, service: str, request_id: str, refusal: Refusal, start: Callable[..., object]
+        self,
+        service: str,
+        key: str,
+        request_id: str,
+        refusal: Refusal,
+        start: Callable[..., object],
     ) -> Iterator[bytes]:
         self._count(service, refusal.code)
+        if self._note_refusal is not None:
+            self._note_refusal(request_id, service, key, refusal)
         body = json.dumps(_problem(refusal)).encode()
         headers = [
             ('Content-Type', 'application/problem+json'),
@@ -215,10 +233,7 @@
 
 
 def _status_line(status: int) -> str:
-    return f'{status} {_REASON.get(status, "Status")}'
-
-
-_REASON = {200: 'OK', 201: 'Created', 204: 'No Content', 400: 'Bad Request', 404: 'Not Found'}
+    return f'{status} {responses.get(status, "Unknown")}'
 
 
 def _problem(refusal: Refusal) -> dict[str, object]:
@@ -248,9 +263,6 @@
     timeout_ms = _timeout_ms(environ.get('HTTP_COLTSFOOTSTAIR_TIMEOUT_MS'), default_ms)
     if timeout_ms is None:
         return _bad_header(f'Coltsfootstair-Timeout-Ms is a number from 1 to {MAX_TIMEOUT_MS}')
-    length = _body_length(environ)
-    if length is None:
-        return _bad_header('Content-Length is a whole number')
     forwarded = environ.get('HTTP_X_FORWARDED_FOR', '').split(',')[0].strip()
     return CallerRequest(
         request_id,
@@ -262,8 +274,7 @@
         f'/{rest}?{query}' if query else f'/{rest}',
         headers,
         timeout_ms / 1000,
-        environ['wsgi.input'].read,
-        length,
+        environ[BODY_KEY],
     )
 
 
@@ -279,13 +290,6 @@
     return int(text)
 
 
-def _body_length(environ: Environ) -> int | None:
-    if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
-        return -1
-    text = environ.get('CONTENT_LENGTH') or '0'
-    return int(text) if text.isascii() and text.isdigit() else None
-
-
 def _headers(environ: Environ) -> Iterator[tuple[str, str]]:
     if environ.get('CONTENT_TYPE'):
         yield 'Content-Type', environ['CONTENT_TYPE']
--- a/src/coltsfootstair/load/_caller.py
+++ b/src/coltsfootstair/load/_caller.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 from collections.abc import Iterable
+from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
 from coltsfootstair.load._samples import NO_RESULT, Outcome
@@ -26,6 +27,7 @@
     """A request to be sent.
 
     :param body: bytes, or portions of ``length`` bytes in all
+    :param timeout_ms: how long the caller waits; 0 leaves it to the daemon
     """
 
     service: str
@@ -33,6 +35,7 @@
     operation_id: str
     body: bytes | Iterable[bytes]
     length: int
+    timeout_ms: int = 0
     path: str = 'load'
 
     def headers(self) -> dict[str, str]:
@@ -42,6 +45,8 @@
             headers['Coltsfootstair-Key'] = self.key
         if self.operation_id:
             headers['Idempotency-Key'] = self.operation_id
+        if self.timeout_ms:
+            headers['Coltsfootstair-Timeout-Ms'] = str(self.timeout_ms)
         return headers
 
 
@@ -127,8 +132,9 @@
     request_id = response.getheader('Coltsfootstair-Request-Id') or ''
     if result != ANSWERED:
         return Answer(Outcome.REFUSED, result, _ran(body), request_id)
+    failed = response.status >= HTTPStatus.BAD_REQUEST
     return Answer(
-        Outcome.WHOLE,
+        Outcome.FAILED if failed else Outcome.WHOLE,
         result,
         '',
         request_id,
--- a/src/coltsfootstair/store/_replica.py
+++ b/src/coltsfootstair/store/_replica.py
@@ -40,6 +40,12 @@
             objects = list(self._object_by_key.values())
         return [item for item in objects if item.value and item.key.startswith(prefix)]
 
+    def newer_than(self, version: int) -> list[Versioned]:
+        """Return the objects past ``version``, deleted ones too, oldest change first."""
+        with self._lock:
+            newer = [item for item in self._object_by_key.values() if item.version > version]
+        return sorted(newer, key=lambda item: item.version)
+
     def version_by_key(self) -> dict[str, int]:
         """Return the version of each object, the digest that peers compare."""
         with self._lock:
@@ -48,14 +54,18 @@
     def apply(self, items: Iterable[Versioned]) -> list[Versioned]:
         """Take in what is newer than what is known; return just that."""
         with self._lock:
-            newer = [item for item in items if self._is_newer(item)]
-            for item in newer:
-                self._object_by_key[item.key] = item
+            newer = [item for item in items if self._take(item)]
         for item in newer:
             for listener in self._listeners:
                 listener(item)
         return newer
 
+    def _take(self, item: Versioned) -> bool:
+        if not self._is_newer(item):
+            return False
+        self._object_by_key[item.key] = item
+        return True
+
     def _is_newer(self, item: Versioned) -> bool:
         known = self._object_by_key.get(item.key)
         return known is None or item.version > known.version
