Share unpackers between the inner streams of a daemon

Cause: each stream's decoder took a buffer of 1 MiB at once, the greatest that a message may need, and kept it. With a stream to each other daemon that is 4.2 GB at 4,600 daemons, where 256 MB are for all control.

Ruled out: a small buffer of each stream's own (63,000 bytes, as an unpacker takes 40 KB for its stack); letting it go when tell() has reached what was fed, as bytes of an incomplete message count there too (the test on large messages failed). The end of the last whole message is what counts.

--- a/bench/_peer_slopes.py
+++ b/bench/_peer_slopes.py
@@ -94,8 +94,8 @@
     yield measured(
         'stream_resident_bytes',
         'bytes per peer',
-        'resident for an inner stream after an upload of '
-        f'{TRAFFIC_CHUNK_BYTES * TRAFFIC_CHUNKS} bytes came in on it',
+        'resident for an inner stream on which '
+        f'{TRAFFIC_CHUNK_BYTES * TRAFFIC_CHUNKS} bytes have come in',
         PEERS,
         _in_new_process,
         repeats=1,
@@ -144,9 +144,9 @@
 
 
 def _stream_resident(peers: int) -> float:
+    before = resident_bytes(os.getpid())
     star = _Star(peers)
     try:
-        before = resident_bytes(os.getpid())
         frame = encode(BodyChunk('f' * 32, bytes(TRAFFIC_CHUNK_BYTES), False))
         for connection in star.sockets:
             for _ in range(TRAFFIC_CHUNKS):
--- a/bench/_state_slopes.py
+++ b/bench/_state_slopes.py
@@ -102,7 +102,7 @@
 
 
 def _followed(items: list[Versioned]) -> tuple[Replica, Router]:
-    replica, router = Replica(), Router(random.Random(1))
+    replica, router = Replica(), Router(random.Random(1), lambda: True)
     replica.subscribe(router.take)
     replica.apply(items)
     return replica, router
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,6 +19,7 @@
 
 from bench._grant_slopes import grant_slopes
 from bench._message_slopes import message_slopes
+from bench._news_slopes import news_slopes
 from bench._peer_slopes import peer_slopes
 from bench._request_slopes import request_slopes, start_system
 from bench._state_slopes import state_slopes
@@ -31,7 +32,7 @@
 
 app = cyclopts.App(help=__doc__)
 
-GROUPS = ('messages', 'state', 'peers', 'grants', 'store', 'requests')
+GROUPS = ('messages', 'state', 'peers', 'news', 'grants', 'store', 'requests')
 
 
 @app.default
@@ -61,6 +62,8 @@
         yield from state_slopes()
     if only in ('', 'peers'):
         yield from peer_slopes()
+    if only in ('', 'news'):
+        yield from news_slopes()
     if only in ('', 'grants'):
         yield from grant_slopes()
     if only not in ('', 'store', 'requests'):
--- a/src/coltsfootstair/inner/_hub.py
+++ b/src/coltsfootstair/inner/_hub.py
@@ -11,7 +11,7 @@
 import structlog
 
 from coltsfootstair.errors import ProtocolError
-from coltsfootstair.inner._codec import Decoder, encode
+from coltsfootstair.inner._codec import Decoder, UnpackerPool, encode
 from coltsfootstair.inner._messages import PROTOCOL_VERSION, Hello, StampTold
 from coltsfootstair.timeline import HybridTime
 
@@ -55,7 +55,7 @@
         self.open = True
         self._hub = hub
         self._socket = connection
-        self._decoder = Decoder()
+        self._decoder = Decoder(hub.unpackers)
         self._lock = threading.Lock()
         self._outgoing: collections.deque[memoryview] = collections.deque()
         self._greeted = False
@@ -159,6 +159,7 @@
         listener: HubListener,
         event_clock: EventClock | None = None,
     ) -> None:
+        self.unpackers = UnpackerPool()
         self._hello = hello
         self._event_clock = event_clock
         self._listener = listener
--- a/tests/inner/test_codec.py
+++ b/tests/inner/test_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import tracemalloc
 from typing import get_type_hints
 
 import msgpack
@@ -12,6 +13,7 @@
 
 from coltsfootstair.errors import ProtocolError
 from coltsfootstair.inner import MAX_FRAME_BYTES, BodyChunk, Decoder, Message, encode
+from coltsfootstair.inner._codec import KEPT_BUFFER_BYTES, UnpackerPool
 from coltsfootstair.inner._messages import TYPE_BY_NUMBER
 
 # The wire has integers of 64 bits; no message has a field that could exceed them.
@@ -59,3 +61,40 @@
     data = encode(BodyChunk('id', bytes(MAX_FRAME_BYTES), True))
     with pytest.raises(ProtocolError):
         list(Decoder().feed(data))
+
+
+@settings(max_examples=40)
+@given(st.lists(st.tuples(st.integers(0, 2), st.integers(0, 9000)), max_size=30), st.data())
+def test_streams_that_share_unpackers_do_not_mix(
+    writes: list[tuple[int, int]], data: st.DataObject
+) -> None:
+    pool = UnpackerPool()
+    decoders = [Decoder(pool) for _ in range(3)]
+    waiting = [b'', b'', b'']
+    sent: list[list[Message]] = [[], [], []]
+    got: list[list[Message]] = [[], [], []]
+    for number, (stream, size) in enumerate(writes):
+        message = BodyChunk(str(number), bytes([number]) * size, True)
+        sent[stream].append(message)
+        waiting[stream] += encode(message)
+        cut = data.draw(st.integers(0, len(waiting[stream])))
+        got[stream].extend(decoders[stream].feed(waiting[stream][:cut]))
+        waiting[stream] = waiting[stream][cut:]
+    for stream in range(3):
+        got[stream].extend(decoders[stream].feed(waiting[stream]))
+    assert got == sent
+
+
+def test_a_large_message_leaves_no_large_buffer() -> None:
+    large = BodyChunk('id', bytes(MAX_FRAME_BYTES // 2), True)
+    frame = encode(large)
+    list(Decoder().feed(frame))
+    tracemalloc.start()
+    decoder = Decoder()
+    assert list(decoder.feed(frame[:-1])) == []
+    bytes_within = tracemalloc.get_traced_memory()[0]
+    assert list(decoder.feed(frame[-1:])) == [large]
+    bytes_after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert bytes_within > len(frame)
+    assert bytes_after < KEPT_BUFFER_BYTES
