Find what is newer than a version without looking at each object

Cause: a watcher answers each daemon that asks for news by going through all objects of its copy, also when there is nothing new.

Ruled out: an early end when the asker is at the newest version only (one change then costs a look at all objects for each asker); a tree from a library, which would be one more library.

Conclusion: two lists in step, ordered by version.

--- a/src/coltsfootstair/store/_replica.py
+++ b/src/coltsfootstair/store/_replica.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import threading
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,10 @@
 
     def __init__(self) -> None:
         self._object_by_key: dict[str, Versioned] = {}
+        # Two lists in step, by version: those who ask for news must not cost a look at
+        # each object.
+        self._versions: list[int] = []
+        self._keys: list[str] = []
         self._lock = threading.Lock()
         self._listeners: list[Callable[[Versioned], None]] = []
 
@@ -43,8 +48,8 @@
     def newer_than(self, version: int) -> list[Versioned]:
         """Return the objects past ``version``, deleted ones too, oldest change first."""
         with self._lock:
-            newer = [item for item in self._object_by_key.values() if item.version > version]
-        return sorted(newer, key=lambda item: item.version)
+            first = bisect.bisect_right(self._versions, version)
+            return [self._object_by_key[key] for key in self._keys[first:]]
 
     def version_by_key(self) -> dict[str, int]:
         """Return the version of each object, the digest that peers compare."""
@@ -54,7 +59,8 @@
     def apply(self, items: Iterable[Versioned]) -> list[Versioned]:
         """Take in what is newer than what is known; return just that."""
         with self._lock:
-            newer = [item for item in items if self._take(item)]
+            # In the order of their versions, so that each is put at the end of the lists.
+            newer = [item for item in sorted(items, key=_version) if self._take(item)]
         for item in newer:
             for listener in self._listeners:
                 listener(item)
@@ -63,9 +69,25 @@
     def _take(self, item: Versioned) -> bool:
         if not self._is_newer(item):
             return False
+        known = self._object_by_key.get(item.key)
+        if known is not None:
+            self._remove_version(known)
+        place = bisect.bisect_right(self._versions, item.version)
+        self._versions.insert(place, item.version)
+        self._keys.insert(place, item.key)
         self._object_by_key[item.key] = item
         return True
 
+    def _remove_version(self, item: Versioned) -> None:
+        first = bisect.bisect_left(self._versions, item.version)
+        place = self._keys.index(item.key, first)
+        del self._versions[place]
+        del self._keys[place]
+
     def _is_newer(self, item: Versioned) -> bool:
         known = self._object_by_key.get(item.key)
         return known is None or item.version > known.version
+
+
+def _version(item: Versioned) -> int:
+    return item.version
--- a/tests/store/test_replica.py
+++ b/tests/store/test_replica.py
@@ -61,3 +61,17 @@
 def test_the_property_catches_a_replica_that_goes_back() -> None:
     news = [Versioned('config', 2, b'2'), Versioned('config', 1, b'1')]
     assert _goes_back(LastWordReplica(), news)
+
+
+@given(NEWS, st.integers(0, 20))
+def test_news_past_a_version_is_each_newer_object_once_in_order(
+    news: list[Versioned], version: int
+) -> None:
+    replica = Replica()
+    for start in range(0, len(news), 4):
+        replica.apply(news[start : start + 4])
+    newest = {item.key: replica.get(item.key) for item in news}
+    expected = [item for item in newest.values() if item.version > version]
+    found = replica.newer_than(version)
+    assert sorted(found) == sorted(expected)
+    assert [item.version for item in found] == sorted(item.version for item in found)
