--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -37,7 +37,7 @@
     from coltsfootstair.backend import BackendServerPort
     from coltsfootstair.clock import Clock
     from coltsfootstair.document import BackendServer
-    from coltsfootstair.inner import AnswerMessage, RequestHead
+    from coltsfootstair.inner import AnswerMessage, RequestHead, Stream
     from coltsfootstair.settings import DaemonSettings
 
 __all__ = ['Daemon']
@@ -75,7 +75,12 @@
         self.pending = PendingAnswers()
         self._executor = ThreadPoolExecutor(EXCHANGE_THREADS, 'exchange')
         self.coordinator = Coordinator(
-            clock, self._executor, _open_port, self.knowledge.may_give_new_work
+            clock,
+            self._executor,
+            _open_port,
+            self.knowledge.may_give_new_work,
+            self._open_stream,
+            self._next_owner,
         )
         self.inbound = Inbound(clock, self.coordinator, self.pending)
         hello = Hello(PROTOCOL_VERSION, settings.name, settings.data_centre, self.incarnation)
@@ -107,7 +112,7 @@
         self.callers = CallerServer(
             settings.callers,
             clock,
-            Relay(RelayParts(clock, self.router, link, self.pending)),
+            Relay(RelayParts(clock, self.router, link, self.pending, random.Random())),
             self.is_ready,
             self._upload_services,
             self.metrics.count_request,
@@ -222,6 +227,22 @@
         self.coordinator.submit(exchange)
         return exchange
 
+    def _open_stream(self, peer: str) -> Stream | None:
+        machine = self.peers.vm_by_name().get(peer)
+        if machine is None:
+            return self.hub.open_stream(peer)
+        return self.hub.stream_to(peer, machine.inner)
+
+    def _next_owner(self, service: str, row: int) -> tuple[str, str]:
+        table = self.router.table(service)
+        known = None if table is None else table.rows_by_number().get(row)
+        if known is None:
+            return '', ''
+        owner = known.next_owner or known.owner
+        lease = self.router.lease(owner)
+        elsewhere = lease is not None and lease.coordinator != self.settings.name
+        return owner, lease.coordinator if lease is not None and elsewhere else ''
+
     def _upload_services(self) -> frozenset[str]:
         return frozenset(
             service.name
--- a/src/coltsfootstair/daemon/_ownership.py
+++ b/src/coltsfootstair/daemon/_ownership.py
@@ -12,7 +12,7 @@
 
 from coltsfootstair.backend import BackendServerPort
 from coltsfootstair.clock import Clock
-from coltsfootstair.coordinator import Coordinator
+from coltsfootstair.coordinator import Coordinator, StandbySeen
 from coltsfootstair.daemon._inbound import Inbound
 from coltsfootstair.daemon._lease_keeper import LeaseKeeper, LeaseParts
 from coltsfootstair.daemon._peers import PeerDirectory
@@ -72,6 +72,7 @@
         self._server_calls = ThreadPoolExecutor(SERVER_THREADS, 'ownership-server')
         self._known_by_name: dict[str, BackendServer] = {}
         self._keeper_by_server: dict[str, ServerKeeper] = {}
+        self._standing_by: set[str] = set()
         self._ended_by_server: dict[str, ServerKeeper] = {}
         self._counts = LoadCounts(parts.clock)
         self._told_at = parts.clock.monotonic()
@@ -168,6 +169,8 @@
         if lost_here != self._leases.lost_here:
             logger.info('backend servers lost', servers=sorted(lost_here))
         self._leases.lost_here = lost_here
+        for name in self._known_by_name:
+            self._follow_standby(name)
         peers = self._leases.peers()
         lost = self._leases.lost_servers()
         self._planning.tick(document, peers, lost, self._leases.lost_here)
@@ -228,8 +231,22 @@
             self._store_calls,
             self._server_calls,
             self.post,
+            self._standby,
         )
 
+    def _standby(self, server: str) -> str:
+        record = self._parts.router.lease(server)
+        return '' if record is None else record.standby
+
+    def _follow_standby(self, server: str) -> None:
+        """Tell the coordinator task when this daemon no longer stands by for a server."""
+        record = self._parts.router.lease(server)
+        own = self._parts.me.name
+        stands_by = record is not None and own in (record.standby, record.coordinator)
+        if not stands_by and server in self._standing_by:
+            self._parts.coordinator.tell(StandbySeen(server))
+        (self._standing_by.add if stands_by else self._standing_by.discard)(server)
+
     def _object_seen(self, item: Versioned) -> None:
         self.post(lambda: self._take_object(item))
 
--- a/src/coltsfootstair/inner/__init__.py
+++ b/src/coltsfootstair/inner/__init__.py
@@ -25,6 +25,16 @@
     ReportRequest,
     VmsTold,
 )
+from coltsfootstair.inner._notes import (
+    NoteConfirmed,
+    NoteDropped,
+    NoteOperation,
+    NoteRows,
+    NotesBegun,
+    NotesMessage,
+    RowDropped,
+    RowHanded,
+)
 
 __all__ = [
     'MAX_FRAME_BYTES',
@@ -43,10 +53,18 @@
     'Message',
     'NewsAnswer',
     'NewsRequest',
+    'NoteConfirmed',
+    'NoteDropped',
+    'NoteOperation',
+    'NoteRows',
+    'NotesBegun',
+    'NotesMessage',
     'Refused',
     'ReportAnswer',
     'ReportRequest',
     'RequestHead',
+    'RowDropped',
+    'RowHanded',
     'Stream',
     'VmsTold',
     'encode',
