Let the next coordinator know which rows were never served

Cause: a lease that moved before the service's table was written began with a gap, and a booking under an id without a time was refused as too old (seen once in the scenario of resends). A row that stands for all rows not held yet is copied and handed over as the others are; it has a gap where it is not known that the rest was never served.

--- a/src/coltsfootstair/coordinator/_operations.py
+++ b/src/coltsfootstair/coordinator/_operations.py
@@ -60,6 +60,10 @@
 
 LINK_PAUSE_S = 0.25
 EPOCH_BITS = 32
+FIRST_EPOCH = 1
+UNSERVED_ROW = -2
+"""Stands for the rows that no coordinator of the server has held yet."""
+
 NOTES_FOR_S = 2.0
 """How long after a takeover a row is taken to be the one that was noted, in seconds."""
 
@@ -107,6 +111,7 @@
         self._epoch_by_row: dict[int, int] = {}
         self._stopping: frozenset[int] = frozenset()
         self._noted_by_row: dict[int, RowRecord] = {}
+        self._handed_rows: set[int] = set()
         self._noted_until = 0.0
         self._left = False
         self._handed_by_row: dict[int, list[RowHanded]] = {}
@@ -177,11 +182,14 @@
 
     def owned(self, owned: RowsOwned) -> None:
         """Follow the rows of the server and the standby that the record names."""
+        epochs = {UNSERVED_ROW: FIRST_EPOCH, **owned.epoch_by_row}
+        owned = owned._replace(epoch_by_row=epochs)
         if owned.lease_epoch != self._lease_epoch:
             # What others ran under the leases between is not known here.
             self._memory = new_memory()
             self._epoch_by_row = {}
             self._left = False
+            self._handed_rows.clear()
             noted = self._take_over(self._name) if owned.lease_epoch > 1 else ()
             self._noted_by_row = {record.row: record for record in noted}
             self._noted_until = self._clock.monotonic() + NOTES_FOR_S
@@ -197,12 +205,30 @@
         """Take what the coordinator of a row's earlier owner knew of its operations."""
         row = message.record.row
         known = self._epoch_by_row.get(row)
-        if known is None or message.lease_epoch >= self._lease_epoch:
+        moved = message.lease_epoch == 0
+        if known is None or (not moved and message.lease_epoch >= self._lease_epoch):
             self._handed_by_row.setdefault(row, []).append(message)
-        elif (message.lease_epoch == 0 and known == message.row_epoch + 1) or (
-            message.lease_epoch == self._lease_epoch - 1 and known == message.row_epoch
-        ):
-            self._handle(RowTaken(message.record))
+            return
+        due = known == message.row_epoch and message.lease_epoch == self._lease_epoch - 1
+        if moved:
+            due = known == message.row_epoch + 1
+        if not due:
+            return
+        self._handle(RowTaken(message.record))
+        self._handed_rows.add(row)
+        if row == UNSERVED_ROW and message.record.gap_age_s is None:
+            self._close_unserved()
+
+    def _is_unserved(self, row: int, lease_epoch: int) -> bool:
+        if row == UNSERVED_ROW:
+            return lease_epoch == FIRST_EPOCH
+        return self._memory.gap_at_by_row.get(UNSERVED_ROW, 0.0) is None
+
+    def _close_unserved(self) -> None:
+        """Close the gaps of rows that the coordinators before have never held."""
+        for row, epoch in self._epoch_by_row.items():
+            if epoch == FIRST_EPOCH and row not in self._handed_rows:
+                self._handle(RowTaken(RowRecord(row, (), None)))
 
     def leave(self, epoch: int) -> list[tuple[int, RowRecord]]:
         """Return all rows with their epochs for the coordinator under lease ``epoch``.
@@ -215,7 +241,7 @@
         now = self._clock.monotonic()
         return [
             (row_epoch, row_record(self._memory, row, now))
-            for row, row_epoch in self._epoch_by_row.items()
+            for row, row_epoch in sorted(self._epoch_by_row.items(), reverse=True)
         ]
 
     def linked(self, standby: str, stream: Stream | None) -> None:
@@ -265,10 +291,10 @@
             return
         if self._clock.monotonic() >= self._noted_until:
             self._noted_by_row.clear()
-        for row in taken:
+        for row in sorted(taken):
             epoch = owned.epoch_by_row[row]
             self._epoch_by_row[row] = epoch
-            fresh = owned.lease_epoch == 1 and epoch == 1
+            fresh = epoch == FIRST_EPOCH and self._is_unserved(row, owned.lease_epoch)
             unknown = RowRecord(row, (), None if fresh else 0.0)
             self._handle(RowTaken(self._noted_by_row.pop(row, unknown)))
             for message in self._handed_by_row.pop(row, []):
