--- a/src/coltsfootstair/coordinator/_operations.py
+++ b/src/coltsfootstair/coordinator/_operations.py
@@ -4,26 +4,16 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from coltsfootstair.inner import (
-    NoteDropped,
-    NoteOperation,
-    NoteRows,
-    NotesBegun,
-    RowDropped,
-)
+from coltsfootstair.coordinator._standby_link import StandbyLink
 from coltsfootstair.operations import (
     Admit,
     Admitted,
     Answer,
     Answered,
     Asked,
-    CopyToStandby,
-    DropRowAtStandby,
-    ForgetAtStandby,
     Gone,
     Granted,
     LostTrack,
-    NoteAtStandby,
     Noted,
     Refuse,
     RefusedUnsent,
@@ -32,7 +22,6 @@
     RowRecord,
     RowTaken,
     Send,
-    SettleAtStandby,
     StandbyChanged,
     StandbyUnreachable,
     Tick,
@@ -52,14 +41,13 @@
     from coltsfootstair.clock import Clock
     from coltsfootstair.coordinator._exchange import Exchange
     from coltsfootstair.coordinator._messages import ExchangeEnded, RowsOwned
-    from coltsfootstair.inner import Message, RowHanded, Stream
-    from coltsfootstair.operations import Effect, Event, Snapshot
+    from coltsfootstair.inner import RowHanded, Stream
+    from coltsfootstair.operations import Effect, Event
     from coltsfootstair.results import Refusal
 
 __all__ = ['OperationKeeper', 'OperationUser']
 
 LINK_PAUSE_S = 0.25
-EPOCH_BITS = 32
 FIRST_EPOCH = 1
 UNSERVED_ROW = -2
 """Stands for the rows that no coordinator of the server has held yet."""
@@ -106,7 +94,7 @@
         self._take_over = take_over
         self._memory = new_memory()
         self._exchange_by_id: dict[str, Exchange] = {}
-        self._stream: Stream | None = None
+        self._link = StandbyLink(backend_server)
         self._standby: str | None = None
         self._epoch_by_row: dict[int, int] = {}
         self._stopping: frozenset[int] = frozenset()
@@ -116,7 +104,6 @@
         self._left = False
         self._handed_by_row: dict[int, list[RowHanded]] = {}
         self._lease_epoch = 0
-        self._epoch = 0
         self._link_at = 0.0
 
     def holds(self, request_id: str) -> bool:
@@ -246,34 +233,31 @@
 
     def linked(self, standby: str, stream: Stream | None) -> None:
         """Take the way to the standby; ``None`` if there is none."""
-        if standby != self._standby or stream is None or self._stream is not None:
+        if standby != self._standby or stream is None or self._link.is_open:
             return
-        self._epoch += 1
-        self._stream = stream
-        epoch = (self._lease_epoch << EPOCH_BITS) + self._epoch
-        stream.send(NotesBegun(self._name, epoch))
-        self._handle(StandbyChanged(epoch))
+        self._link.open(stream, self._lease_epoch)
+        self._handle(StandbyChanged(self._link.epoch))
 
     def stream_closed(self, stream: Stream) -> None:
         """Take in that an inner stream has ended."""
-        if stream is self._stream:
+        if self._link.uses(stream):
             self._unlink()
 
     def noted(self, stream: Stream, operation_id: str, epoch: int) -> None:
         """Take the standby's word that an operation is noted."""
-        if stream is self._stream:
+        if self._link.uses(stream):
             self._handle(Noted(operation_id, epoch))
 
     def tick(self) -> None:
         """Let time pass, and look for the standby if the way to it is lost."""
         self._handle(Tick())
         now = self._clock.monotonic()
-        if self._standby and self._stream is None and now >= self._link_at:
+        if self._standby and not self._link.is_open and now >= self._link_at:
             self._link_at = now + LINK_PAUSE_S
             self._user.link(self._standby)
 
     def _unlink(self) -> None:
-        self._stream = None
+        self._link.close()
         self._link_at = 0.0
         self._handle(StandbyUnreachable(waived=self._standby == ''))
 
@@ -323,32 +307,4 @@
                 if request_id in self._exchange_by_id:
                     self._user.withdraw(self._exchange_by_id[request_id])
             case _:
-                self._tell_standby(effect)
-
-    def _tell_standby(self, effect: Effect) -> None:
-        match effect:
-            case NoteAtStandby(snapshot, epoch):
-                self._post(NoteOperation(self._name, epoch, snapshot, confirm=True))
-            case SettleAtStandby(snapshot):
-                self._post(self._note(snapshot))
-            case ForgetAtStandby(operation_id):
-                self._post(NoteDropped(self._name, self._notes_epoch, operation_id))
-            case DropRowAtStandby(row):
-                self._post(RowDropped(self._name, self._notes_epoch, row))
-            case CopyToStandby(records, epoch):
-                for record in records:
-                    for snapshot in record.snapshots:
-                        self._post(self._note(snapshot))
-                bare = tuple(record._replace(snapshots=()) for record in records)
-                self._post(NoteRows(self._name, epoch, bare))
-
-    @property
-    def _notes_epoch(self) -> int:
-        return (self._lease_epoch << EPOCH_BITS) + self._epoch
-
-    def _note(self, snapshot: Snapshot) -> NoteOperation:
-        return NoteOperation(self._name, self._notes_epoch, snapshot, confirm=False)
-
-    def _post(self, message: Message) -> None:
-        if self._stream is not None:
-            self._stream.send(message)
+                self._link.carry_out(effect)
