--- a/bench/requests.py
+++ b/bench/requests.py
@@ -1,7 +1,8 @@
 """Measures requests under load and faults: ``python -m bench.requests [PART ...]``.
 
-The parts are ``stragglers``, ``cold``, ``unknown`` and ``uploads``; all by default. ``--full``
-uses the sizes of the brief. Run in a checkout of an earlier version, it measures that one.
+The parts are ``policy`` (a model of one server), ``stragglers``, ``cold``, ``unknown`` and
+``uploads``; all by default. ``--full`` uses the sizes of the brief. Run in a checkout of an
+earlier version, it measures that one.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 
 from tests.scenarios.processes import System, document_text
 
+from bench._straggler_model import measure_policies
 from coltsfootstair.clock import SystemClock
 from coltsfootstair.load import (
     BookingLoad,
@@ -189,7 +191,8 @@
         }
 
 
-PART_BY_NAME = {
+PART_BY_NAME: dict[str, Callable[[Size], dict[str, object]]] = {
+    'policy': lambda size: measure_policies(),
     'stragglers': measure_stragglers,
     'cold': measure_cold,
     'unknown': measure_unknown,
