--- a/src/coltsfootstair/ownership/_moves.py
+++ b/src/coltsfootstair/ownership/_moves.py
@@ -103,6 +103,7 @@
     """The rows of one backend server during one lease of its coordinator.
 
     :param checks_grants: whether the server refuses what is not granted to it
+    :param hinted: versions of shards that were heard of before they were read
     :param fresh: shards that were read since the rights began
     :param writing: versions that pending writes of shards expect
     :param unsure: shards whose write got no answer, or a refusal
@@ -123,6 +124,7 @@
     rights_until: float = -math.inf
     shard_by_number: Mapping[int, tuple[Shard, int]] = {}
     fresh: frozenset[int] = frozenset()
+    hinted: Mapping[int, int] = {}
     held_by_row: Mapping[int, HeldRow] = {}
     writing: Mapping[int, int] = {}
     unsure: frozenset[int] = frozenset()
@@ -198,7 +200,11 @@
 def _take_shard(owned: OwnedRows, seen: ShardSeen, now: float) -> OwnedRows:
     number = seen.shard.number
     if number not in owned.fresh and not seen.fresh:
-        # What was heard of before the first read may be older than a release.
+        # What was heard of before the first read may be older than a release; but the
+        # read must not be older than that.
+        version = max(seen.version, owned.hinted.get(number, 0))
+        return owned._replace(hinted={**owned.hinted, number: version})
+    if number not in owned.fresh and seen.version < owned.hinted.get(number, 0):
         return owned
     owned = owned._replace(fresh=owned.fresh | {number})
     known = owned.shard_by_number.get(number, (None, -1))[1]
--- a/tests/ownership/test_sole_owner.py
+++ b/tests/ownership/test_sole_owner.py
@@ -14,7 +14,13 @@
 from coltsfootstair.leases._messages import Confirm
 from coltsfootstair.ownership import Row, Shard
 from coltsfootstair.ownership import _moves as moves
-from coltsfootstair.ownership._messages import ProbeAnswered, RowsTick, SendGrant, ShardSeen
+from coltsfootstair.ownership._messages import (
+    ProbeAnswered,
+    ReadShard,
+    RowsTick,
+    SendGrant,
+    ShardSeen,
+)
 
 if TYPE_CHECKING:
     from coltsfootstair.leases import Lease
@@ -103,3 +109,13 @@
     assert grants_of_a_new_coordinator() == [1]
     monkeypatch.setattr(moves, '_held', grant_again)
     assert grants_of_a_new_coordinator() != [1]
+
+
+def test_a_read_older_than_what_was_heard_is_read_again() -> None:
+    owned = moves.take_up('a', 2, checks_grants=True, now=0.0)
+    events: list[RowsEvent] = [RowsTick(100.0), ShardSeen(Shard(0, {0: Row('a', 1)}), 5)]
+    events += [ShardSeen(Shard(number, {}), 0, fresh=True) for number in range(4)]
+    for event in events:
+        owned, _ = moves.handle(owned, event, 0.0)
+    _, effects = moves.handle(owned, RowsTick(100.0), 0.2)
+    assert [effect for effect in effects if isinstance(effect, ReadShard)] == [ReadShard(0)]
