--- a/src/coltsfootstair/coordinator/_messages.py
+++ b/src/coltsfootstair/coordinator/_messages.py
@@ -6,19 +6,28 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from coltsfootstair.admission._messages import Observed, Outcome
+from coltsfootstair.admission import Observed, Outcome
 from coltsfootstair.coordinator._exchange import Exchange
 from coltsfootstair.document import BackendServer, Service
+from coltsfootstair.inner import NotesMessage, RowHanded, Stream
+from coltsfootstair.results import Refusal
 
 __all__ = [
     'CancelExchange',
     'CoordinatorEvent',
     'ExchangeEnded',
+    'ExchangeLost',
+    'NotesReceived',
     'RightsGiven',
     'RightsTaken',
+    'RowReceived',
     'RowsGranted',
+    'RowsOwned',
     'ServerLoad',
     'ServerObserved',
+    'StandbyLinked',
+    'StandbySeen',
+    'StreamClosed',
     'SubmitExchange',
 ]
 
@@ -36,12 +45,24 @@
 
 
 class ExchangeEnded(NamedTuple):
-    """A dispatched request no longer occupies its slot."""
+    """A dispatched request no longer occupies its slot.
+
+    :param refusal: what its caller was told in place of a whole answer, if anything
+    """
 
     backend_server: str
     request_id: str
     outcome: Outcome
     seconds: float
+    refusal: Refusal | None = None
+
+
+class ExchangeLost(NamedTuple):
+    """An exchange broke off, and the server may still work on it until ``until``."""
+
+    backend_server: str
+    request_id: str
+    until: float
 
 
 class RightsGiven(NamedTuple):
@@ -80,6 +101,55 @@
     observed: Observed
 
 
+class RowsOwned(NamedTuple):
+    """The rows of the table that this coordinator's server owns, and who stands by.
+
+    :param epoch_by_row: the epoch of each row, which rises with its owner
+    :param stopping: rows of them that take no new operations
+    :param standby: the daemon that the record names, or an empty string
+    :param lease_epoch: rises with each change of the coordinator
+    """
+
+    backend_server: str
+    epoch_by_row: Mapping[int, int]
+    stopping: frozenset[int]
+    standby: str
+    lease_epoch: int
+
+
+class RowReceived(NamedTuple):
+    """A coordinator has handed over what it knew of a row's operations."""
+
+    message: RowHanded
+
+
+class StandbySeen(NamedTuple):
+    """A record of another coordinator names another standby than this daemon."""
+
+    backend_server: str
+
+
+class StandbyLinked(NamedTuple):
+    """The way to a standby was opened, or could not be."""
+
+    backend_server: str
+    standby: str
+    stream: Stream | None
+
+
+class StreamClosed(NamedTuple):
+    """An inner stream has ended."""
+
+    stream: Stream
+
+
+class NotesReceived(NamedTuple):
+    """A peer has sent a message about notes."""
+
+    stream: Stream
+    message: NotesMessage
+
+
 class ServerLoad(NamedTuple):
     """What a server is given at present.
 
@@ -98,8 +168,15 @@
     SubmitExchange
     | CancelExchange
     | ExchangeEnded
+    | ExchangeLost
     | RightsGiven
     | RightsTaken
     | RowsGranted
     | ServerObserved
+    | RowsOwned
+    | RowReceived
+    | StandbySeen
+    | StandbyLinked
+    | StreamClosed
+    | NotesReceived
 )
--- a/src/coltsfootstair/membership/_detector.py
+++ b/src/coltsfootstair/membership/_detector.py
@@ -13,6 +13,7 @@
     'HeartbeatHeard',
     'Members',
     'Peer',
+    'Refused',
     'Spoken',
     'Tick',
     'VmListed',
@@ -31,6 +32,9 @@
 FAST_HEARTBEAT_S = 0.1
 """Between daemons that share a lease, in seconds."""
 
+PAUSE_S = 0.2
+"""Time between two ticks from which this process counts as paused, in seconds."""
+
 SLOW_HEARTBEAT_S = 1.0
 """Between other daemons, in seconds."""
 
@@ -41,6 +45,12 @@
     name: str
 
 
+class Refused(NamedTuple):
+    """A daemon's address refused a connection: its process has most likely ended."""
+
+    name: str
+
+
 class HeartbeatHeard(NamedTuple):
     """A daemon was heard from, directly."""
 
@@ -70,7 +80,7 @@
     close: frozenset[str]
 
 
-Event = Spoken | HeartbeatHeard | VmsRead | Tick
+Event = Spoken | Refused | HeartbeatHeard | VmsRead | Tick
 
 
 class Peer(NamedTuple):
@@ -103,21 +113,35 @@
     peer_by_name: Mapping[str, Peer] = {}
     close: frozenset[str] = frozenset()
     listed_at: float = -math.inf
+    ticked_at: float = math.inf
 
 
 def handle(members: Members, event: Event, now: float) -> Members:
     """Take one event in and return the new state."""
     match event:
         case Tick(close):
-            return _named(members, close, now)
+            if now - members.ticked_at >= PAUSE_S:
+                members = _resumed(members)
+            return _named(members, close, now)._replace(ticked_at=now)
         case Spoken(name):
             return _spoken(members, name, now)
+        case Refused(name):
+            return _refused(members, name)
         case HeartbeatHeard(candidate, leaving):
             return _heard(members, candidate, leaving, now)
         case VmsRead(asked_at, vms):
             return _listed(members, asked_at, vms, now)
 
 
+def _resumed(members: Members) -> Members:
+    """Give every peer the time to answer anew: this process itself was paused."""
+    peers = {
+        name: peer._replace(unanswered_since=math.inf)
+        for name, peer in members.peer_by_name.items()
+    }
+    return members._replace(peer_by_name=peers)
+
+
 def _named(members: Members, close: frozenset[str], now: float) -> Members:
     """Take in who shares a lease; one never heard of may have ended before this start."""
     new = close - members.peer_by_name.keys() - {members.me}
@@ -133,6 +157,13 @@
     return _with(members, peer._replace(spoken_at=now, unanswered_since=since))
 
 
+def _refused(members: Members, name: str) -> Members:
+    peer = members.peer_by_name.get(name)
+    if peer is None:
+        return members
+    return _with(members, peer._replace(unanswered_since=-math.inf))
+
+
 def _heard(members: Members, candidate: Candidate, leaving: bool, now: float) -> Members:
     name, incarnation, data_centre = candidate
     peer = members.peer_by_name.get(name, Peer(name, data_centre))
