Plan a table anew only when it or the usable servers changed

Cause: the planner worked out a whole first assignment and weighed every row ten times a second for each service, on the task that keeps the leases; an idle daemon that planned took 39 % of a core, and in one process with the rest (the demo) leases lapsed before they were confirmed. Ruled out: grants and heartbeats (1 s of 12 s in the profile against 10 s).

--- a/src/coltsfootstair/daemon/_planning.py
+++ b/src/coltsfootstair/daemon/_planning.py
@@ -28,7 +28,7 @@
     shard_of,
     usable_servers,
 )
-from coltsfootstair.store import Replica, Store, Versioned
+from coltsfootstair.store import ABSENT, Replica, Store, Versioned
 
 if TYPE_CHECKING:
     from coltsfootstair.document import Document
@@ -100,6 +100,13 @@
     post: Callable[[Callable[[], None]], None]
 
 
+class _PlanInput(NamedTuple):
+    """What a plan without balancing depends on; the same input needs no second one."""
+
+    versions: tuple[int, ...]
+    usable: frozenset[str]
+
+
 class Planning:
     """Marks rows as moving; used on the ownership task's thread only."""
 
@@ -110,6 +117,7 @@
         self._planned_at = 0.0
         self._balanced_at = parts.clock.monotonic()
         self._writing: set[str] = set()
+        self._settled_by_service: dict[str, _PlanInput] = {}
 
     def planner_of(self, service: str, peers: PeerView) -> str:
         """Return the daemon that plans a service's table; racing ones do no harm."""
@@ -156,13 +164,12 @@
         usable = frozenset(usable_servers(document, service)) - lost
         if service in self._writing or not usable:
             return
-        first = [
-            (shard, 0)
-            for shard in initial_assignment(service, usable)
-            if table is None or not table.shard(shard.number)[1]
-        ]
-        if first or table is None:
-            self._submit(service, first)
+        versions = () if table is None else table.versions()
+        if table is None or ABSENT in versions:
+            self._submit(service, _missing_shards(service, usable, versions))
+            return
+        plan_input = _PlanInput(versions, usable)
+        if not balance and self._settled_by_service.get(service) == plan_input:
             return
         load = Load(self._rate_by_row.get(service, {}), self._rate_by_key.get(service, {}))
         changes = plan(table, usable, load, balance=balance)
@@ -176,6 +183,8 @@
         if writes:
             logger.info('rows marked', service=service, rows=len(changes))
             self._submit(service, writes)
+        else:
+            self._settled_by_service[service] = plan_input
 
     def _submit(self, service: str, writes: list[tuple[Shard, int]]) -> None:
         self._writing.add(service)
@@ -204,3 +213,13 @@
                 keys[key] *= 1 - SMOOTHING
                 if keys[key] < 0.01:
                     del keys[key]
+
+
+def _missing_shards(
+    service: str, usable: frozenset[str], versions: tuple[int, ...]
+) -> list[tuple[Shard, int]]:
+    return [
+        (shard, ABSENT)
+        for shard in initial_assignment(service, usable)
+        if not versions or versions[shard.number] == ABSENT
+    ]
--- a/src/coltsfootstair/ownership/_table.py
+++ b/src/coltsfootstair/ownership/_table.py
@@ -196,6 +196,10 @@
         rows = {n: r for n, r in self._rows_by_number.items() if shard_of(n) == number}
         return Shard(number, rows), self._versions_by_shard.get(number, 0)
 
+    def versions(self) -> tuple[int, ...]:
+        """Return the version of each shard; 0 for one that is not known."""
+        return tuple(self._versions_by_shard.get(n, 0) for n in range(SHARDS_PER_TABLE))
+
     def _drop(self, shard: int) -> None:
         for number in [n for n in self._rows_by_number if shard_of(n) == shard]:
             row = self._rows_by_number.pop(number)
