--- a/src/coltsfootstair/ownership/_planner.py
+++ b/src/coltsfootstair/ownership/_planner.py
@@ -105,6 +105,7 @@
         self._usable = sorted(usable)
         self._row_by_number = table.rows_by_number()
         self._load = load
+        self._resting: set[int] = set()
         total = sum(load.by_row.values())
         self._base = max(total, 1.0) * _ROW_WEIGHT / SLOTS_PER_TABLE
         self._load_by_server = dict.fromkeys(self._usable, 0.0)
@@ -160,6 +161,8 @@
             return
         self._load_by_server[row.owner] -= rate
         self._load_by_server[target] += rate
+        # What its slot weighs without the key is known only when it is measured again.
+        self._resting.add(slot)
         epoch = self._row(number).epoch + 1
         self._change(number, Row(row.owner, epoch, target, key))
 
@@ -202,7 +205,10 @@
         mine = [
             number
             for number, row in self._row_by_number.items()
-            if row.owner == server and not row.next_owner and number not in self.changes_by_row
+            if row.owner == server
+            and not row.next_owner
+            and number not in self.changes_by_row
+            and number not in self._resting
         ]
         return self._heaviest_first(mine)
 
--- /dev/null
+++ b/tests/ownership/test_planner.py
@@ -0,0 +1,96 @@
+"""Tests of the planner and of the sketch that finds hot keys."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coltsfootstair.ownership import (
+    SLOTS_PER_TABLE,
+    FrequentKeys,
+    Load,
+    Row,
+    Table,
+    apply_changes,
+    initial_assignment,
+    plan,
+    shard_of,
+    slot_of,
+)
+
+SERVERS = [f's{number}' for number in range(5)]
+
+
+def first_table() -> Table:
+    table = Table('lookups')
+    for shard in initial_assignment('lookups', SERVERS):
+        table.update(shard, 1)
+    return table
+
+
+RATES = st.dictionaries(st.integers(0, 1023), st.floats(0, 1000))
+
+
+@given(st.sets(st.sampled_from(SERVERS), min_size=1), RATES)
+def test_only_rows_of_servers_that_may_own_none_move_first(
+    usable: set[str], rates: dict[int, float]
+) -> None:
+    table = first_table()
+    changes = plan(table, frozenset(usable), Load(rates), balance=False)
+    must = {n for n, row in table.rows_by_number().items() if row.owner not in usable}
+    assert {change.number for change in changes} == must
+    for change in changes:
+        assert change.row.next_owner in usable
+        assert change.row._replace(next_owner='') == table.row(change.number)
+
+
+@given(RATES)
+def test_evening_out_never_raises_the_peak(rates: dict[int, float]) -> None:
+    table, load = first_table(), Load(rates)
+    moved = {change.number: change.row for change in plan(table, frozenset(SERVERS), load)}
+    rows = table.rows_by_number()
+
+    def peak(owner_of: dict[int, str]) -> float:
+        by_server = dict.fromkeys(SERVERS, 0.0)
+        for number, owner in owner_of.items():
+            by_server[owner] += rates.get(number, 0.0)
+        return max(by_server.values())
+
+    before = {number: row.owner for number, row in rows.items()}
+    after = before | {number: row.next_owner for number, row in moved.items()}
+    if sum(rates.values()) >= 50:
+        assert peak(after) <= peak(before) * 1.06 + 1
+
+
+def test_hot_key_gets_a_row_of_its_own_by_its_owner_and_goes_back() -> None:
+    table, key = first_table(), 'hot'
+    slot = slot_of(key)
+    owner = table.row(slot).owner
+    rows = table.rows_by_number().items()
+    other = next(n for n, row in rows if row.owner == owner and n != slot)
+    load = Load({slot: 500.0, other: 500.0}, {key: 500.0})
+    (change,) = [c for c in plan(table, frozenset(SERVERS), load) if c.row.key]
+    assert change.row.owner == table.row(slot).owner != change.row.next_owner
+    shard, version = table.shard(shard_of(slot))
+    placed = Row(change.row.next_owner, change.row.epoch + 1, '', key)
+    moved = {**shard.rows_by_number, change.number: placed}
+    table.update(shard._replace(rows_by_number=moved), version + 1)
+    quiet = Load(dict.fromkeys(range(SLOTS_PER_TABLE), 1.0))
+    (back,) = [c for c in plan(table, frozenset(SERVERS), quiet) if c.row.key]
+    assert back.row.next_owner == table.row(slot).owner
+
+
+def test_a_change_is_only_made_to_the_row_it_was_planned_for() -> None:
+    shard, _ = first_table().shard(0)
+    row = shard.rows_by_number[0]
+    stale = plan(first_table(), frozenset(SERVERS) - {row.owner}, Load())
+    newer = shard._replace(rows_by_number={**shard.rows_by_number, 0: row._replace(epoch=9)})
+    assert apply_changes(newer, stale).rows_by_number[0] == row._replace(epoch=9)
+
+
+def test_frequent_keys_are_found_and_forgotten() -> None:
+    keys = FrequentKeys(0.0)
+    for number in range(20_000):
+        keys.count('hot' if number % 10 == 0 else f'cold-{number}', 0.5)
+    assert max(keys.rate_by_key(1.0).items(), key=lambda item: item[1])[0] == 'hot'
+    assert keys.rate_by_key(2.0) == {}
