--- a/src/coltsfootstair/coordinator/__init__.py
+++ b/src/coltsfootstair/coordinator/__init__.py
@@ -5,11 +5,16 @@
 from coltsfootstair.coordinator._exchange import CREDIT_WINDOW_BYTES, Exchange
 from coltsfootstair.coordinator._messages import (
     CoordinatorEvent,
+    NotesReceived,
     RightsGiven,
     RightsTaken,
+    RowReceived,
     RowsGranted,
+    RowsOwned,
     ServerLoad,
     ServerObserved,
+    StandbySeen,
+    StreamClosed,
 )
 from coltsfootstair.coordinator._task import Coordinator
 
@@ -18,9 +23,14 @@
     'Coordinator',
     'CoordinatorEvent',
     'Exchange',
+    'NotesReceived',
     'RightsGiven',
     'RightsTaken',
+    'RowReceived',
     'RowsGranted',
+    'RowsOwned',
     'ServerLoad',
     'ServerObserved',
+    'StandbySeen',
+    'StreamClosed',
 ]
--- a/src/coltsfootstair/daemon/_inbound.py
+++ b/src/coltsfootstair/daemon/_inbound.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from coltsfootstair.coordinator import Exchange
+from coltsfootstair.coordinator import Exchange, NotesReceived, RowReceived, StreamClosed
 from coltsfootstair.inner import (
     AnswerChunk,
     AnswerHead,
@@ -12,8 +12,15 @@
     BodyChunk,
     CancelRequest,
     Credit,
+    NoteConfirmed,
+    NoteDropped,
+    NoteOperation,
+    NoteRows,
+    NotesBegun,
     Refused,
     RequestHead,
+    RowDropped,
+    RowHanded,
 )
 
 if TYPE_CHECKING:
@@ -64,12 +71,24 @@
                 self._pending.deliver(stream, message)
             case CancelRequest(request_id):
                 self._coordinator.cancel(request_id)
+            case (
+                NotesBegun()
+                | NoteOperation()
+                | NoteConfirmed()
+                | NoteRows()
+                | NoteDropped()
+                | RowDropped()
+            ):
+                self._coordinator.tell(NotesReceived(stream, message))
+            case RowHanded():
+                self._coordinator.tell(RowReceived(message))
             case _:
                 self._to_handler(stream, message)
 
     def closed(self, stream: Stream) -> None:
         """Let all that depended on ``stream`` know."""
         self._pending.lost(stream)
+        self._coordinator.tell(StreamClosed(stream))
         for owner, request_id in list(self._exchange_by_id):
             if owner is stream:
                 exchange = self._exchange_by_id.pop((owner, request_id))
--- a/src/coltsfootstair/operations/__init__.py
+++ b/src/coltsfootstair/operations/__init__.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from coltsfootstair.operations._ids import fingerprint, id_age_s
+from coltsfootstair.operations._entries import MAX_KEPT_ANSWER_BYTES
+from coltsfootstair.operations._ids import fingerprint, id_age_s, is_own_id, own_id
 from coltsfootstair.operations._memory import (
     KEEP_S,
     OperationMemory,
@@ -42,10 +43,12 @@
     Tick,
     Withdraw,
 )
+from coltsfootstair.operations._replies import not_coordinator
 from coltsfootstair.operations._standby import StandbyNotes
 
 __all__ = [
     'KEEP_S',
+    'MAX_KEPT_ANSWER_BYTES',
     'Admit',
     'Admitted',
     'Answer',
@@ -81,6 +84,9 @@
     'fingerprint',
     'handle',
     'id_age_s',
+    'is_own_id',
     'new_memory',
+    'not_coordinator',
+    'own_id',
     'row_record',
 ]
