--- a/src/coltsfootstair/daemon/_lease_keeper.py
+++ b/src/coltsfootstair/daemon/_lease_keeper.py
@@ -202,8 +202,11 @@
     def _give_away(self, server: str) -> None:
         """Hand a lease over that another daemon is to have; the store must be seen up."""
         lease = self._lease_by_server[server]
+        if not lease.acting_epoch or lease.successor is not None:
+            self._home_since.pop(server, None)
+            return
         successor = self._successor(lease)
-        if successor is None or not lease.acting_epoch or lease.successor is not None:
+        if successor is None:
             return
         if self._now() - lease.read_at > STORE_FRESH_S:
             if self._now() - self._read_at.get(server, -math.inf) >= STORE_FRESH_S:
--- a/src/coltsfootstair/ownership/__init__.py
+++ b/src/coltsfootstair/ownership/__init__.py
@@ -4,13 +4,8 @@
 
 from coltsfootstair.ownership._grants import CLOCK_DRIFT, GRANT_S
 from coltsfootstair.ownership._hot import FrequentKeys
-from coltsfootstair.ownership._moves import (
-    REQUEST_LIMIT_S,
-    OwnedRows,
-    handle,
-    is_lost,
-    take_up,
-)
+from coltsfootstair.ownership._moves import handle
+from coltsfootstair.ownership._owned import REQUEST_LIMIT_S, OwnedRows, is_lost, take_up
 from coltsfootstair.ownership._planner import Change, Load, apply_changes, plan
 from coltsfootstair.ownership._table import (
     HOT_ROWS_PER_SHARD,
--- /dev/null
+++ b/src/coltsfootstair/ownership/_owned.py
@@ -0,0 +1,148 @@
+"""What a coordinator knows of the rows of one backend server."""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from coltsfootstair.ownership._grants import GrantBook, new_book
+from coltsfootstair.ownership._messages import RowsAdmitted
+from coltsfootstair.ownership._table import SHARDS_PER_TABLE, Row, Shard, token_of
+
+__all__ = [
+    'PAUSE_S',
+    'REQUEST_LIMIT_S',
+    'SETTLE_S',
+    'HeldRow',
+    'OwnedRows',
+    'Phase',
+    'is_lost',
+    'may_act',
+    'rows_in',
+    'set_phase',
+    'take_up',
+    'tokens_of',
+]
+
+SERVER_LOST_S = 0.7
+"""Silence after which a backend server is taken to be lost, in seconds."""
+
+PAUSE_S = 0.2
+"""Time between two ticks from which this process counts as paused, in seconds."""
+
+REFUSED_LOST_S = 0.25
+"""The same for one that can not be connected to, in seconds."""
+
+REQUEST_LIMIT_S = 2.0
+"""Longest deadline that a request for a key may be sent with, in seconds."""
+
+SETTLE_S = 2.5
+"""How long what an earlier coordinator sent may go on at the server, in seconds.
+
+It covers ``REQUEST_LIMIT_S`` after the last moment at which a grant could let it start.
+"""
+
+
+class Phase(enum.Enum):
+    """How far the release of a row has come."""
+
+    HELD = enum.auto()
+    STOPPING = enum.auto()
+    DROPPING = enum.auto()
+    WRITING = enum.auto()
+
+
+class HeldRow(NamedTuple):
+    """A row that the table gives to the server.
+
+    :param since: when the phase began, in monotonic seconds
+    :param inherited: whether an earlier coordinator may have begun to release it
+    """
+
+    row: Row
+    phase: Phase
+    since: float
+    inherited: bool = False
+
+
+class OwnedRows(NamedTuple):
+    """The rows of one backend server during one lease of its coordinator.
+
+    :param checks_grants: whether the server refuses what is not granted to it
+    :param hinted: versions of shards that were heard of before they were read
+    :param fresh: shards that were read since the rights began
+    :param writing: versions that pending writes of shards expect
+    :param unsure: shards whose write got no answer, or a refusal
+    :param hot_row_by_key: the rows of keys that were taken out of their slots
+    :param read_at: when each shard was last asked for
+    :param answered_at: when the server was last heard from
+    :param asked_at: when the server was last sent a probe or an order
+    :param refused: whether the last call could not connect
+    :param ticked_at: when time was last told to have passed
+    :param asking: whether a probe or an order is under way
+    """
+
+    backend_server: str
+    lease_epoch: int
+    checks_grants: bool
+    began_at: float
+    book: GrantBook
+    rights_until: float = -math.inf
+    shard_by_number: Mapping[int, tuple[Shard, int]] = {}
+    fresh: frozenset[int] = frozenset()
+    hinted: Mapping[int, int] = {}
+    held_by_row: Mapping[int, HeldRow] = {}
+    writing: Mapping[int, int] = {}
+    unsure: frozenset[int] = frozenset()
+    hot_row_by_key: Mapping[str, int] = {}
+    read_at: Mapping[int, float] = {}
+    answered_at: float = -math.inf
+    asked_at: float = -math.inf
+    ticked_at: float = math.inf
+    asking: bool = False
+    refused: bool = False
+    admitted: RowsAdmitted | None = None
+
+
+def take_up(
+    backend_server: str, lease_epoch: int, *, checks_grants: bool, now: float
+) -> OwnedRows:
+    """Return the state of a coordinator whose rights have just begun."""
+    return OwnedRows(
+        backend_server, lease_epoch, checks_grants, now, new_book(now), answered_at=now
+    )
+
+
+def is_lost(owned: OwnedRows, now: float) -> bool:
+    """Return whether the server has not answered for too long."""
+    allowed_s = REFUSED_LOST_S if owned.refused else SERVER_LOST_S
+    return now - owned.answered_at >= allowed_s
+
+
+def set_phase(
+    owned: OwnedRows, rows: frozenset[int], old: Phase, new: Phase, now: float
+) -> OwnedRows:
+    """Move the given rows that are in one phase on to another."""
+    held = dict(owned.held_by_row)
+    for number in rows:
+        known = held.get(number)
+        if known is not None and known.phase is old:
+            held[number] = known._replace(phase=new, since=now)
+    return owned._replace(held_by_row=held)
+
+
+def rows_in(owned: OwnedRows, *phases: Phase) -> dict[int, Row]:
+    """Return the rows that are in any of the given phases."""
+    return {n: h.row for n, h in owned.held_by_row.items() if h.phase in phases}
+
+
+def may_act(owned: OwnedRows, now: float) -> bool:
+    """Return whether grants may be given and rows be written."""
+    return now < owned.rights_until and len(owned.fresh) == SHARDS_PER_TABLE
+
+
+def tokens_of(owned: OwnedRows, rows: Mapping[int, Row]) -> dict[int, int]:
+    """Return the fencing tokens of rows under this coordinator's lease."""
+    return {n: token_of(row.epoch, owned.lease_epoch) for n, row in rows.items()}
--- a/tests/ownership/model.py
+++ b/tests/ownership/model.py
@@ -15,7 +15,7 @@
 from coltsfootstair.leases import Candidate, Lease, PeerView, may_act, rights_until
 from coltsfootstair.leases import _decide as leases
 from coltsfootstair.leases import _messages as lm
-from coltsfootstair.ownership import CLOCK_DRIFT, Row, Shard, slot_of
+from coltsfootstair.ownership import CLOCK_DRIFT, OwnedRows, Row, Shard, slot_of, take_up
 from coltsfootstair.ownership import _messages as om
 from coltsfootstair.ownership import _moves as moves
 
@@ -83,7 +83,7 @@
         self.offset = world.rng.uniform(0, 1000)
         self.paused_until = 0.0
         self.leases = {s: Lease(s, centre, self.me) for s, centre in SERVERS.items()}
-        self.owned: dict[str, moves.OwnedRows] = {}
+        self.owned: dict[str, OwnedRows] = {}
         self.tenure: Counter[str] = Counter()
         self.in_flight: Counter[str] = Counter()
 
@@ -303,7 +303,7 @@
             case lm.RightsGained(epoch):
                 self.happened['rights'] += 1
                 daemon.tenure[server] += 1
-                daemon.owned[server] = moves.take_up(
+                daemon.owned[server] = take_up(
                     server, epoch, checks_grants=True, now=daemon.clock()
                 )
             case lm.RightsLost():
--- a/tests/ownership/test_sole_owner.py
+++ b/tests/ownership/test_sole_owner.py
@@ -12,8 +12,9 @@
 
 from coltsfootstair.leases import _decide as leases
 from coltsfootstair.leases._messages import Confirm
-from coltsfootstair.ownership import Row, Shard
+from coltsfootstair.ownership import OwnedRows, Row, Shard, take_up
 from coltsfootstair.ownership import _moves as moves
+from coltsfootstair.ownership import _release as release
 from coltsfootstair.ownership._messages import (
     ProbeAnswered,
     ReadShard,
@@ -21,6 +22,7 @@
     SendGrant,
     ShardSeen,
 )
+from coltsfootstair.ownership._owned import HeldRow, Phase, set_phase
 
 if TYPE_CHECKING:
     from coltsfootstair.leases import Lease
@@ -54,14 +56,14 @@
     return lease, [Confirm(asked.version, asked.record, asked.asked_at)]
 
 
-def grant_again(owned: Any, number: int, row: Row, seen: Any, now: float) -> moves.HeldRow:
-    return owned.held_by_row.get(number) or moves.HeldRow(row, moves.Phase.HELD, now)
+def grant_again(owned: Any, number: int, row: Row, seen: Any, now: float) -> HeldRow:
+    return owned.held_by_row.get(number) or HeldRow(row, Phase.HELD, now)
 
 
-def drop_at_once(owned: moves.OwnedRows, now: float, advance: Any = moves._advance) -> Any:
+def drop_at_once(owned: OwnedRows, now: float, advance: Any = moves._advance) -> Any:
     owned = advance(owned, now)
     rows = frozenset(owned.held_by_row)
-    return moves._set_phase(owned, rows, moves.Phase.STOPPING, moves.Phase.DROPPING, now)
+    return set_phase(owned, rows, Phase.STOPPING, Phase.DROPPING, now)
 
 
 @pytest.mark.parametrize(
@@ -69,7 +71,7 @@
     [
         pytest.param(leases, 'TAKEOVER_WAIT_S', 0.0, id='takeover without the wait'),
         pytest.param(leases, '_take_question', confirm_always, id='epoch not checked'),
-        pytest.param(moves, 'may_hold', lambda *_: False, id='lapse not waited for'),
+        pytest.param(release, 'may_hold', lambda *_: False, id='lapse not waited for'),
         pytest.param(moves, '_advance', drop_at_once, id='requests not waited for'),
     ],
 )
@@ -88,7 +90,7 @@
 
 
 def grants_of_a_new_coordinator() -> list[int]:
-    owned = moves.take_up('a', 2, checks_grants=True, now=0.0)
+    owned = take_up('a', 2, checks_grants=True, now=0.0)
     events: list[RowsEvent] = [RowsTick(100.0), ProbeAnswered('i', 5.0, 0.0)]
     rows = {0: Row('a', 1, 'b'), 1: Row('a', 1), 2: Row('b', 1)}
     for number in range(4):
@@ -112,7 +114,7 @@
 
 
 def test_a_read_older_than_what_was_heard_is_read_again() -> None:
-    owned = moves.take_up('a', 2, checks_grants=True, now=0.0)
+    owned = take_up('a', 2, checks_grants=True, now=0.0)
     events: list[RowsEvent] = [RowsTick(100.0), ShardSeen(Shard(0, {0: Row('a', 1)}), 5)]
     events += [ShardSeen(Shard(number, {}), 0, fresh=True) for number in range(4)]
     for event in events:
