--- a/src/coltsfootstair/daemon/_server_keeper.py
+++ b/src/coltsfootstair/daemon/_server_keeper.py
@@ -16,6 +16,7 @@
     RightsGiven,
     RightsTaken,
     RowsGranted,
+    RowsOwned,
     ServerObserved,
 )
 from coltsfootstair.errors import (
@@ -31,6 +32,7 @@
     encode_shard,
     handle,
     is_lost,
+    row_epoch_of,
     shard_key,
     take_up,
 )
@@ -54,6 +56,7 @@
     """What a server keeper works with.
 
     :param post: has a callable run on the ownership task
+    :param standby: tells which daemon a server's record names as its standby
     """
 
     clock: Clock
@@ -63,6 +66,7 @@
     store_calls: Executor
     server_calls: Executor
     post: Callable[[Callable[[], None]], None]
+    standby: Callable[[str], str]
 
 
 class ServerKeeper:
@@ -86,6 +90,7 @@
             checks_grants=server.checks_grants and service.divided_by_key,
             now=self._now(),
         )
+        self._lease_epoch = lease_epoch
         self._probed_at = self._now()
         self._probing = False
         self._ended = False
@@ -144,6 +149,7 @@
             case om.ProbeServer():
                 self._parts.server_calls.submit(self._probe, for_rows=True)
             case om.RowsAdmitted():
+                self._parts.coordinator.tell(self._rows_owned(effect))
                 self._parts.coordinator.tell(self._granted(effect))
 
     def take_idle(self, granted: RowsGranted, rows: frozenset[int]) -> None:
@@ -151,6 +157,14 @@
         if self._owned.admitted is not None and granted == self._granted(self._owned.admitted):
             self.take(om.RowsIdle(rows))
 
+    def _rows_owned(self, admitted: om.RowsAdmitted) -> RowsOwned:
+        tokens = admitted.token_by_row.items()
+        epoch_by_row = {row: row_epoch_of(token) for row, token in tokens}
+        standby = self._parts.standby(self.server.name)
+        return RowsOwned(
+            self.server.name, epoch_by_row, admitted.stopping, standby, self._lease_epoch
+        )
+
     def _granted(self, admitted: om.RowsAdmitted) -> RowsGranted:
         if not self._service.divided_by_key:
             admitted = admitted._replace(token_by_row={}, hot_row_by_key={})
--- a/src/coltsfootstair/ownership/_moves.py
+++ b/src/coltsfootstair/ownership/_moves.py
@@ -58,6 +58,9 @@
 SERVER_LOST_S = 0.7
 """Silence after which a backend server is taken to be lost, in seconds."""
 
+PAUSE_S = 0.2
+"""Time between two ticks from which this process counts as paused, in seconds."""
+
 REFUSED_LOST_S = 0.25
 """The same for one that can not be connected to, in seconds."""
 
@@ -100,6 +103,7 @@
     """The rows of one backend server during one lease of its coordinator.
 
     :param checks_grants: whether the server refuses what is not granted to it
+    :param hinted: versions of shards that were heard of before they were read
     :param fresh: shards that were read since the rights began
     :param writing: versions that pending writes of shards expect
     :param unsure: shards whose write got no answer, or a refusal
@@ -108,6 +112,7 @@
     :param answered_at: when the server was last heard from
     :param asked_at: when the server was last sent a probe or an order
     :param refused: whether the last call could not connect
+    :param ticked_at: when time was last told to have passed
     :param asking: whether a probe or an order is under way
     """
 
@@ -119,6 +124,7 @@
     rights_until: float = -math.inf
     shard_by_number: Mapping[int, tuple[Shard, int]] = {}
     fresh: frozenset[int] = frozenset()
+    hinted: Mapping[int, int] = {}
     held_by_row: Mapping[int, HeldRow] = {}
     writing: Mapping[int, int] = {}
     unsure: frozenset[int] = frozenset()
@@ -126,6 +132,7 @@
     read_at: Mapping[int, float] = {}
     answered_at: float = -math.inf
     asked_at: float = -math.inf
+    ticked_at: float = math.inf
     asking: bool = False
     refused: bool = False
     admitted: RowsAdmitted | None = None
@@ -162,7 +169,10 @@
 def _take(owned: OwnedRows, event: RowsEvent, now: float) -> OwnedRows:
     match event:
         case RowsTick(rights_until):
-            return owned._replace(rights_until=rights_until)
+            if now - owned.ticked_at >= PAUSE_S:
+                # What this process missed while it was paused says nothing of the server.
+                owned = owned._replace(answered_at=now)
+            return owned._replace(rights_until=rights_until, ticked_at=now)
         case ShardSeen():
             return _take_shard(owned, event, now)
         case ShardConflicted(number) | ShardUnknown(number):
@@ -190,7 +200,11 @@
 def _take_shard(owned: OwnedRows, seen: ShardSeen, now: float) -> OwnedRows:
     number = seen.shard.number
     if number not in owned.fresh and not seen.fresh:
-        # What was heard of before the first read may be older than a release.
+        # What was heard of before the first read may be older than a release; but the
+        # read must not be older than that.
+        version = max(seen.version, owned.hinted.get(number, 0))
+        return owned._replace(hinted={**owned.hinted, number: version})
+    if number not in owned.fresh and seen.version < owned.hinted.get(number, 0):
         return owned
     owned = owned._replace(fresh=owned.fresh | {number})
     known = owned.shard_by_number.get(number, (None, -1))[1]
