--- a/src/coltsfootstair/operators/_server.py
+++ b/src/coltsfootstair/operators/_server.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import waitress
+from waitress import wasyncore
 
 from coltsfootstair.operators._http import MAX_BODY_BYTES
 from coltsfootstair.typed_toml import parse_address
@@ -18,6 +19,7 @@
 __all__ = ['OperatorsServer']
 
 THREADS = 4
+POLL_S = 0.2
 JOIN_TIMEOUT_S = 2.0
 
 
@@ -32,6 +34,7 @@
         self._app = app
         self._server: BaseWSGIServer | None = None
         self._sockets: dict[int, Any] = {}
+        self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name='operators', daemon=True)
 
     def open(self) -> None:
@@ -64,18 +67,16 @@
 
     def stop(self) -> None:
         """Stop serving."""
-        if self._server is None:
-            return
-        # The sockets belong to the serving thread, so it has to close them itself.
-        self._server.trigger.pull_trigger(self._close_all)
+        self._stopping.set()
         if self._thread.is_alive():
             self._thread.join(JOIN_TIMEOUT_S)
-        self._server.task_dispatcher.shutdown()
 
-    def _close_all(self) -> None:
+    def _run(self) -> None:
+        if self._server is None:
+            return
+        while not self._stopping.is_set():
+            wasyncore.loop(timeout=POLL_S, map=self._sockets, count=1)
+        # The sockets belong to this thread, so it has to close them itself.
         for dispatcher in list(self._sockets.values()):
             dispatcher.close()
-
-    def _run(self) -> None:
-        if self._server is not None:
-            self._server.run()
+        self._server.task_dispatcher.shutdown()
--- a/src/coltsfootstair/timeline/_merge.py
+++ b/src/coltsfootstair/timeline/_merge.py
@@ -50,7 +50,8 @@
             continue
         if event.name is EventName.OWNER_ASSIGNED:
             owner = str(event.fields['server'])
-        if event.name is EventName.OWNER_RELEASED:
+        # The new owner's coordinator may note the change before the old owner's does.
+        if event.name is EventName.OWNER_RELEASED and owner in (None, event.fields['server']):
             owner = ''
     return owner
 
--- a/tests/timeline/test_timeline.py
+++ b/tests/timeline/test_timeline.py
@@ -106,3 +106,6 @@
     assert owner_at(events, 's', 5, moved) == 'b-2'
     assert owner_at(events, 's', 4, moved) == 'b-1'
     assert owner_at(events, 't', 4, moved) is None
+    here.receive(moved)
+    late = here.record(EventName.OWNER_RELEASED, service='s', rows='5', server='b-1')
+    assert owner_at(merge([here.events(), there.events()]), 's', 5, late) == 'b-2'
