Read the VM list no more often than the platform bears

Cause: each daemon reads the list once a second, 4,600 reads a second at the size to design for, where the store gives about 2,000 in all.

Ruled out: the watchers reading for the others. It is the better end (the list is 184 KB at that size by its slope of 40 bytes per daemon, which only changes should travel), but the time at which the list was asked for decides when a lost VM counts as gone, and has to travel with it.

Conclusion: a list that lags more delays the replacement of a coordinator and a standby that were lost together, and nothing else.

--- a/src/coltsfootstair/daemon/_peers.py
+++ b/src/coltsfootstair/daemon/_peers.py
@@ -24,9 +24,22 @@
     from coltsfootstair.inner import Hub, Message, Stream
     from coltsfootstair.store import VmList
 
-__all__ = ['PeerDirectory', 'PeerLink']
+__all__ = ['PeerDirectory', 'PeerLink', 'poll_pause_s']
 
 POLL_S = 1.0
+"""Least time between reads of the list, in seconds."""
+
+LIST_READS_PER_S = 500
+"""Reads of the list that all daemons together make at most, a second."""
+
+
+def poll_pause_s(daemons: int) -> float:
+    """Return the seconds between a daemon's reads of a list of so many daemons.
+
+    The platform's rates don't grow with the fleet; a list that lags more delays what
+    follows from it, and makes nothing unsafe.
+    """
+    return max(POLL_S, daemons / LIST_READS_PER_S)
 
 
 class PeerDirectory:
@@ -72,7 +85,7 @@
             self._vm_by_name = {row[0]: VirtualMachine(*row) for row in rows}
 
     def _run(self) -> None:
-        while not self._stopping.wait(POLL_S):
+        while not self._stopping.wait(poll_pause_s(len(self._vm_by_name))):
             self.poll()
 
 
