--- a/bench/operators.py
+++ b/bench/operators.py
@@ -11,6 +11,7 @@
 import json
 import statistics
 import threading
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -135,6 +136,9 @@
         last = max((at for at in begun if at < OUT_S / 2), default=0.0)
         broken = [one for one in samples if one.service == 'scans' and one.result != 0]
         most = max(self._system.truth(name)['max_in_flight'] for name, _, _ in SERVERS)
+        refused = Counter((one.service, one.result) for one in samples if one.result > 0)
+        for (service, code), count in sorted(refused.items()):
+            print(f'{service} refused with result {code}: {count}')
         print(f'last new work in {LEAVING}: {last:.2f} s after the take-out was accepted')
         print(f'new work there later than 3 s: {len(late)}')
         print(f'uploads not answered whole: {len(broken)}: {[one.result for one in broken]}')
--- a/tests/cli/test_operators.py
+++ b/tests/cli/test_operators.py
@@ -87,7 +87,7 @@
     assert errors[0].startswith(f'{path}: backend_servers[1].slots (line 18): must be')
 
 
-def test_json_is_clean(address: str, capsys: pytest.CaptureFixture[str]) -> None:
+def test_reports_are_clean_json(address: str, capsys: pytest.CaptureFixture[str]) -> None:
     _, output, errors = run(capsys, 'status', '--json', '--daemon', address)
     assert json.loads(output)['daemons'][0]['version'] == 1
     assert errors == []
--- a/tests/daemon/test_event_notes.py
+++ b/tests/daemon/test_event_notes.py
@@ -58,13 +58,8 @@
     load = {'b-1': ServerLoad('ramping', 1, 0, 1)}
     state = {'fresh': True, 'reachable': True}
     peers = ['d2']
-    notes = StateNotes(
-        timeline,
-        lambda: load,
-        lambda: state['fresh'],
-        lambda: state['reachable'],
-        lambda: peers,
-    )
+    fresh, reachable = (lambda: state['fresh']), (lambda: state['reachable'])
+    notes = StateNotes(timeline, lambda: load, fresh, reachable, lambda: peers)
     notes.look()
     notes.look()
     load['b-1'] = ServerLoad('warm', 4, 0, 4)
--- a/tests/news/test_news.py
+++ b/tests/news/test_news.py
@@ -25,10 +25,11 @@
 DAEMONS = 3
 ROUNDING_S = 1e-6
 
+DAEMON = st.integers(0, DAEMONS - 1)
 STEPS = st.lists(
     st.one_of(
         st.tuples(st.just('write'), st.integers(0, 3), st.just(0)),
-        st.tuples(st.just('read'), st.integers(0, DAEMONS - 1), st.just(0)),
+        st.tuples(st.just('read'), DAEMON, st.just(0)),
         st.tuples(st.just('ask'), st.integers(0, DAEMONS - 1), st.integers(0, DAEMONS - 1)),
         st.tuples(st.just('deliver'), st.integers(0, 7), st.booleans()),
         st.tuples(st.just('wait'), st.integers(1, 20), st.just(0)),
--- a/tests/scenarios/test_operators.py
+++ b/tests/scenarios/test_operators.py
@@ -8,7 +8,7 @@
 import threading
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
     from pathlib import Path
+    from subprocess import CompletedProcess
 
 scenarios('operators.feature')
 
@@ -37,14 +38,6 @@
 NO_NEW_WORK_AFTER_S = 3.0
 
 
-class Command(NamedTuple):
-    """What a command of the command line did."""
-
-    code: int
-    output: str
-    error: str
-
-
 class World:
     """A running system, and what happened in it."""
 
@@ -54,7 +47,7 @@
         self.executor = ThreadPoolExecutor(32)
         self.stopping = threading.Event()
         self.uploads: list[Future[int]] = []
-        self.races: list[Command] = []
+        self.races: list[CompletedProcess[str]] = []
         self.out_at = 0.0
         self.back_at = 0.0
         self.restarted = ''
@@ -154,30 +147,29 @@
 def race(world: World) -> None:
     base = str(world.status()['version'])
 
-    def apply(slots: int) -> Command:
+    def apply(slots: int) -> CompletedProcess[str]:
         path = world.folder / f'{slots}.toml'
         path.write_text(world.text(slots))
         address = world.system.operators(f'd{slots}')
         words = ('config', 'apply', str(path), '--base', base, '--daemon', address)
-        done = world.system.finish(*words)
-        return Command(done.returncode, done.stdout, done.stderr)
+        return world.system.finish(*words)
 
     world.races = list(world.executor.map(apply, (2, 3)))
 
 
 @then('one is told the new version, and the other what changed')
 def one_wins(world: World) -> None:
-    winner, loser = sorted(world.races, key=lambda command: command.code)
-    assert (winner.code, loser.code) == (0, 1)
-    assert winner.output.split()[-1].isdecimal()
-    assert loser.error.count('\n') == 1
-    assert f'version {winner.output.split()[-1]} came first' in loser.error
-    assert 'slots 4 -> ' in loser.error
+    winner, loser = sorted(world.races, key=lambda command: command.returncode)
+    assert (winner.returncode, loser.returncode) == (0, 1)
+    assert winner.stdout.split()[-1].isdecimal()
+    assert loser.stderr.count('\n') == 1
+    assert f'version {winner.stdout.split()[-1]} came first' in loser.stderr
+    assert 'slots 4 -> ' in loser.stderr
 
 
 @then("the winner's document is in force at every daemon within 5 s")
 def winner_in_force(world: World) -> None:
-    version = max(int(one.output.split()[-1]) for one in world.races if one.code == 0)
+    version = max(int(one.stdout.split()[-1]) for one in world.races if not one.returncode)
     world.wait_in_force(list(DAEMONS), lambda seen: seen == version)
 
 
