--- a/bench/_store_figures.py
+++ b/bench/_store_figures.py
@@ -39,9 +39,9 @@
     Figure(
         'coordinator',
         'home_cores',
-        'home_candidate_us * daemons * backend_servers / ownership_tick_s / 1e6',
+        'home_candidate_us * daemons * servers_per_daemon / ownership_tick_s / 1e6',
         'cores',
-        'for looking at each tick which daemon is nearest to each backend server',
+        'for looking at each tick which daemon is nearest to each server it coordinates',
     ),
     Figure(
         'coordinator',
