Let a load end when the system no longer answers

The demo hung after its time: with lookups refused late, every worker was busy with what was overdue (seen in the join of the load 45 s after its end). A request more than 5 s overdue is now counted as unsent, and shown as failed, not sent; an answer is awaited for 20 s and not 60 s.

--- a/src/coltsfootstair/demo/_judge.py
+++ b/src/coltsfootstair/demo/_judge.py
@@ -139,7 +139,7 @@
 def _whole_answers(observed: Observed) -> Iterator[_Finding]:
     for sample in observed.samples:
         match sample.outcome:
-            case Outcome.WHOLE | Outcome.FAILED:
+            case Outcome.WHOLE | Outcome.FAILED | Outcome.UNSENT:
                 wrong = False
             case Outcome.REFUSED:
                 wrong = sample.ran not in ('no', 'unknown')
--- a/src/coltsfootstair/load/_caller.py
+++ b/src/coltsfootstair/load/_caller.py
@@ -16,7 +16,7 @@
 
 __all__ = ['Answer', 'Caller', 'Question']
 
-TIMEOUT_S = 60.0
+TIMEOUT_S = 20.0
 MAX_IDLE_S = 10.0
 """Below the time after which a daemon closes an idle connection, in seconds."""
 
--- a/src/coltsfootstair/load/_samples.py
+++ b/src/coltsfootstair/load/_samples.py
@@ -20,7 +20,7 @@
 
 
 class Outcome(enum.StrEnum):
-    """How a request ended for its caller; ``FAILED`` is a backend server's own error."""
+    """How a request ended for its caller; ``FAILED`` is a backend server's error."""
 
     WHOLE = 'whole'
     REFUSED = 'refused'
@@ -28,6 +28,7 @@
     CUT = 'cut'
     FOREIGN = 'foreign'
     FAILED = 'failed'
+    UNSENT = 'unsent'
 
 
 class Sample(NamedTuple):
--- a/src/coltsfootstair/load/_workers.py
+++ b/src/coltsfootstair/load/_workers.py
@@ -12,7 +12,7 @@
 
 from coltsfootstair.clock import Clock
 from coltsfootstair.load._caller import Answer, Caller, Question
-from coltsfootstair.load._samples import Outcome, Sample
+from coltsfootstair.load._samples import NO_RESULT, Outcome, Sample
 from coltsfootstair.results import ResultCode
 
 if TYPE_CHECKING:
@@ -23,6 +23,9 @@
 
 LOOKUP_TIMEOUT_MS = 2_000
 BOOKING_TIMEOUT_MS = 5_000
+GIVE_UP_S = 5.0
+"""How long overdue a request is still sent, in seconds."""
+
 MAX_RESENDS = 2
 PORTION_BYTES = 32 * 1024
 CREW_PAUSE_S = 0.2
@@ -80,6 +83,12 @@
         self._surroundings.report(sample)
         return sample
 
+    def give_up(self, arrival: Arrival, due_at: float) -> None:
+        """Report a request that is too long overdue to be sent."""
+        late_s = self.clock.monotonic() - due_at
+        place = (arrival.service, arrival.key, arrival.operation_id, '', due_at, late_s)
+        self._surroundings.report(Sample(*place, Outcome.UNSENT, NO_RESULT, '', ''))
+
 
 class ArrivalWorker:
     """Takes the next arrival of a list that several threads share."""
@@ -104,7 +113,10 @@
             wait_s = due_at - self._sender.clock.monotonic()
             if wait_s > 0 and self._stopping.wait(wait_s):
                 break
-            self._send(arrival, due_at)
+            if wait_s < -GIVE_UP_S:
+                self._sender.give_up(arrival, due_at)
+            else:
+                self._send(arrival, due_at)
         self._sender.close()
 
     def _next(self) -> Arrival | None:
