--- a/src/coltsfootstair/demo/_system.py
+++ b/src/coltsfootstair/demo/_system.py
@@ -140,7 +140,7 @@
         return DaemonSettings(daemon.name, daemon.data_centre, *addresses, url)
 
     def _set_state(self, data_centre: str, state: State) -> None:
-        result = self._operators().set_data_centre(data_centre, state, force=False)
+        result = self._operators().set_data_centre(data_centre, state, force=True)
         _check_applied(result)
 
     def _operators(self) -> OperatorsClient:
