Ask for a shard again only once the last answer is in

Cause: a shard that was not read yet was asked for every 0.1 s, answered or not, so slow answers made more calls. Ruled out: shards in doubt after a conflict (none counted).

--- a/src/coltsfootstair/ownership/_moves.py
+++ b/src/coltsfootstair/ownership/_moves.py
@@ -74,10 +74,15 @@
                 # What this process missed while it was paused says nothing of the server.
                 owned = owned._replace(answered_at=now)
             return owned._replace(rights_until=rights_until, ticked_at=now)
-        case ShardSeen():
+        case ShardSeen(shard, _, fresh):
+            if fresh:
+                owned = owned._replace(reading=owned.reading - {shard.number})
             return _take_shard(owned, event, now)
-        case ShardConflicted(number) | ShardUnknown(number):
+        case ShardConflicted(number):
             return owned._replace(unsure=owned.unsure | {number})
+        case ShardUnknown(number):
+            reading = owned.reading - {number}
+            return owned._replace(unsure=owned.unsure | {number}, reading=reading)
         case GrantAnswered(number, accepted, instance, clock, asked_at):
             owned = owned._replace(book=answered(owned.book, number, accepted=accepted))
             if not accepted:
@@ -210,9 +215,13 @@
         number
         for number in range(SHARDS_PER_TABLE)
         if (number not in owned.fresh or number in owned.unsure)
+        and number not in owned.reading
         and now - owned.read_at.get(number, -math.inf) >= STORE_RETRY_S
     ]
     if not wanted or now >= owned.rights_until:
         return owned, []
     read_at = {**owned.read_at, **dict.fromkeys(wanted, now)}
-    return owned._replace(read_at=read_at), [ReadShard(number) for number in wanted]
+    reading = owned.reading.union(wanted)
+    return owned._replace(reading=reading, read_at=read_at), [
+        ReadShard(number) for number in wanted
+    ]
--- a/src/coltsfootstair/ownership/_owned.py
+++ b/src/coltsfootstair/ownership/_owned.py
@@ -100,6 +100,7 @@
     :param writing: versions that pending writes of shards expect
     :param unsure: shards whose write got no answer, or a refusal
     :param hot_row_by_key: the rows of keys that were taken out of their slots
+    :param reading: shards that are being read
     :param read_at: when each shard was last asked for
     :param answered_at: when the server was last heard from
     :param asked_at: when the server was last sent a probe or an order
@@ -121,6 +122,7 @@
     writing: Mapping[int, int] = {}
     unsure: frozenset[int] = frozenset()
     hot_row_by_key: Mapping[str, int] = {}
+    reading: frozenset[int] = frozenset()
     read_at: Mapping[int, float] = {}
     answered_at: float = -math.inf
     asked_at: float = -math.inf
