Go on with what is known when a lease is confirmed again under the same epoch

Cause: a lease that lapsed for a moment was taken up as a new one, with four reads of the store, new grants and a copy of all notes for each server, so a late confirmation made the next one later: 276 shard reads in 4 s in the demo. Under the same epoch nobody else can have acted in between. Ruled out: shards in doubt. Reports of requests in flight now leave out what an earlier coordinator may have left running, which made a take-out look dangerous.

--- a/src/coltsfootstair/coordinator/_server.py
+++ b/src/coltsfootstair/coordinator/_server.py
@@ -76,4 +76,4 @@
             phase = 'not granted'
         else:
             phase = 'warm' if limit >= admission.slots else 'ramping'
-        return ServerLoad(phase, admission.occupied, len(admission.waiting), limit)
+        return ServerLoad(phase, len(admission.in_flight_by_id), len(admission.waiting), limit)
--- a/src/coltsfootstair/daemon/_ownership.py
+++ b/src/coltsfootstair/daemon/_ownership.py
@@ -207,6 +207,12 @@
         ]
         if not services:
             return
+        ended = self._ended_by_server.pop(name, None)
+        if ended is not None and ended.may_resume(server, services[0], epoch):
+            logger.info('lease confirmed again', server=name, epoch=epoch)
+            self._keeper_by_server[name] = ended
+            ended.resume()
+            return
         port = self._parts.open_port(server)
         keeper = ServerKeeper(self._server_parts(), server, services[0], port, epoch)
         self._keeper_by_server[name] = keeper
--- a/src/coltsfootstair/daemon/_server_keeper.py
+++ b/src/coltsfootstair/daemon/_server_keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from concurrent.futures import Executor
 from typing import TYPE_CHECKING, NamedTuple
@@ -26,6 +27,7 @@
     StoreUnavailableError,
 )
 from coltsfootstair.ownership import (
+    SHARDS_PER_TABLE,
     OwnedRows,
     Shard,
     decode_shard,
@@ -102,9 +104,26 @@
 
     def end(self) -> None:
         """Stop the coordinator task from acting for the server."""
+        self.take(om.RowsTick(-math.inf))
         self._ended = True
         self._parts.coordinator.tell(RightsTaken(self.server.name))
 
+    def may_resume(self, server: BackendServer, service: Service, lease_epoch: int) -> bool:
+        """Return whether rights that begin now are those that ended here.
+
+        Under the same epoch nobody else can have acted in between, so all that is known
+        still holds, but for what the table's shards have taken in since.
+        """
+        same = (server, service, lease_epoch)
+        return same == (self.server, self._service, self._lease_epoch)
+
+    def resume(self) -> None:
+        """Go on where ``end`` stopped."""
+        self._ended = False
+        self.begin()
+        for number in range(SHARDS_PER_TABLE):
+            self.take_object(self._parts.replica.get(shard_key(self.server.service, number)))
+
     def follow(self, server: BackendServer, service: Service) -> None:
         """Take other limits of the operators' document over."""
         if (server, service) != (self.server, self._service):
@@ -130,10 +149,10 @@
             self.take(om.ShardSeen(shard, item.version))
 
     def take(self, event: om.RowsEvent) -> None:
-        """Take an event in."""
+        """Take an event in; without rights it changes only what is known."""
+        self._owned, effects = handle(self._owned, event, self._now())
         if self._ended:
             return
-        self._owned, effects = handle(self._owned, event, self._now())
         for effect in effects:
             self._perform(effect)
 
@@ -230,9 +249,8 @@
         self._parts.post(lambda: self._probed(observed, event if for_rows else None))
 
     def _probed(self, observed: Observed, event: om.RowsEvent | None) -> None:
-        if self._ended:
-            return
-        self._parts.coordinator.tell(ServerObserved(self.server.name, observed))
+        if not self._ended:
+            self._parts.coordinator.tell(ServerObserved(self.server.name, observed))
         if event is None:
             self._probing = False
         else:
--- a/tests/ownership/test_sole_owner.py
+++ b/tests/ownership/test_sole_owner.py
@@ -30,6 +30,9 @@
 
 SEEDS = st.integers(0, 100_000)
 
+FAULT_SEEDS = 1500
+"""A server that takes any token shows in few runs, so the search for one goes far."""
+
 
 def breaks(seed: int, faults: Faults = NO_FAULTS) -> bool:
     try:
@@ -86,7 +89,7 @@
     'faults', [Faults(announce_early=True), Faults(tokens_unchecked=True)]
 )
 def test_broken_surroundings_are_caught(faults: Faults) -> None:
-    assert any(breaks(seed, faults) for seed in range(150))
+    assert any(breaks(seed, faults) for seed in range(FAULT_SEEDS))
 
 
 def grants_of_a_new_coordinator() -> list[int]:
