Put a shard of a table in place as a whole

Cause: the planner's thread read a table while another took a shard in. It could meet the new version with part of the rows, and a conditional write made from that would have taken the other rows out of the store; in the demo it showed as 'dictionary keys changed during iteration'. Found by reading after that log line. The test, which looks the table up in the middle of an update, fails on the code before. The ownership task is waited for before its executors end.

--- a/src/coltsfootstair/daemon/_ownership.py
+++ b/src/coltsfootstair/daemon/_ownership.py
@@ -45,6 +45,7 @@
 SERVER_THREADS = 32
 HAND_OVER_TIMEOUT_S = 3.0
 HAND_OVER_POLL_S = 0.02
+STOP_TIMEOUT_S = 2.0
 
 
 class OwnershipParts(NamedTuple):
@@ -127,6 +128,8 @@
     def stop(self) -> None:
         """End the task."""
         self._mailbox.put(None)
+        if self._thread.is_alive():
+            self._thread.join(STOP_TIMEOUT_S)
         self._store_calls.shutdown(wait=False, cancel_futures=True)
         self._server_calls.shutdown(wait=False, cancel_futures=True)
 
--- a/src/coltsfootstair/ownership/_table.py
+++ b/src/coltsfootstair/ownership/_table.py
@@ -152,28 +152,34 @@
     raise ValueError(values)
 
 
+class _KnownShard(NamedTuple):
+    """A shard and the version of the store that it was true at."""
+
+    shard: Shard
+    version: int
+
+
 class Table:
     """A service's table as this daemon knows it, for looking up owners.
 
     It is a hint: what it says may be old. A shard never goes back to an older version.
+    One thread updates it while others read: each shard is put in place as a whole, since
+    a plan made from part of a shard would take the other rows out of the store.
     """
 
     def __init__(self, service: str) -> None:
         self.service = service
-        self._rows_by_number: dict[int, Row] = {}
+        self._known_by_shard: dict[int, _KnownShard] = {}
         self._hot_by_key: dict[str, int] = {}
-        self._versions_by_shard: dict[int, int] = {}
 
     def update(self, shard: Shard, version: int) -> bool:
         """Take in a shard at a version of the store; return whether it was news."""
-        if version <= self._versions_by_shard.get(shard.number, 0):
+        if version <= self._known(shard.number).version:
             return False
-        self._versions_by_shard[shard.number] = version
-        self._drop(shard.number)
-        self._rows_by_number.update(shard.rows_by_number)
-        for number, row in shard.rows_by_number.items():
-            if row.key:
-                self._hot_by_key[row.key] = number
+        hot = {k: n for k, n in self._hot_by_key.items() if shard_of(n) != shard.number}
+        hot |= {row.key: n for n, row in shard.rows_by_number.items() if row.key}
+        self._known_by_shard[shard.number] = _KnownShard(shard, version)
+        self._hot_by_key = hot
         return True
 
     def owner_of(self, key: str) -> tuple[int, Row]:
@@ -185,26 +191,28 @@
 
     def row(self, number: int) -> Row:
         """Return a row by its number."""
-        return self._rows_by_number.get(number, UNASSIGNED)
+        known = self._known(shard_of(number)).shard
+        return known.rows_by_number.get(number, UNASSIGNED)
 
     def rows_by_number(self) -> dict[int, Row]:
         """Return all known rows."""
-        return dict(self._rows_by_number)
+        rows: dict[int, Row] = {}
+        for number in range(SHARDS_PER_TABLE):
+            rows |= self._known(number).shard.rows_by_number
+        return rows
 
     def shard(self, number: int) -> tuple[Shard, int]:
         """Return a shard and its version; version 0 if it is not known."""
-        rows = {n: r for n, r in self._rows_by_number.items() if shard_of(n) == number}
-        return Shard(number, rows), self._versions_by_shard.get(number, 0)
+        known = self._known(number)
+        return known.shard, known.version
 
     def versions(self) -> tuple[int, ...]:
         """Return the version of each shard; 0 for one that is not known."""
-        return tuple(self._versions_by_shard.get(n, 0) for n in range(SHARDS_PER_TABLE))
+        return tuple(self._known(number).version for number in range(SHARDS_PER_TABLE))
 
-    def _drop(self, shard: int) -> None:
-        for number in [n for n in self._rows_by_number if shard_of(n) == shard]:
-            row = self._rows_by_number.pop(number)
-            if row.key:
-                self._hot_by_key.pop(row.key, None)
+    def _known(self, number: int) -> _KnownShard:
+        known = self._known_by_shard.get(number)
+        return _KnownShard(Shard(number, {}), 0) if known is None else known
 
 
 def usable_servers(document: Document, service: str) -> tuple[str, ...]:
--- a/tests/ownership/test_table.py
+++ b/tests/ownership/test_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -70,3 +71,26 @@
     assert token_of(1, 5) < token_of(1, 6) < token_of(2, 1) <= 2**63
     with pytest.raises(ProtocolError):
         token_of(1, 2**24)
+
+
+class ReadWhileTaken(dict[int, Row]):
+    """Rows that look the table up at the moment they are taken in."""
+
+    def __init__(self, table: Table, rows: dict[int, Row]) -> None:
+        super().__init__(rows)
+        self.table = table
+        self.seen: list[tuple[Shard, int]] = []
+
+    def items(self) -> Any:
+        self.seen.append(self.table.shard(0))
+        return super().items()
+
+
+def test_a_reader_never_sees_part_of_a_shard() -> None:
+    table = Table('s')
+    old = Shard(0, {0: Row('a', 1), 1: Row('a', 1)})
+    table.update(old, 1)
+    rows = ReadWhileTaken(table, {0: Row('b', 2), 1: Row('b', 2)})
+    table.update(Shard(0, rows), 2)
+    assert rows.seen == [(old, 1)]
+    assert table.shard(0) == (Shard(0, dict(rows)), 2)
