--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -29,6 +29,7 @@
 from coltsfootstair.metrics import DaemonMetrics
 from coltsfootstair.news import Knowledge, StoreFeed
 from coltsfootstair.operators import DaemonState, OperatorsApp, OperatorsServer
+from coltsfootstair.retries import UploadBudget
 from coltsfootstair.routing import Router
 from coltsfootstair.store import HttpStore, Replica, StoreIdentity
 from coltsfootstair.timeline import EventName, Timeline
@@ -47,6 +48,7 @@
 EXCHANGE_THREADS = 256
 """Requests that one daemon has in flight at all its backend servers together."""
 
+MIB = 1024 * 1024
 FIRST_READ_TIMEOUT_S = 3.0
 DRAIN_POLL_S = 0.05
 DRAIN_TIMEOUT_S = 900.0
@@ -110,10 +112,12 @@
         link = PeerLink(
             settings.name, self.hub, self.peers, self._open_exchange, self.coordinator.cancel
         )
+        relay_parts = RelayParts(clock, self.router, link, self.pending, random.Random())
+        uploads = UploadBudget(settings.upload_memory_mib * MIB)
         self.callers = CallerServer(
             settings.callers,
             clock,
-            Relay(RelayParts(clock, self.router, link, self.pending, random.Random())),
+            Relay(relay_parts, uploads),
             self.is_ready,
             self._upload_services,
             self.metrics.count_request,
--- a/src/coltsfootstair/entry/_relay.py
+++ b/src/coltsfootstair/entry/_relay.py
@@ -122,9 +122,9 @@
 class Relay:
     """Routes, sends, waits and tries again, for each request on its caller's thread."""
 
-    def __init__(self, parts: RelayParts) -> None:
+    def __init__(self, parts: RelayParts, uploads: UploadBudget) -> None:
         self._parts = parts
-        self._uploads = UploadBudget()
+        self._uploads = uploads
         self._budget = RetryBudget()
         self._lock = threading.Lock()
 
