--- a/src/coltsfootstair/daemon/_peers.py
+++ b/src/coltsfootstair/daemon/_peers.py
@@ -20,7 +20,7 @@
 
     from coltsfootstair.clock import Clock
     from coltsfootstair.coordinator import Exchange
-    from coltsfootstair.entry._relay import LinkEnd
+    from coltsfootstair.entry._types import LinkEnd
     from coltsfootstair.inner import Hub, Message, Stream
     from coltsfootstair.store import VmList
 
--- a/src/coltsfootstair/entry/__init__.py
+++ b/src/coltsfootstair/entry/__init__.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from coltsfootstair.entry._pending import PendingAnswers
-from coltsfootstair.entry._relay import CoordinatorLink, Relay, RelayParts
+from coltsfootstair.entry._relay import Relay
 from coltsfootstair.entry._server import CallerServer
+from coltsfootstair.entry._types import CoordinatorLink, RelayParts
 
 __all__ = ['CallerServer', 'CoordinatorLink', 'PendingAnswers', 'Relay', 'RelayParts']
--- a/src/coltsfootstair/entry/_server.py
+++ b/src/coltsfootstair/entry/_server.py
@@ -19,14 +19,15 @@
 from cheroot import wsgi
 
 from coltsfootstair.entry._body import BODY_KEY, CallerBody, CallerGateway
-from coltsfootstair.entry._relay import AnswerCutError, CallerRequest
+from coltsfootstair.entry._types import AnswerCutError, CallerRequest
 from coltsfootstair.results import Ran, Refusal, ResultCode, http_status, title
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
     from coltsfootstair.clock import Clock
-    from coltsfootstair.entry._relay import Relay, RelayedAnswer
+    from coltsfootstair.entry._relay import Relay
+    from coltsfootstair.entry._types import RelayedAnswer
 
 __all__ = ['CallerServer']
 
--- a/tests/entry/test_body.py
+++ b/tests/entry/test_body.py
@@ -11,14 +11,14 @@
 from coltsfootstair.clock import SystemClock
 from coltsfootstair.entry import CallerServer
 from coltsfootstair.entry._body import BodyBrokenError
-from coltsfootstair.entry._relay import RelayedAnswer
+from coltsfootstair.entry._types import RelayedAnswer
 from coltsfootstair.inner import AnswerHead
 from coltsfootstair.results import Ran, Refusal, ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from coltsfootstair.entry._relay import CallerRequest
+    from coltsfootstair.entry._types import CallerRequest
 
 TIMEOUT_S = 10.0
 PORTION_BYTES = 1000
