--- a/src/coltsfootstair/gateway/__init__.py
+++ b/src/coltsfootstair/gateway/__init__.py
@@ -4,7 +4,13 @@
 
 from coltsfootstair.gateway._application import Gateway
 from coltsfootstair.gateway._settings import GatewaySettings, RetrySettings, StoreSettings
-from coltsfootstair.gateway._types import AnswerFacts, CallerFacts, Dialect, PlatformPorts
+from coltsfootstair.gateway._types import (
+    AnswerFacts,
+    CallerFacts,
+    Dialect,
+    ObjectKinds,
+    PlatformPorts,
+)
 
 __all__ = [
     'AnswerFacts',
@@ -12,6 +18,7 @@
     'Dialect',
     'Gateway',
     'GatewaySettings',
+    'ObjectKinds',
     'PlatformPorts',
     'RetrySettings',
     'StoreSettings',
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -257,7 +257,9 @@
         return choice
 
     async def _choose_owner(self, request: _Request, key: int) -> Place | Refusal:
-        waits_until = self._clock.monotonic() + OWNER_WAIT_SHARE * request.route.target_latency_s
+        waits_until = (
+            self._clock.monotonic() + OWNER_WAIT_SHARE * request.route.target_latency_s
+        )
         while True:
             row = self._ownership.row_of(request.service, key)
             server = None
@@ -296,8 +298,9 @@
 
     def _demand(self, request: _Request, now: float) -> Demand:
         spent_s = now - request.incoming.received_at
-        objective_left_s = max(0.0, request.route.target_latency_s - spent_s)
-        return Demand(self._data_centre, objective_left_s, request.ends_at - now)
+        objective_s = request.route.target_latency_s
+        left_s = request.ends_at - now
+        return Demand(self._data_centre, objective_s, max(0.0, objective_s - spent_s), left_s)
 
     async def _attempt(self, request: _Request, server: BackendServer) -> Attempt:
         load = self._fleet.load(server)
--- a/src/coltsfootstair/gateway/_types.py
+++ b/src/coltsfootstair/gateway/_types.py
@@ -90,5 +90,3 @@
 
     def evacuated(self, item: StoredObject) -> str:
         """Read which data centre gets nothing."""
-
-
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -176,8 +176,8 @@
         """Start an answer."""
         if self._waiting is None or self._waiting.done():
             self.reusable = False
-        self._headers = []
-        self._body = bytearray()
+        self._headers.clear()
+        self._body.clear()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header."""
@@ -222,7 +222,7 @@
                 self._break(f'{self.address} answered another request')
             return
         self._note_idle_limit()
-        waiting.set_result(Answer(self._status, self._headers, bytes(self._body)))
+        waiting.set_result(Answer(self._status, list(self._headers), bytes(self._body)))
         if not self.reusable:
             asyncio.get_running_loop().call_soon(self.close)
 
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -240,7 +240,12 @@
             self._timer.cancel()
             self._timer = None
         expect = first_value(self._headers, b'expect')
-        if expect and expect.lower() == b'100-continue' and self._transport and not self._turns:
+        if (
+            expect
+            and expect.lower() == b'100-continue'
+            and self._transport
+            and not self._turns
+        ):
             self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_body(self, piece: bytes) -> None:
@@ -399,7 +404,9 @@
     :param answer: returns the status and the body for a path
     """
 
-    async def on_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def on_connection(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         try:
             while head := await reader.readuntil(b'\r\n\r\n'):
                 path = head.split(b' ', 2)[1]
--- a/src/coltsfootstair/keyspace/__init__.py
+++ b/src/coltsfootstair/keyspace/__init__.py
@@ -10,15 +10,15 @@
 
 __all__ = [
     'KEY_COUNT',
+    'KIND',
     'Keeper',
     'KeeperParts',
     'KeyOrders',
     'KeyRow',
-    'KIND',
     'KeyTable',
-    'OwnershipView',
     'OrderRefusedError',
     'OwnerCapacity',
+    'OwnershipView',
     'decode',
     'encode',
     'plan',
--- a/src/coltsfootstair/keyspace/_planner.py
+++ b/src/coltsfootstair/keyspace/_planner.py
@@ -164,7 +164,9 @@
     piece = total / max(1, len(working.owner_by_life)) / 3
     for row in orphans:
         rest = row
-        while working.rates.over(rest.first, rest.last) > 1.5 * piece and rest.first < rest.last:
+        while (
+            working.rates.over(rest.first, rest.last) > 1.5 * piece and rest.first < rest.last
+        ):
             cut = working.rates.cut(rest.first, rest.last, piece)
             part, rest = working.split(rest, cut)
             _give_to_least(working, part)
@@ -217,7 +219,9 @@
     live = [row for row in working.rows if row.owner == source and row.live]
     if not live:
         return False
-    whole = [row for row in live if 0.6 * rate <= rates.over(row.first, row.last) <= 1.2 * rate]
+    whole = [
+        row for row in live if 0.6 * rate <= rates.over(row.first, row.last) <= 1.2 * rate
+    ]
     if whole and len(live) > 1:
         working.give(whole[0], target)
         return True
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -127,7 +127,9 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logger.error(
-                'work of the keeper failed', service=self.service, reason=repr(task.exception())
+                'work of the keeper failed',
+                service=self.service,
+                reason=repr(task.exception()),
             )
 
     async def _run(self) -> None:
--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -45,11 +45,13 @@
 class Demand(NamedTuple):
     """What a request needs.
 
+    :param objective_s: time within which an answer is worth most, from the start
     :param objective_left_s: time within which its answer is worth most
     :param left_s: time after which its answer is worth nothing
     """
 
     data_centre: str
+    objective_s: float
     objective_left_s: float
     left_s: float
 
@@ -89,7 +91,9 @@
             soonest_s = min(soonest_s, candidate.cold_wait_s)
             continue
         expected_s = load.expected_s(now)
-        if load.occupied(now) >= load.slots * QUEUE_BOUND or expected_s > demand.left_s:
+        longest_s = min(demand.left_s, demand.objective_s)
+        waits = load.occupied(now) + 1.0 > load.slots
+        if waits and (load.occupied(now) >= load.slots * QUEUE_BOUND or expected_s > longest_s):
             soonest_s = min(soonest_s, expected_s / 2)
             continue
         cost = expected_s * (1.0 + FAILURE_COST * load.failure_share(now))
--- a/src/coltsfootstair/placement/_load.py
+++ b/src/coltsfootstair/placement/_load.py
@@ -8,8 +8,14 @@
 __all__ = ['LoadReport', 'ServerLoad']
 
 REPORT_DECAY_S = 0.6
-"""Time constant with which other daemons' requests in a report lose weight, in seconds:
-about the time in which the requests that it counted end."""
+"""Time constant with which a report's figures give way to their average, in seconds: about
+the time in which the requests that it counted end."""
+
+AVERAGE_DECAY_S = 4.0
+"""Time constant with which the average of the reports is forgotten, in seconds."""
+
+AVERAGE_WEIGHT = 0.3
+"""Weight of a new report in the average of the reports."""
 
 LATENCY_WEIGHT = 0.2
 """Weight of a new measurement in the mean service time."""
@@ -44,6 +50,7 @@
         '_failed_at',
         '_failures',
         '_others',
+        '_others_mean',
         '_pace',
         '_reported_at',
         'busy_s',
@@ -62,6 +69,7 @@
         self.busy_s = 0.0
         self.unanswered = 0
         self._others = 0.0
+        self._others_mean = 0.0
         self._pace = 1.0
         self._reported_at = -math.inf
         self._failures = 0.0
@@ -82,6 +90,8 @@
         """
         self.slots = max(1, report.slots)
         self._others = max(0.0, report.running + report.waiting - max(0, self.in_flight - 1))
+        mean = self._others_mean * math.exp(-(now - self._reported_at) / AVERAGE_DECAY_S)
+        self._others_mean = mean + AVERAGE_WEIGHT * (self._others - mean)
         self._pace = max(0.1, report.pace)
         self._reported_at = now
 
@@ -116,9 +126,11 @@
     def occupied(self, now: float) -> float:
         """Return how many requests the server has at present, by estimate."""
         age_s = now - self._reported_at
-        if age_s > 5 * REPORT_DECAY_S:
+        if math.isinf(age_s):
             return float(self.in_flight)
-        return self.in_flight + self._others * math.exp(-age_s / REPORT_DECAY_S)
+        mean = self._others_mean * math.exp(-age_s / AVERAGE_DECAY_S)
+        others = mean + (self._others - mean) * math.exp(-age_s / REPORT_DECAY_S)
+        return self.in_flight + others
 
     def pace(self, now: float) -> float:
         """Return how long work takes at present; back to 1.0 as the report ages."""
