--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -20,7 +20,7 @@
     ServerSubscriber,
 )
 from coltsfootstair.http1 import CallerConnection, CallerLimits, ConnectionPool, serve_status
-from coltsfootstair.keyspace import KIND, Keeper, KeeperParts, OwnershipView
+from coltsfootstair.keyspace import Keeper, KeeperParts, OwnershipView
 from coltsfootstair.objects import Follower
 from coltsfootstair.peers import PeerChannel
 from coltsfootstair.registry import Registry
@@ -37,16 +37,14 @@
 
 logger = structlog.get_logger()
 
-SERVERS_GAP_S = 0.1
-"""Pause before entries of backend servers are watched again, in seconds."""
+SERVERS_GAP_S = 0.25
+"""Pause before entries of backend servers are watched again, in seconds; an eighth of the
+time in which a leaving one must be left alone."""
 
 CONFIGURATION_GAP_S = 0.1
 """Pause before the configuration is watched again, in seconds; a twentieth of the time in
 which a version must be in force."""
 
-KEYS_GAP_S = 0.02
-"""Pause before tables of keys are watched again, in seconds; requests wait for them."""
-
 BALANCER_NOTICE_S = 2.5
 """How long callers may still be sent here after a daemon stopped being ready, in seconds:
 the balancer takes two questions, a second apart."""
@@ -278,7 +276,6 @@
                 (kinds.configuration, self._configuration, CONFIGURATION_GAP_S),
                 (kinds.backend_servers, servers, SERVERS_GAP_S),
                 (kinds.evacuations, evacuations, SERVERS_GAP_S),
-                (KIND, self._ownership, KEYS_GAP_S),
             )
         ]
 
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -8,7 +8,7 @@
 
 from coltsfootstair.gateway._refusals import render_refusal
 from coltsfootstair.gateway._trace import RequestTrace
-from coltsfootstair.http1 import BrokenExchangeError, Reply, first_value
+from coltsfootstair.http1 import Answer, BrokenExchangeError, Reply, first_value
 from coltsfootstair.placement import Demand, Place, Refused, place
 from coltsfootstair.results import Ran, Refusal, ResultCode
 from coltsfootstair.routes import RequestKind
@@ -21,7 +21,7 @@
     from coltsfootstair.gateway._fleet import Fleet
     from coltsfootstair.gateway._metrics import GatewayMetrics
     from coltsfootstair.gateway._types import Dialect
-    from coltsfootstair.http1 import Answer, Connection, ConnectionPool, IncomingRequest
+    from coltsfootstair.http1 import Connection, ConnectionPool, IncomingRequest
     from coltsfootstair.keyspace import OwnershipView
     from coltsfootstair.registry import BackendServer, Registry
     from coltsfootstair.routes import Route, RouteTable, ServicePolicy
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -86,7 +86,9 @@
         """Spend one repeat of the budget, if there is one."""
         return self._budget(service).take()
 
-    def collect(self, epoch: int, store_works: bool, seconds: float) -> Report:
+    def collect(
+        self, epoch: int, store_works: bool, seconds: float, revisions: dict[str, int]
+    ) -> Report:
         """Return the figures since the last call, and forget servers that have gone."""
         requests, self._requests_by_key = self._requests_by_key, {}
         load_by_server = {}
@@ -101,7 +103,9 @@
                 load_by_server[life[0]] = LoadFigures(load.finished, round(load.busy_s, 4))
                 load.finished, load.busy_s = 0, 0.0
         self._pacer.forget(alive)
-        return Report(self._name, epoch, store_works, seconds, requests, load_by_server)
+        return Report(
+            self._name, epoch, store_works, seconds, revisions, requests, load_by_server
+        )
 
     def _budget(self, service: str) -> RetryBudget:
         burst = BUDGET_SHARE * self._retries.slack / self.daemons
--- a/src/coltsfootstair/gateway/_types.py
+++ b/src/coltsfootstair/gateway/_types.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
+from coltsfootstair.keyspace import KeyOrders
+from coltsfootstair.objects import ObjectStore
+from coltsfootstair.placement import LoadReport
+
 if TYPE_CHECKING:
     from coltsfootstair.http1 import Answer, Headers
-    from coltsfootstair.keyspace import KeyOrders
-    from coltsfootstair.objects import ObjectStore, StoredObject
-    from coltsfootstair.placement import LoadReport
+    from coltsfootstair.objects import StoredObject
     from coltsfootstair.registry import BackendServer
     from coltsfootstair.routes import Configuration
 
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -9,10 +9,9 @@
 import httptools
 
 from coltsfootstair.errors import ColtsfootstairError
-from coltsfootstair.http1._headers import first_value, render
+from coltsfootstair.http1._headers import Headers, first_value, render
 
 if TYPE_CHECKING:
-    from coltsfootstair.http1._headers import Headers
     from coltsfootstair.http1._pool import Address
 
 __all__ = ['Answer', 'BrokenExchangeError', 'Connection']
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -7,15 +7,17 @@
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 from urllib.parse import urlsplit
 
 import httptools
 import structlog
 
-from coltsfootstair.clock import Clock
 from coltsfootstair.http1._headers import Headers, first_value, render
 
+if TYPE_CHECKING:
+    from coltsfootstair.clock import Clock
+
 __all__ = ['CallerConnection', 'CallerLimits', 'IncomingRequest', 'Reply', 'serve_status']
 
 logger = structlog.get_logger()
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import math
+import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
 
+from coltsfootstair.clock import Clock
 from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
 from coltsfootstair.keyspace._lease import (
     ALONE_PAUSE_S,
@@ -17,21 +20,17 @@
     encode_lease,
     may_take_over,
 )
+from coltsfootstair.keyspace._orders import KeyOrders
 from coltsfootstair.keyspace._service import ServiceKeeper
-from coltsfootstair.keyspace._view import KIND, LEASE_NAME
-from coltsfootstair.peers import Beat, Report
+from coltsfootstair.keyspace._view import KIND, LEASE_NAME, OwnershipView
+from coltsfootstair.objects import ObjectStore
+from coltsfootstair.peers import Beat, Message, Report, TableUpdate
+from coltsfootstair.registry import Registry
 
 if TYPE_CHECKING:
-    import random
-    from collections.abc import Callable
 
-    from coltsfootstair.clock import Clock
     from coltsfootstair.http1 import Address
-    from coltsfootstair.keyspace._orders import KeyOrders
-    from coltsfootstair.keyspace._view import OwnershipView
-    from coltsfootstair.objects import ObjectStore
     from coltsfootstair.peers import PeerChannel
-    from coltsfootstair.registry import Registry
 
 __all__ = ['Keeper', 'KeeperParts']
 
@@ -92,7 +91,7 @@
     cold_per_s: Callable[[str], float]
     longest_hold_s: float
     address_reuse_s: float
-    collect: Callable[[int, bool, float], Report]
+    collect: Callable[[int, bool, float, dict[str, int]], Report]
 
 
 class Keeper:
@@ -107,7 +106,7 @@
         self._lease: KeeperLease | None = None
         self._leading: asyncio.Task[None] | None = None
         self._service_keepers: dict[str, ServiceKeeper] = {}
-        self._report_by_daemon: dict[str, tuple[float, Report]] = {}
+        self._report_by_daemon: dict[str, tuple[float, Report, Address]] = {}
         self._heard_at = parts.clock.monotonic()
         self._storeless_since: float | None = None
         self._alone_until = -math.inf
@@ -155,9 +154,24 @@
             last_at = now
             if self._stopping or self.is_leading:
                 continue
-            reason = may_take_over(self._election_state(), now)
-            if reason is not None:
-                await self._try_to_take_over(reason)
+            if may_take_over(self._election_state(), now) is not None and await self._read():
+                reason = may_take_over(self._election_state(), self._parts.clock.monotonic())
+                if reason is not None:
+                    await self._try_to_take_over(reason)
+
+    async def _read(self) -> bool:
+        """Read the lease and the tables from the store; false if it did not answer.
+
+        What the keeper sends makes this needless as long as the keeper is heard.
+        """
+        try:
+            listing = await self._parts.store.list(KIND)
+        except StoreUnavailableError as error:
+            logger.warning('keeper not looked up', reason=str(error))
+            return False
+        for item in listing.objects:
+            self._parts.view.take(item)
+        return True
 
     async def stop(self) -> None:
         """Give the lease back, so that another daemon takes over at once."""
@@ -180,7 +194,7 @@
             logger.warning('lease not given back', epoch=lease.epoch, reason=str(error))
         self._step_down('the daemon is stopping')
 
-    def received(self, message: Report | Beat, sender: Address) -> None:
+    def received(self, message: Message, sender: Address) -> None:
         """Take a message of another daemon."""
         now = self._parts.clock.monotonic()
         match message:
@@ -188,6 +202,8 @@
                 self._received_beat(message, now)
             case Report():
                 self._received_report(message, sender, now)
+            case TableUpdate():
+                self._received_table(message, now)
 
     def _received_beat(self, beat: Beat, now: float) -> None:
         lease = self._parts.view.lease
@@ -206,12 +222,36 @@
         if self._lease is None:
             return
         self._alone_until = -math.inf
-        self._report_by_daemon[report.daemon] = (now, report)
+        self._report_by_daemon[report.daemon] = (now, report, sender)
         self._take_figures(report, now)
         if self._channel is not None:
             works = now - self._confirmed_at <= CONFIRM_S + CONFIRM_RETRY_S
             beat = Beat(self.name, self._lease.epoch, works, len(self._recent_reports()))
             self._channel.send(beat, sender)
+            for service, keeper in self._service_keepers.items():
+                if report.revision_by_service.get(service, 0) < keeper.revision:
+                    self._send_table(keeper, sender)
+
+    def _received_table(self, update: TableUpdate, now: float) -> None:
+        lease = self._parts.view.lease
+        if lease is not None and update.epoch >= lease.epoch:
+            self._heard_at = now
+            self._parts.view.take_update(update)
+
+    def _announce(self, service: str) -> None:
+        """Send a changed table to all daemons; one that misses it gets it with its beat."""
+        keeper = self._service_keepers.get(service)
+        if keeper is None:
+            return
+        horizon = self._parts.clock.monotonic() - PEER_MEMORY_S
+        for at, _, address in self._report_by_daemon.values():
+            if at >= horizon and address != self._address:
+                self._send_table(keeper, address)
+
+    def _send_table(self, keeper: ServiceKeeper, address: Address) -> None:
+        update = keeper.update(self._lease.epoch) if self._lease is not None else None
+        if update is not None and self._channel is not None:
+            self._channel.send(update, address)
 
     def _take_figures(self, report: Report, now: float) -> None:
         for service, requests_by_key in report.requests_by_key.items():
@@ -228,16 +268,18 @@
 
     def _recent_reports(self) -> list[Report]:
         horizon = self._parts.clock.monotonic() - PEER_MEMORY_S
-        return [report for at, report in self._report_by_daemon.values() if at >= horizon]
+        return [report for at, report, _ in self._report_by_daemon.values() if at >= horizon]
 
     def _report(self, seconds: float) -> None:
         lease = self._parts.view.lease
         if lease is None or not lease.holder:
             return
-        report = self._parts.collect(lease.epoch, self._parts.store_works(), seconds)
+        revisions = self._parts.view.revision_by_service()
+        works = self._parts.store_works()
+        report = self._parts.collect(lease.epoch, works, seconds, revisions)
         now = self._parts.clock.monotonic()
         if self._lease is not None:
-            self._report_by_daemon[self.name] = (now, report)
+            self._report_by_daemon[self.name] = (now, report, self._address)
             self._take_figures(report, now)
             self.daemons = max(1, len(self._recent_reports()))
         elif self._channel is not None and lease.holder != self.name:
@@ -338,7 +380,12 @@
         services = self._parts.services()
         for service in services - self._service_keepers.keys():
             keeper = ServiceKeeper(
-                service, self._parts, unknown_until, lambda: self.hold_s, self.is_leading_now
+                service,
+                self._parts,
+                unknown_until,
+                lambda: self.hold_s,
+                self.is_leading_now,
+                self._announce,
             )
             self._service_keepers[service] = keeper
             keeper.start()
--- a/src/coltsfootstair/keyspace/_planner.py
+++ b/src/coltsfootstair/keyspace/_planner.py
@@ -5,14 +5,13 @@
 import bisect
 from typing import TYPE_CHECKING, NamedTuple
 
-from coltsfootstair.keyspace._table import KEY_COUNT, KeyRow, KeyTable
+from coltsfootstair.keyspace._table import KEY_COUNT, KeyRow, KeyTable, Life
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from coltsfootstair.keyspace._table import Life
 
-__all__ = ['KeyRates', 'OwnerCapacity', 'plan']
+__all__ = ['FENCE_STEP', 'KeyRates', 'OwnerCapacity', 'plan']
 
 SPREAD_SHARE = 0.2
 """Part of the traffic that is taken to be spread evenly over all keys, so that keys which
@@ -32,6 +31,10 @@
 """Utilization that a move must take off the busiest server."""
 
 
+FENCE_STEP = 2
+"""Tokens for each move: one to take a range back, and a higher one for its next owner."""
+
+
 class OwnerCapacity(NamedTuple):
     """A backend server that may own keys.
 
@@ -101,7 +104,7 @@
 
     def give(self, row: KeyRow, life: Life) -> None:
         """Replace ``row`` by one that ``life`` is to own."""
-        self.fence += 1
+        self.fence += FENCE_STEP
         former = dict.fromkeys((*row.previous, row.owner))
         previous = tuple(former_owner for former_owner in former if former_owner != life)
         place = self.rows.index(row)
@@ -146,12 +149,12 @@
     lives = sorted(owner.life for owner in owners)
     bounds = [KEY_COUNT * number // len(lives) for number in range(len(lives) + 1)]
     rows = [
-        KeyRow(first, end - 1, life, table.fence + 1 + number, False)
+        KeyRow(first, end - 1, life, table.fence + FENCE_STEP * (1 + number), False)
         for number, (life, first, end) in enumerate(
             zip(lives, bounds[:-1], bounds[1:], strict=True)
         )
     ]
-    return KeyTable(rows, table.fence + len(lives))
+    return KeyTable(rows, table.fence + FENCE_STEP * len(lives))
 
 
 def _place_orphans(working: _Plan) -> None:
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -17,8 +17,8 @@
 from coltsfootstair.keyspace._demand import Demand
 from coltsfootstair.keyspace._holds import Holds
 from coltsfootstair.keyspace._orders import OrderRefusedError
-from coltsfootstair.keyspace._planner import OwnerCapacity, plan
-from coltsfootstair.keyspace._table import KeyRow, KeyTable, decode, encode
+from coltsfootstair.keyspace._planner import FENCE_STEP, OwnerCapacity, plan
+from coltsfootstair.keyspace._table import KeyRow, KeyTable, decode, encode, pack
 from coltsfootstair.keyspace._view import KIND, TABLE_PREFIX
 
 if TYPE_CHECKING:
@@ -27,6 +27,7 @@
     from coltsfootstair.keyspace._keeper import KeeperParts
     from coltsfootstair.keyspace._table import Life
     from coltsfootstair.objects import StoredObject
+    from coltsfootstair.peers import TableUpdate
     from coltsfootstair.registry import BackendServer
 
 __all__ = ['ServiceKeeper']
@@ -79,15 +80,20 @@
         unknown_until: float,
         hold_s: Callable[[], float | None],
         is_leading: Callable[[], bool],
+        announce: Callable[[str], None],
     ) -> None:
         self.service = service
         self.demand = Demand()
         self._parts = parts
         self._hold_s = hold_s
         self._is_leading = is_leading
+        self._announce = announce
         self._holds = Holds(unknown_until)
-        self._started_at = parts.clock.monotonic()
+        now = parts.clock.monotonic()
+        # The first keeper of all has no predecessor that might still renew.
+        self._fence_first_until = now + FENCE_FIRST_S if unknown_until > now else now
         self._table = KeyTable([], 0)
+        self._stored_table = self._table
         self._revision: int | None = None
         self._unwritten = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -186,7 +192,8 @@
             task.cancel()
         self._settling = {}
         self._table, self._revision = table, item.revision
-        self._parts.view.take(item)
+        self._stored_table = table
+        self._publish(item)
         logger.info(
             'table read', service=self.service, rows=len(table.rows), fence=table.fence
         )
@@ -256,7 +263,7 @@
         rows = []
         for row in self._table.rows:
             if row.fence in self._fence_too_low:
-                fence += 1
+                fence += FENCE_STEP
                 row = row._replace(fence=fence, live=False)
             rows.append(row)
         self._fence_too_low.clear()
@@ -292,6 +299,7 @@
 
     def _accept(self, table: KeyTable, item: StoredObject, *, settled: bool) -> None:
         self._revision = item.revision
+        self._stored_table = table
         if settled:
             # Rows may have settled while the write was under way; they are written next.
             self._unwritten = encode(self._table) != item.value
@@ -303,7 +311,23 @@
             ]
             self._table = KeyTable(rows, table.fence)
             self._unwritten = encode(self._table) != item.value
+        self._publish(item)
+
+    def _publish(self, item: StoredObject) -> None:
         self._parts.view.take(item)
+        if self._revision is not None:
+            self._announce(self.service)
+
+    def update(self, epoch: int) -> TableUpdate | None:
+        """Return the message with the table as it lies in the store."""
+        if self._revision is None:
+            return None
+        return pack(self._stored_table, epoch, self.service, self._revision)
+
+    @property
+    def revision(self) -> int:
+        """The revision of the table in the store, 0 while that is not known."""
+        return self._revision or 0
 
     def _settle_rows(self) -> None:
         fences = {row.fence for row in self._table.rows}
@@ -357,10 +381,11 @@
             remaining_s = self._holds.until(life) - clock.monotonic()
             timeout_s = min(RELEASE_TIMEOUT_S, max(ORDER_RETRY_S, remaining_s))
             try:
-                if clock.monotonic() - self._started_at < FENCE_FIRST_S:
-                    await self._order_grant(server, row, FENCE_FIRST_HOLD_S, None)
+                taken_back = row._replace(fence=row.fence - 1)
+                if clock.monotonic() < self._fence_first_until:
+                    await self._order_grant(server, taken_back, FENCE_FIRST_HOLD_S, None)
                 return await self._parts.orders.release(
-                    server.address, row.first, row.last, row.fence, timeout_s
+                    server.address, row.first, row.last, taken_back.fence, timeout_s
                 )
             except (BrokenExchangeError, OrderRefusedError) as error:
                 logger.info(
--- a/src/coltsfootstair/keyspace/_table.py
+++ b/src/coltsfootstair/keyspace/_table.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from coltsfootstair.errors import ProtocolError
+from coltsfootstair.peers import TableUpdate
 
-__all__ = ['KEY_COUNT', 'KeyRow', 'KeyTable', 'Life', 'decode', 'encode']
+__all__ = ['KEY_COUNT', 'KeyRow', 'KeyTable', 'Life', 'decode', 'encode', 'pack', 'unpack']
 
 KEY_COUNT = 65536
 """Keys are numbers below this; stated by the platform."""
@@ -83,10 +84,50 @@
         KeyRow(first, last, (name, born), fence, live, tuple(previous))
         for first, last, name, born, fence, live, previous in stored.rows
     ]
+    return _checked(rows, stored.fence)
+
+
+def pack(table: KeyTable, epoch: int, service: str, revision: int) -> TableUpdate:
+    """Return the message that carries ``table`` to other daemons."""
+    lives = list(
+        dict.fromkeys(life for row in table.rows for life in (row.owner, *row.previous))
+    )
+    number_by_life = {life: number for number, life in enumerate(lives)}
+    rows = [
+        (
+            row.first,
+            row.last,
+            number_by_life[row.owner],
+            row.fence,
+            row.live,
+            [number_by_life[life] for life in row.previous],
+        )
+        for row in table.rows
+    ]
+    return TableUpdate(epoch, service, revision, table.fence, lives, rows)
+
+
+def unpack(update: TableUpdate) -> KeyTable:
+    """Read what ``pack`` wrote.
+
+    :raises ProtocolError: rows name lives that are not there, or do not cover all keys
+    """
+    lives = update.lives
+    try:
+        rows = [
+            KeyRow(first, last, lives[owner], fence, live, tuple(lives[it] for it in previous))
+            for first, last, owner, fence, live, previous in update.rows
+        ]
+    except IndexError:
+        raise ProtocolError(f'rows must name one of {len(lives)} owners') from None
+    return _checked(rows, update.fence)
+
+
+def _checked(rows: list[KeyRow], fence: int) -> KeyTable:
     ends = [-1, *(row.last for row in rows)]
     if rows and (
         any(row.first != end + 1 for row, end in zip(rows, ends, strict=False))
         or ends[-1] != KEY_COUNT - 1
     ):
         raise ProtocolError(f'rows must cover the keys 0 to {KEY_COUNT - 1} once, got {ends}')
-    return KeyTable(rows, stored.fence)
+    return KeyTable(rows, fence)
--- a/src/coltsfootstair/keyspace/_view.py
+++ b/src/coltsfootstair/keyspace/_view.py
@@ -9,14 +9,15 @@
 
 from coltsfootstair.errors import ProtocolError
 from coltsfootstair.keyspace._lease import decode_lease
-from coltsfootstair.keyspace._table import decode
+from coltsfootstair.keyspace._table import decode, unpack
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from coltsfootstair.keyspace._lease import KeeperLease
     from coltsfootstair.keyspace._table import KeyRow, KeyTable
-    from coltsfootstair.objects import Change, Listing, StoredObject
+    from coltsfootstair.objects import StoredObject
+    from coltsfootstair.peers import TableUpdate
 
 __all__ = ['KIND', 'LEASE_NAME', 'TABLE_PREFIX', 'OwnershipView']
 
@@ -30,7 +31,7 @@
 
 
 class OwnershipView:
-    """Follows the objects of ``KIND``; revisions never go back."""
+    """What was read of ``KIND`` or sent by the keeper; revisions never go back."""
 
     def __init__(self) -> None:
         self.lease: KeeperLease | None = None
@@ -63,15 +64,26 @@
                 self._waiting.remove(change)
         return True
 
-    def listed(self, listing: Listing, *, after_outage: bool) -> None:
-        """Take all objects."""
-        for item in listing.objects:
-            self.take(item)
-
-    def changed(self, change: Change, *, after_outage: bool) -> None:
-        """Take one change; objects of this kind are never deleted."""
-        if not change.deleted:
-            self.take(change.object)
+    def revision_by_service(self) -> dict[str, int]:
+        """Return which table is known of each service."""
+        return {
+            service: self._revision_by_name.get(TABLE_PREFIX + service, 0)
+            for service in self._table_by_service
+        }
+
+    def take_update(self, update: TableUpdate) -> None:
+        """Take a table that the keeper sent, unless a later one is known."""
+        name = TABLE_PREFIX + update.service
+        if update.revision <= self._revision_by_name.get(name, 0):
+            return
+        try:
+            table = unpack(update)
+        except ProtocolError as error:
+            logger.warning('table refused', service=update.service, reason=str(error))
+            return
+        self._revision_by_name[name] = update.revision
+        self._table_by_service[update.service] = table
+        self._wake()
 
     def take(self, item: StoredObject) -> None:
         """Take one object unless a later revision of it is known."""
--- a/src/coltsfootstair/peers/__init__.py
+++ b/src/coltsfootstair/peers/__init__.py
@@ -3,6 +3,23 @@
 from __future__ import annotations
 
 from coltsfootstair.peers._channel import PeerChannel
-from coltsfootstair.peers._messages import Beat, LoadFigures, Report, decode, encode
+from coltsfootstair.peers._messages import (
+    Beat,
+    LoadFigures,
+    Message,
+    Report,
+    TableUpdate,
+    decode,
+    encode,
+)
 
-__all__ = ['Beat', 'LoadFigures', 'PeerChannel', 'Report', 'decode', 'encode']
+__all__ = [
+    'Beat',
+    'LoadFigures',
+    'Message',
+    'PeerChannel',
+    'Report',
+    'TableUpdate',
+    'decode',
+    'encode',
+]
--- a/src/coltsfootstair/peers/_channel.py
+++ b/src/coltsfootstair/peers/_channel.py
@@ -10,13 +10,13 @@
 
 from coltsfootstair.errors import ProtocolError
 from coltsfootstair.http1 import Address
-from coltsfootstair.peers._messages import Beat, Report, decode, encode
+from coltsfootstair.peers._messages import Message, decode, encode
 
 __all__ = ['PeerChannel']
 
 logger = structlog.get_logger()
 
-Receiver = Callable[[Report | Beat, Address], None]
+Receiver = Callable[[Message, Address], None]
 
 
 class PeerChannel(asyncio.DatagramProtocol):
@@ -35,7 +35,7 @@
         )
         return channel
 
-    def send(self, message: Report | Beat, address: Address) -> None:
+    def send(self, message: Message, address: Address) -> None:
         """Send ``message`` to the daemon at ``address``."""
         if self._transport is not None:
             self._transport.sendto(encode(message), (address.host, address.port))
@@ -49,7 +49,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         # The event loop's own class is no subclass of the one that its interface names.
-        self._transport = cast(asyncio.DatagramTransport, transport)
+        self._transport = cast('asyncio.DatagramTransport', transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass a message on; log what is none."""
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -6,7 +6,7 @@
 
 from coltsfootstair.errors import ProtocolError
 
-__all__ = ['Beat', 'LoadFigures', 'Report', 'decode', 'encode']
+__all__ = ['Beat', 'LoadFigures', 'Message', 'Report', 'TableUpdate', 'decode', 'encode']
 
 
 class LoadFigures(msgspec.Struct, array_like=True):
@@ -25,6 +25,7 @@
 
     :param epoch: epoch of the keeper that the daemon follows
     :param store_works: whether the daemon's last call of the store was answered
+    :param revision_by_service: which table of keys the daemon has
     :param requests_by_key: requests since the last report, by service and key
     """
 
@@ -32,6 +33,7 @@
     epoch: int
     store_works: bool
     seconds: float
+    revision_by_service: dict[str, int]
     requests_by_key: dict[str, dict[int, int]]
     load_by_server: dict[str, LoadFigures]
 
@@ -48,16 +50,35 @@
     daemons: int
 
 
+class TableUpdate(msgspec.Struct, tag='table', array_like=True):
+    """From the keeper: the table of keys of one service.
+
+    :param lives: names and starts of the backend servers that the rows refer to
+    :param rows: first and last key, owner, fencing token, whether it is live, and former
+        owners that may still hold keys of it
+    """
+
+    epoch: int
+    service: str
+    revision: int
+    fence: int
+    lives: list[tuple[str, int]]
+    rows: list[tuple[int, int, int, int, bool, list[int]]]
+
+
+Message = Report | Beat | TableUpdate
+"""All that daemons send each other."""
+
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Report | Beat)
+_DECODER = msgspec.msgpack.Decoder(Report | Beat | TableUpdate)
 
 
-def encode(message: Report | Beat) -> bytes:
+def encode(message: Message) -> bytes:
     """Return the bytes of a datagram."""
     return _ENCODER.encode(message)
 
 
-def decode(datagram: bytes) -> Report | Beat:
+def decode(datagram: bytes) -> Message:
     """Read a datagram.
 
     :raises ProtocolError: it is no message of this protocol
--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from coltsfootstair.placement._load import ServerLoad
+from coltsfootstair.registry import BackendServer
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
 
-    from coltsfootstair.placement._load import ServerLoad
-    from coltsfootstair.registry import BackendServer
 
 __all__ = ['Candidate', 'Demand', 'Place', 'Refused', 'place']
 
@@ -93,7 +94,9 @@
         expected_s = load.expected_s(now)
         longest_s = min(demand.left_s, demand.objective_s)
         waits = load.occupied(now) + 1.0 > load.slots
-        if waits and (load.occupied(now) >= load.slots * QUEUE_BOUND or expected_s > longest_s):
+        if waits and (
+            load.occupied(now) >= load.slots * QUEUE_BOUND or expected_s > longest_s
+        ):
             soonest_s = min(soonest_s, expected_s / 2)
             continue
         cost = expected_s * (1.0 + FAILURE_COST * load.failure_share(now))
