--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -28,7 +28,6 @@
 from coltsfootstair.registry import Registry
 
 if TYPE_CHECKING:
-
     from coltsfootstair.http1 import Address
     from coltsfootstair.peers import PeerChannel
 
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -58,13 +58,6 @@
 UNREACHABLE_S = 1.2
 """How long an owner's orders may fail before its keys go to others, in seconds."""
 
-FENCE_FIRST_S = 6.0
-"""How long after a take-over the last keeper may still renew, in seconds; until then an
-owner is shown the new fencing token before its keys are taken back."""
-
-FENCE_FIRST_HOLD_S = 1.0
-"""The hold that goes with such a token, in seconds; the shortest that outlasts the call."""
-
 
 class ServiceKeeper:
     """Owns the table of one service as long as this daemon is the keeper.
@@ -89,9 +82,6 @@
         self._is_leading = is_leading
         self._announce = announce
         self._holds = Holds(unknown_until)
-        now = parts.clock.monotonic()
-        # The first keeper of all has no predecessor that might still renew.
-        self._fence_first_until = now + FENCE_FIRST_S if unknown_until > now else now
         self._table = KeyTable([], 0)
         self._stored_table = self._table
         self._revision: int | None = None
@@ -224,10 +214,10 @@
             self._seen_at_by_life[server.life] = now
             failing_since = self._failing_since_by_life.get(server.life)
             if failing_since is not None and now - failing_since > UNREACHABLE_S:
-                if not any(row.owner == server.life for row in self._table.rows):
-                    # Tried again as any other once it owns nothing.
-                    if now - failing_since > 4 * UNREACHABLE_S:
-                        del self._failing_since_by_life[server.life]
+                owns_some = any(row.owner == server.life for row in self._table.rows)
+                if not owns_some and now - failing_since > 4 * UNREACHABLE_S:
+                    # Tried again as any other from the next look on.
+                    del self._failing_since_by_life[server.life]
                 continue
             cold = self._parts.registry.cold_left_s(server) > 0
             per_s = server.slots / self.demand.service_s(server.name)
@@ -382,8 +372,6 @@
             timeout_s = min(RELEASE_TIMEOUT_S, max(ORDER_RETRY_S, remaining_s))
             try:
                 taken_back = row._replace(fence=row.fence - 1)
-                if clock.monotonic() < self._fence_first_until:
-                    await self._order_grant(server, taken_back, FENCE_FIRST_HOLD_S, None)
                 return await self._parts.orders.release(
                     server.address, row.first, row.last, taken_back.fence, timeout_s
                 )
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -84,6 +84,7 @@
     :raises ProtocolError: it is no message of this protocol
     """
     try:
-        return _DECODER.decode(datagram)
+        message: Message = _DECODER.decode(datagram)
     except msgspec.DecodeError as error:
         raise ProtocolError(f'no message between daemons: {error}') from None
+    return message
