--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -19,6 +19,12 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """The longest answer that is taken in, in bytes; a quarter of the default body limit."""
 
+KEEP_ALIVE_S = 1
+"""Seconds of silence after which a connection is probed, and between probes."""
+
+KEEP_ALIVE_PROBES = 2
+"""Probes without an answer after which a connection is given up."""
+
 USER_TIMEOUT_MS = 3000
 """How long sent bytes may stay unacknowledged, in milliseconds; the shortest time in which
 the deployments' bounds expect a broken path to be noticed."""
@@ -142,6 +148,10 @@
         if plain is not None:
             plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+            plain.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
+            plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
+            plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
 
     def data_received(self, data: bytes) -> None:
         """Parse what a server sent."""
--- a/src/coltsfootstair/keyspace/__init__.py
+++ b/src/coltsfootstair/keyspace/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from coltsfootstair.keyspace._keeper import Keeper, KeeperParts
-from coltsfootstair.keyspace._orders import KeyOrders, OrderRefusedError
+from coltsfootstair.keyspace._orders import KeyOrders, OrderRefusedError, WrongServerError
 from coltsfootstair.keyspace._planner import OwnerCapacity, plan
 from coltsfootstair.keyspace._table import KEY_COUNT, KeyRow, KeyTable, decode, encode
 from coltsfootstair.keyspace._view import KIND, OwnershipView
@@ -19,6 +19,7 @@
     'OrderRefusedError',
     'OwnerCapacity',
     'OwnershipView',
+    'WrongServerError',
     'decode',
     'encode',
     'plan',
--- a/src/coltsfootstair/keyspace/_orders.py
+++ b/src/coltsfootstair/keyspace/_orders.py
@@ -7,25 +7,29 @@
 from coltsfootstair.errors import ColtsfootstairError
 
 if TYPE_CHECKING:
-    from coltsfootstair.http1 import Address
+    from coltsfootstair.registry import BackendServer
 
-__all__ = ['KeyOrders', 'OrderRefusedError']
+__all__ = ['KeyOrders', 'OrderRefusedError', 'WrongServerError']
 
 
 class OrderRefusedError(ColtsfootstairError):
     """A backend server has seen a higher fencing token on one of the keys."""
 
 
+class WrongServerError(ColtsfootstairError):
+    """Another backend server has the address: the one that was meant has ended."""
+
+
 class KeyOrders(Protocol):
     """Orders to backend servers.
 
     Both raise ``BrokenExchangeError`` when no answer came in time; the order may then
-    still be carried out later.
+    still be carried out later. Both raise ``WrongServerError``.
     """
 
     async def grant(
         self,
-        address: Address,
+        server: BackendServer,
         first: int,
         last: int,
         fence: int,
@@ -39,6 +43,6 @@
         """
 
     async def release(
-        self, address: Address, first: int, last: int, fence: int, timeout_s: float
+        self, server: BackendServer, first: int, last: int, fence: int, timeout_s: float
     ) -> str | None:
         """Take keys back; return, once their work has ended, what their next owner needs."""
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -16,7 +16,7 @@
 from coltsfootstair.http1 import BrokenExchangeError
 from coltsfootstair.keyspace._demand import Demand
 from coltsfootstair.keyspace._holds import Holds
-from coltsfootstair.keyspace._orders import OrderRefusedError
+from coltsfootstair.keyspace._orders import OrderRefusedError, WrongServerError
 from coltsfootstair.keyspace._planner import FENCE_STEP, OwnerCapacity, plan
 from coltsfootstair.keyspace._table import KeyRow, KeyTable, decode, encode, pack
 from coltsfootstair.keyspace._view import KIND, TABLE_PREFIX
@@ -93,6 +93,7 @@
         self._renewed_at_by_life: dict[Life, float] = {}
         self._failing_since_by_life: dict[Life, float] = {}
         self._fence_too_low: set[int] = set()
+        self._ended_lives: set[Life] = set()
         self._address_by_life: dict[Life, BackendServer] = {}
         self._seen_servers_at = math.inf
         self._seen_at_by_life: dict[Life, float] = {}
@@ -212,6 +213,8 @@
         for server in self._parts.registry.usable(self.service):
             self._address_by_life[server.life] = server
             self._seen_at_by_life[server.life] = now
+            if server.life in self._ended_lives:
+                continue
             failing_since = self._failing_since_by_life.get(server.life)
             if failing_since is not None and now - failing_since > UNREACHABLE_S:
                 owns_some = any(row.owner == server.life for row in self._table.rows)
@@ -373,8 +376,10 @@
             try:
                 taken_back = row._replace(fence=row.fence - 1)
                 return await self._parts.orders.release(
-                    server.address, row.first, row.last, taken_back.fence, timeout_s
+                    server, row.first, row.last, taken_back.fence, timeout_s
                 )
+            except WrongServerError:
+                return None
             except (BrokenExchangeError, OrderRefusedError) as error:
                 logger.info(
                     'release not answered',
@@ -425,6 +430,10 @@
                 logger.info('grant not answered', server=server.name, reason=str(error))
             self._failing_since_by_life.setdefault(server.life, now)
             return False
+        except WrongServerError as error:
+            logger.info('owner has ended', server=server.name, reason=str(error))
+            self._ended_lives.add(server.life)
+            return False
         except OrderRefusedError:
             logger.warning(
                 'grant refused: a higher fencing token was seen',
@@ -442,7 +451,7 @@
     ) -> None:
         try:
             await self._parts.orders.grant(
-                server.address,
+                server,
                 row.first,
                 row.last,
                 row.fence,
