--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -21,7 +21,7 @@
 )
 from coltsfootstair.http1 import CallerConnection, CallerLimits, ConnectionPool, serve_status
 from coltsfootstair.keyspace import Keeper, KeeperParts, OwnershipView
-from coltsfootstair.objects import Follower
+from coltsfootstair.objects import Follower, StoreHealth
 from coltsfootstair.peers import PeerChannel
 from coltsfootstair.registry import Registry
 from coltsfootstair.results import Ran, Refusal, ResultCode
@@ -55,7 +55,7 @@
 BODY_MEMORY_SHARE = 0.3
 """Part of the process's memory that bodies under way may fill."""
 
-EXPIRE_S = 0.25
+EXPIRE_S = 0.1
 """Seconds between two looks for entries that did not come back."""
 
 BACKLOG = 1024
@@ -85,6 +85,7 @@
         self._body_bytes = 0
         self._body_limit = int(settings.memory_mib * 2**20 * BODY_MEMORY_SHARE)
         random_source = random.Random()
+        self._health = StoreHealth()
         self._registry = Registry(clock)
         self._configuration = ConfigurationSubscriber(ports.decoder)
         self._ownership = OwnershipView()
@@ -215,10 +216,15 @@
         started_at = self.clock.monotonic()
         ends_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
         logger.info('stopping', requests=self._requests, connections=len(self._connections))
+        for connection in list(self._connections):
+            connection.end_after_present()
         await self._keeper.stop()
         while (now := self.clock.monotonic()) < ends_at:
             if now - started_at >= BALANCER_NOTICE_S:
+                # What is still sent here is refused by the socket, and goes elsewhere.
+                server.close()
                 for connection in list(self._connections):
+                    connection.end_after_present()
                     connection.end_when_idle()
                 if not self._requests and not self._connections:
                     return
@@ -234,7 +240,7 @@
         return self._keeper.daemons
 
     def _store_works(self) -> bool:
-        return not any(follower.failing for follower in self._followers)
+        return self._health.works
 
     def _divided_services(self) -> set[str]:
         table = self._configuration.table
@@ -271,7 +277,15 @@
         servers = ServerSubscriber(decoder, self._registry)
         evacuations = EvacuationSubscriber(decoder, self._registry)
         return [
-            Follower(self._ports.store, kind, subscriber, self.clock, random_source, gap_s)
+            Follower(
+                self._ports.store,
+                kind,
+                subscriber,
+                self.clock,
+                random_source,
+                self._health,
+                gap_s,
+            )
             for kind, subscriber, gap_s in (
                 (kinds.configuration, self._configuration, CONFIGURATION_GAP_S),
                 (kinds.backend_servers, servers, SERVERS_GAP_S),
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -199,6 +199,15 @@
         if too_long and self._started_at is not None and not self._in_body:
             self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
+    def end_after_present(self) -> None:
+        """Take no further request if some are under way; their last answer says so.
+
+        A request of which a part has arrived is still taken.
+        """
+        if self._turns and self._started_at is None and not self._ending:
+            self._ending = True
+            self._turns[-1].keep_alive = False
+
     def end_when_idle(self) -> None:
         """Close the connection if no request is under way."""
         if self.is_idle and self._transport is not None:
--- a/src/coltsfootstair/objects/__init__.py
+++ b/src/coltsfootstair/objects/__init__.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from coltsfootstair.objects._follower import Follower
+from coltsfootstair.objects._follower import Follower, StoreHealth
 from coltsfootstair.objects._types import Change, Changes, Listing, ObjectStore, StoredObject
 
-__all__ = ['Change', 'Changes', 'Follower', 'Listing', 'ObjectStore', 'StoredObject']
+__all__ = [
+    'Change',
+    'Changes',
+    'Follower',
+    'Listing',
+    'ObjectStore',
+    'StoreHealth',
+    'StoredObject',
+]
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -15,7 +15,7 @@
     from coltsfootstair.clock import Clock
     from coltsfootstair.objects._types import Change, Listing, ObjectStore
 
-__all__ = ['Follower', 'Subscriber']
+__all__ = ['Follower', 'StoreHealth', 'Subscriber']
 
 logger = structlog.get_logger()
 
@@ -25,9 +25,42 @@
 FIRST_PAUSE_S = 0.1
 """Pause after a first failed call, in seconds."""
 
-LONGEST_PAUSE_S = 0.8
-"""Longest pause between failed calls, in seconds. An entry of the configuration must be in
-force within two seconds of the store's return, and a call takes up to one."""
+LONGEST_PAUSE_S = 0.5
+"""Longest pause between failed calls, in seconds; with the time of a call, a quarter of that
+in which changes must be in force after the store's return."""
+
+
+class StoreHealth:
+    """Whether this daemon reaches the store; one follower at a time finds out.
+
+    The others wait for it, so that an outage costs one call at a time.
+    """
+
+    def __init__(self) -> None:
+        self._prober: object | None = None
+        self._regained = asyncio.Event()
+        self._regained.set()
+
+    @property
+    def works(self) -> bool:
+        """Whether the last call was answered."""
+        return self._prober is None
+
+    def failed(self, caller: object) -> None:
+        """Note a call without an answer; the first such caller goes on trying."""
+        if self._prober is None:
+            self._prober = caller
+            self._regained.clear()
+
+    def answered(self, caller: object) -> None:
+        """Note an answer."""
+        self._prober = None
+        self._regained.set()
+
+    async def may_try(self, caller: object) -> None:
+        """Return when ``caller`` may call: at once, or when another one was answered."""
+        if self._prober is not caller:
+            await self._regained.wait()
 
 
 class Subscriber(Protocol):
@@ -54,6 +87,7 @@
         subscriber: Subscriber,
         clock: Clock,
         random_source: random.Random,
+        health: StoreHealth,
         gap_s: float,
     ) -> None:
         self._store = store
@@ -61,17 +95,13 @@
         self._subscriber = subscriber
         self._clock = clock
         self._random = random_source
+        self._health = health
         self._gap_s = gap_s
         self._revision: int | None = None
         self._failures = 0
         self._outage_ended_at: float | None = None
         self.synced = asyncio.Event()
 
-    @property
-    def failing(self) -> bool:
-        """Whether the last call got no answer."""
-        return self._failures > 0
-
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
@@ -85,6 +115,7 @@
                 self._failed(error)
                 pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0 ** (self._failures - 1))
                 await asyncio.sleep(pause_s * (0.5 + self._random.random() / 2))
+                await self._health.may_try(self)
 
     async def _step(self) -> None:
         if self._revision is None:
@@ -106,10 +137,12 @@
 
     def _failed(self, error: Exception) -> None:
         self._failures += 1
+        self._health.failed(self)
         if self._failures == 1:
             logger.warning('store lost', kind=self._kind, reason=str(error))
 
     def _answered(self) -> None:
+        self._health.answered(self)
         if not self._failures:
             return
         logger.info('store regained', kind=self._kind, failed_calls=self._failures)
--- a/src/coltsfootstair/registry/_view.py
+++ b/src/coltsfootstair/registry/_view.py
@@ -19,9 +19,9 @@
 
 logger = structlog.get_logger()
 
-RETURN_GRACE_S = 2.5
+RETURN_GRACE_S = 1.5
 """How long an entry that lapsed while the store was away may still come back, in seconds:
-two seconds as the platform states, and half a second for the watch."""
+two seconds as the platform states, less the time in which its return is noticed."""
 
 
 class Registry:
