--- a/src/coltsfootstair/keyspace/_planner.py
+++ b/src/coltsfootstair/keyspace/_planner.py
@@ -18,18 +18,20 @@
 were not asked for of late count for something."""
 
 IMBALANCE = 1.3
-"""Ratio of the highest to the mean utilization beyond which keys move."""
+"""Ratio of two servers' expected answer times beyond which keys move between them."""
 
-BUSY = 0.5
-"""Utilization below which a backend server needs no relief, whatever the others have."""
+LEAST_SHARE = 0.15
+"""Part of the mean load that each server keeps, so that its speed stays known."""
+
+CROWDED = 0.95
+"""Utilization beyond which the expected answer time grows in a straight line."""
 
 MAX_MOVES = 4
 """Ranges that are moved at a time to even out load; moved keys are held up for as long as
 their running work takes."""
 
-MIN_GAIN = 0.05
-"""Utilization that a move must take off the busiest server."""
-
+BISECTIONS = 12
+"""Steps in which an amount to move is found; the rest is below one part in 4,000."""
 
 FENCE_STEP = 2
 """Tokens for each move: one to take a range back, and a higher one for its next owner."""
@@ -38,14 +40,28 @@
 class OwnerCapacity(NamedTuple):
     """A backend server that may own keys.
 
-    :param per_s: requests a second that it can serve
+    :param slots: requests that it runs at a time
+    :param service_s: mean time of a request that need not wait, in seconds
     :param takes_more: whether it may get further keys
     """
 
     life: Life
-    per_s: float
+    slots: float
+    service_s: float
     takes_more: bool
 
+    def answer_s(self, rate: float) -> float:
+        """Return the expected answer time at ``rate`` requests a second, in seconds.
+
+        It grows with the utilization as the wait in front of several slots does, slowly
+        at first and without a bound near 1.
+        """
+        utilization = rate * self.service_s / self.slots
+        if utilization < CROWDED:
+            return self.service_s * (1.0 + utilization**2 / (1.0 - utilization))
+        beyond = (utilization - CROWDED) / (1.0 - CROWDED) ** 2
+        return self.service_s * (1.0 + CROWDED**2 / (1.0 - CROWDED) + beyond)
+
 
 class KeyRates:
     """Requests a second by key, with sums over ranges in logarithmic time."""
@@ -94,13 +110,15 @@
             if row.owner in self.load_by_life:
                 self.load_by_life[row.owner] += rates.over(row.first, row.last)
 
-    def utilization(self, life: Life) -> float:
-        return self.load_by_life[life] / self.owner_by_life[life].per_s
+    def answer_s(self, life: Life, extra: float = 0.0) -> float:
+        owner = self.owner_by_life[life]
+        return owner.answer_s(max(0.0, self.load_by_life[life] + extra))
 
-    def least_used(self) -> Life | None:
+    def quickest(self, extra: float) -> Life | None:
+        """Return who answers soonest when it has to bear ``extra`` more."""
         takers = [owner.life for owner in self.owner_by_life.values() if owner.takes_more]
         takers = takers or list(self.owner_by_life)
-        return min(takers, key=self.utilization, default=None)
+        return min(takers, key=lambda life: self.answer_s(life, extra), default=None)
 
     def give(self, row: KeyRow, life: Life) -> None:
         """Replace ``row`` by one that ``life`` is to own."""
@@ -172,46 +190,80 @@
         ):
             cut = working.rates.cut(rest.first, rest.last, piece)
             part, rest = working.split(rest, cut)
-            _give_to_least(working, part)
-        _give_to_least(working, rest)
+            _give_to_quickest(working, part)
+        _give_to_quickest(working, rest)
 
 
-def _give_to_least(working: _Plan, row: KeyRow) -> None:
-    life = working.least_used()
+def _give_to_quickest(working: _Plan, row: KeyRow) -> None:
+    life = working.quickest(working.rates.over(row.first, row.last))
     if life is not None:
         working.give(row, life)
 
 
 def _fill_empty(working: _Plan) -> None:
-    """Give servers that own nothing a part of the busiest server's keys."""
+    """Give servers that own nothing a part of the slowest server's keys."""
     owning = {row.owner for row in working.rows}
+    mean = sum(working.load_by_life.values()) / len(working.load_by_life)
     for life, owner in working.owner_by_life.items():
         if life in owning or not owner.takes_more:
             continue
-        busiest = max(working.load_by_life, key=working.utilization)
-        if busiest != life:
-            _shift(working, busiest, life, working.load_by_life[busiest] / 2)
+        slowest = max(working.load_by_life, key=working.answer_s)
+        if slowest != life:
+            _shift(working, slowest, life, min(mean, working.load_by_life[slowest] / 2))
 
 
 def _relieve(working: _Plan) -> None:
+    """Move keys from the servers that answer slowest to those that answer soonest.
+
+    Answers hot keys, slowed servers and servers of unequal speed: at low load the faster
+    servers own more than their even part, at high load the waits are evened out.
+    """
+    least = LEAST_SHARE * sum(working.load_by_life.values()) / len(working.load_by_life)
     for _ in range(MAX_MOVES):
-        lives = list(working.load_by_life)
-        busiest = max(lives, key=working.utilization)
-        idlest = working.least_used()
-        if idlest is None or idlest == busiest:
-            return
-        high, low = working.utilization(busiest), working.utilization(idlest)
-        total_per_s = sum(owner.per_s for owner in working.owner_by_life.values())
-        mean = sum(working.load_by_life.values()) / total_per_s
-        if high < BUSY or high < IMBALANCE * mean or high - low < 2 * MIN_GAIN:
+        lives = [life for life, load in working.load_by_life.items() if load > 1.5 * least]
+        if not lives:
             return
-        speed = working.owner_by_life[busiest].per_s, working.owner_by_life[idlest].per_s
-        rate = (high - low) * speed[0] * speed[1] / (speed[0] + speed[1])
-        rate = min(rate, (high - mean) * speed[0])
-        if not _shift(working, busiest, idlest, rate):
+        slowest = max(lives, key=working.answer_s)
+        if not _move_off(working, slowest, least):
             return
 
 
+def _move_off(working: _Plan, source: Life, least: float) -> bool:
+    live = [row for row in working.rows if row.owner == source and row.live]
+    if not live:
+        return False
+    rates = working.rates
+    largest = max(live, key=lambda row: rates.over(row.first, row.last))
+    alone = rates.over(largest.first, largest.last)
+    if largest.first == largest.last and len(live) == 1:
+        # The only key is more than its owner bears: the fastest one is to have it.
+        target = working.quickest(alone)
+        if target is None or target == source:
+            return False
+        if working.answer_s(source) < IMBALANCE * working.answer_s(target, alone):
+            return False
+        working.give(largest, target)
+        return True
+    target = working.quickest(0.0)
+    if target is None or target == source:
+        return False
+    if working.answer_s(source) < IMBALANCE * working.answer_s(target):
+        return False
+    return _shift(working, source, target, _even_rate(working, source, target, least))
+
+
+def _even_rate(working: _Plan, source: Life, target: Life, least: float) -> float:
+    """Return the rate whose move makes both servers answer equally soon."""
+    low, high = 0.0, max(0.0, working.load_by_life[source] - least)
+    for _ in range(BISECTIONS):
+        middle = (low + high) / 2
+        if working.answer_s(source, -middle) > working.answer_s(target, middle):
+            low = middle
+        else:
+            high = middle
+    return low
+
+
 def _shift(working: _Plan, source: Life, target: Life, rate: float) -> bool:
     """Move about ``rate`` of ``source``'s keys to ``target``; false if none can move.
 
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -223,10 +223,13 @@
                     del self._failing_since_by_life[server.life]
                 continue
             cold = self._parts.registry.cold_left_s(server) > 0
-            per_s = server.slots / self.demand.service_s(server.name)
+            service_s = self.demand.service_s(server.name)
             if cold:
-                per_s = min(per_s, max(0.1, self._parts.cold_per_s(self.service)))
-            owners.append(OwnerCapacity(server.life, per_s, takes_more=not cold))
+                allowed_per_s = max(0.1, self._parts.cold_per_s(self.service))
+                service_s = max(service_s, server.slots / allowed_per_s)
+            owners.append(
+                OwnerCapacity(server.life, server.slots, service_s, takes_more=not cold)
+            )
         return owners
 
     async def _plan(self, owners: list[OwnerCapacity]) -> None:
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -13,7 +13,7 @@
     """One daemon's figures of one backend server since its last report.
 
     :param finished: answers received
-    :param busy_s: sum of their times, in seconds
+    :param busy_s: sum of their times less the waits, by estimate, in seconds
     """
 
     finished: int
--- a/src/coltsfootstair/placement/_load.py
+++ b/src/coltsfootstair/placement/_load.py
@@ -98,10 +98,10 @@
     def answered(self, latency_s: float, now: float) -> None:
         """Take the time of an answer, less the wait that was to be expected for it."""
         self.finished += 1
-        self.busy_s += latency_s
         self.unanswered = 0
         queued = max(0.0, self.occupied(now) - self.slots) / self.slots
         sample = latency_s / (1.0 + queued)
+        self.busy_s += sample
         self.service_s += LATENCY_WEIGHT * (sample - self.service_s)
         self._failures = self.failure_share(now) * (1.0 - FAILURE_WEIGHT)
         self._failed_at = now
