--- a/src/coltsfootstair/keyspace/_demand.py
+++ b/src/coltsfootstair/keyspace/_demand.py
@@ -17,7 +17,7 @@
 """Time constant with which past requests lose weight, in seconds; busy keys change within
 seconds."""
 
-SERVICE_WEIGHT = 0.1
+SERVICE_WEIGHT = 0.03
 """Weight of one answer in an owner's mean service time."""
 
 DEFAULT_SERVICE_S = 0.1
--- a/src/coltsfootstair/keyspace/_planner.py
+++ b/src/coltsfootstair/keyspace/_planner.py
@@ -17,12 +17,16 @@
 """Part of the traffic that is taken to be spread evenly over all keys, so that keys which
 were not asked for of late count for something."""
 
-IMBALANCE = 1.3
+IMBALANCE = 2.0
 """Ratio of two servers' expected answer times beyond which keys move between them."""
 
 LEAST_SHARE = 0.15
 """Part of the mean load that each server keeps, so that its speed stays known."""
 
+WAIT_WEIGHT = 2.0
+"""How much the wait grows with utilization: 1 for one slot and even work; more since work
+comes in bursts and its time varies several times over."""
+
 CROWDED = 0.95
 """Utilization beyond which the expected answer time grows in a straight line."""
 
@@ -43,24 +47,26 @@
     :param slots: requests that it runs at a time
     :param service_s: mean time of a request that need not wait, in seconds
     :param takes_more: whether it may get further keys
+    :param settled: whether its figures tell of the keys that it has now
     """
 
     life: Life
     slots: float
     service_s: float
     takes_more: bool
+    settled: bool = True
 
     def answer_s(self, rate: float) -> float:
         """Return the expected answer time at ``rate`` requests a second, in seconds.
 
-        It grows with the utilization as the wait in front of several slots does, slowly
-        at first and without a bound near 1.
+        It grows with the utilization as the wait in a queue does, without a bound near 1.
         """
         utilization = rate * self.service_s / self.slots
         if utilization < CROWDED:
-            return self.service_s * (1.0 + utilization**2 / (1.0 - utilization))
-        beyond = (utilization - CROWDED) / (1.0 - CROWDED) ** 2
-        return self.service_s * (1.0 + CROWDED**2 / (1.0 - CROWDED) + beyond)
+            return self.service_s * (1.0 + WAIT_WEIGHT * utilization / (1.0 - utilization))
+        at_crowded = WAIT_WEIGHT * CROWDED / (1.0 - CROWDED)
+        beyond = WAIT_WEIGHT * (utilization - CROWDED) / (1.0 - CROWDED) ** 2
+        return self.service_s * (1.0 + at_crowded + beyond)
 
 
 class KeyRates:
@@ -114,9 +120,15 @@
         owner = self.owner_by_life[life]
         return owner.answer_s(max(0.0, self.load_by_life[life] + extra))
 
+    def is_crowded(self, life: Life) -> bool:
+        owner = self.owner_by_life[life]
+        return self.load_by_life[life] * owner.service_s > CROWDED * owner.slots
+
     def quickest(self, extra: float) -> Life | None:
         """Return who answers soonest when it has to bear ``extra`` more."""
-        takers = [owner.life for owner in self.owner_by_life.values() if owner.takes_more]
+        owners = self.owner_by_life.values()
+        takers = [owner.life for owner in owners if owner.takes_more and owner.settled]
+        takers = takers or [owner.life for owner in owners if owner.takes_more]
         takers = takers or list(self.owner_by_life)
         return min(takers, key=lambda life: self.answer_s(life, extra), default=None)
 
@@ -220,7 +232,12 @@
     """
     least = LEAST_SHARE * sum(working.load_by_life.values()) / len(working.load_by_life)
     for _ in range(MAX_MOVES):
-        lives = [life for life, load in working.load_by_life.items() if load > 1.5 * least]
+        lives = [
+            life
+            for life, load in working.load_by_life.items()
+            if load > 1.5 * least
+            and (working.owner_by_life[life].settled or working.is_crowded(life))
+        ]
         if not lives:
             return
         slowest = max(lives, key=working.answer_s)
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -43,6 +43,10 @@
 SETTLE_S = 1.0
 """Seconds after the first backend server was seen in which the others are awaited."""
 
+SETTLED_S = 1.5
+"""Seconds after which the figures of an owner tell of a change of its keys: a move, a report
+and some answers."""
+
 GRANT_TIMEOUT_S = 0.5
 """How long a grant may stay unanswered, in seconds; it is sent again then."""
 
@@ -94,6 +98,7 @@
         self._failing_since_by_life: dict[Life, float] = {}
         self._fence_too_low: set[int] = set()
         self._ended_lives: set[Life] = set()
+        self._moved_at_by_life: dict[Life, float] = {}
         self._address_by_life: dict[Life, BackendServer] = {}
         self._seen_servers_at = math.inf
         self._seen_at_by_life: dict[Life, float] = {}
@@ -228,7 +233,14 @@
                 allowed_per_s = max(0.1, self._parts.cold_per_s(self.service))
                 service_s = max(service_s, server.slots / allowed_per_s)
             owners.append(
-                OwnerCapacity(server.life, server.slots, service_s, takes_more=not cold)
+                OwnerCapacity(
+                    server.life,
+                    server.slots,
+                    service_s,
+                    takes_more=not cold,
+                    settled=now - self._moved_at_by_life.get(server.life, -math.inf)
+                    > SETTLED_S,
+                )
             )
         return owners
 
@@ -240,6 +252,8 @@
             return
         moved = [row for row in target.rows if row.fence > self._table.fence]
         for row in moved:
+            for life in (row.owner, *row.previous):
+                self._moved_at_by_life[life] = now
             logger.info(
                 'key range moves',
                 service=self.service,
