--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -297,10 +297,12 @@
         return self._registry.left_for_s(server.name) < LEAVING_GRACE_S
 
     def _demand(self, request: _Request, now: float) -> Demand:
-        spent_s = now - request.incoming.received_at
-        objective_s = request.route.target_latency_s
-        left_s = request.ends_at - now
-        return Demand(self._data_centre, objective_s, max(0.0, objective_s - spent_s), left_s)
+        return Demand(
+            self._data_centre,
+            request.route.target_latency_s,
+            request.ends_at - now,
+            len(request.incoming.body),
+        )
 
     async def _attempt(self, request: _Request, server: BackendServer) -> Attempt:
         load = self._fleet.load(server)
--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -15,8 +15,15 @@
 __all__ = ['Candidate', 'Demand', 'Place', 'Refused', 'place']
 
 AWAY_COST_SHARE = 0.25
-"""Part of the time that is left for which an answer may take longer within the data centre
-before another data centre is used; bytes between data centres are paid for."""
+"""Part of the target latency by which an answer may take longer within the data centre
+before another one is used; bytes between data centres are paid for."""
+
+AWAY_COST_BYTES = 32 * 1024
+"""Bytes of a body that count for another whole target latency."""
+
+PATIENCE = 2.0
+"""How many target latencies an answer may take by estimate; a request that would take
+longer is refused, so that those behind it are answered in time."""
 
 FAILURE_COST = 4.0
 """How many service times a sure failure counts for."""
@@ -47,14 +54,13 @@
     """What a request needs.
 
     :param objective_s: time within which an answer is worth most, from the start
-    :param objective_left_s: time within which its answer is worth most
     :param left_s: time after which its answer is worth nothing
     """
 
     data_centre: str
     objective_s: float
-    objective_left_s: float
     left_s: float
+    body_bytes: int = 0
 
 
 class Place(NamedTuple):
@@ -92,7 +98,7 @@
             soonest_s = min(soonest_s, candidate.cold_wait_s)
             continue
         expected_s = load.expected_s(now)
-        longest_s = min(demand.left_s, demand.objective_s)
+        longest_s = min(demand.left_s, PATIENCE * demand.objective_s)
         waits = load.occupied(now) + 1.0 > load.slots
         if waits and (
             load.occupied(now) >= load.slots * QUEUE_BOUND or expected_s > longest_s
@@ -102,7 +108,8 @@
         cost = expected_s * (1.0 + FAILURE_COST * load.failure_share(now))
         cost *= 1.0 + JITTER_SHARE * random_source.random()
         if candidate.server.data_centre != demand.data_centre:
-            cost += AWAY_COST_SHARE * demand.objective_left_s
+            share = AWAY_COST_SHARE + demand.body_bytes / AWAY_COST_BYTES
+            cost += share * demand.objective_s
         if best is None or cost < best_cost:
             best = Place(candidate, expected_s)
             best_cost = cost
