--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -36,6 +36,14 @@
 """How long a connection may take to be made, in seconds; many times the delay between data
 centres, and less than the first repeat of a lost packet."""
 
+CONNECT_SHARE = 0.25
+"""Part of a request's time that a connection may take to be made, so that another server
+can still be tried."""
+
+SHORTEST_CONNECT_S = 0.05
+"""Least time that a connection is given to be made, in seconds; several times the delay
+between data centres."""
+
 OWNER_WAIT_SHARE = 0.5
 """Part of the target latency for which a request waits for a key that is moving; moves take
 about as long as one request."""
@@ -50,6 +58,10 @@
 RETRY_OWNER_S = 0.4
 """When a caller may come back whose key has no owner at present, in seconds."""
 
+SHED_TRIES = 4
+"""Times that a request is sent to the only server that may run it while that server turns
+requests away though it has room."""
+
 FRESH_SHARE = 0.5
 """Part of the idle time within which a kept connection is used for what may not be
 repeated; servers close idle connections at times of their own."""
@@ -66,12 +78,16 @@
 
     NOT_SENT = 'not sent'
     NOT_RUN = 'not run'
+    SHED_WITH_ROOM = 'not run, though there was room'
     WRONG_SERVER = 'wrong server'
     UNKNOWN = 'unknown'
     FAILED = 'failed'
     ANSWERED = 'answered'
 
 
+_NOT_RUN = frozenset({Outcome.NOT_RUN, Outcome.SHED_WITH_ROOM, Outcome.WRONG_SERVER})
+
+
 class Attempt(NamedTuple):
     """One attempt and its answer, if there is one."""
 
@@ -336,6 +352,11 @@
             answer = await connection.exchange(
                 line, headers, incoming.body, expected_id=request.request_id
             )
+        except asyncio.CancelledError:
+            now = self._clock.monotonic()
+            if now - started_at > load.expected_s(now):
+                load.silent(now)
+            raise
         except BrokenExchangeError as error:
             load.silent(self._clock.monotonic())
             if not error.sent:
@@ -344,7 +365,7 @@
             return Attempt(Outcome.UNKNOWN, None, str(error))
         self._pool.give_back(connection)
         attempt = self._judge(request, answer, server, started_at)
-        if attempt.outcome in (Outcome.NOT_RUN, Outcome.WRONG_SERVER):
+        if attempt.outcome in _NOT_RUN:
             request.may_have_run = may_have_run
         return attempt
 
@@ -354,7 +375,9 @@
         kept = self._pool.idle(server.address, freshest_share=share)
         if kept is not None:
             return kept
-        return await self._pool.open(server.address, CONNECT_TIMEOUT_S)
+        left_s = request.ends_at - self._clock.monotonic()
+        timeout_s = max(SHORTEST_CONNECT_S, min(CONNECT_TIMEOUT_S, CONNECT_SHARE * left_s))
+        return await self._pool.open(server.address, timeout_s)
 
     def _judge(
         self, request: _Request, answer: Answer, server: BackendServer, started_at: float
@@ -365,11 +388,14 @@
         facts = self._dialect.answer_facts(answer)
         if facts.load is not None:
             load.reported(facts.load, now)
+        load.heard(now)
         if facts.wrong_server:
             return Attempt(Outcome.WRONG_SERVER, answer, f'status {answer.status}')
         if facts.not_run:
             load.failed(now)
-            return Attempt(Outcome.NOT_RUN, answer, f'status {answer.status}')
+            had_room = facts.load is not None and facts.load.running < facts.load.slots
+            outcome = Outcome.SHED_WITH_ROOM if had_room else Outcome.NOT_RUN
+            return Attempt(outcome, answer, f'status {answer.status}')
         if not facts.signed or first_value(answer.headers, b'content-encoding') is not None:
             load.failed(now)
             return Attempt(Outcome.UNKNOWN, None, f'status {answer.status} without a mark')
@@ -382,6 +408,9 @@
         """Whether another attempt may follow a failed one."""
         if attempt.outcome is Outcome.NOT_SENT:
             return request.unconnected < NEVER_SENT_TRIES
+        if attempt.outcome is Outcome.SHED_WITH_ROOM and request.key is not None:
+            # The same server may take it now; it is no further one.
+            return request.attempts < SHED_TRIES and self._fleet.may_repeat(request.service)
         if request.attempts >= request.route.max_attempts:
             return False
         if attempt.outcome in (Outcome.UNKNOWN, Outcome.FAILED):
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -17,9 +17,12 @@
 
 __all__ = ['Fleet']
 
-BUDGET_SHARE = 0.7
-"""Part of the allowed repeats that daemons give out: their shares are split by a count of
-daemons that lags."""
+BUDGET_SHARE = 0.9
+"""Part of the repeats allowed for each request that daemons give out."""
+
+SLACK_SHARE = 0.6
+"""Part of the further repeats that daemons give out: they are split by a count of daemons
+that lags, and each start of a daemon brings its part again."""
 
 DAEMONS_BEFORE_KNOWN = 20
 """How many daemons share a limit before the keeper has said how many there are."""
@@ -70,9 +73,9 @@
 
     def sent(self, server: BackendServer, cold_per_s: float) -> None:
         """Count a request that is being sent to ``server``."""
-        self.load(server).started()
+        now = self._clock.monotonic()
+        self.load(server).started(now)
         if self._registry.cold_left_s(server) > 0:
-            now = self._clock.monotonic()
             self._pacer.sent(server.life, now, cold_per_s, self.daemons)
 
     def requested(self, service: str, key: int | None) -> None:
@@ -108,7 +111,7 @@
         )
 
     def _budget(self, service: str) -> RetryBudget:
-        burst = BUDGET_SHARE * self._retries.slack / self.daemons
+        burst = SLACK_SHARE * self._retries.slack / self.daemons
         budget = self._budget_by_service.get(service)
         if budget is None:
             share = BUDGET_SHARE * self._retries.ratio
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -35,11 +35,11 @@
 
 logger = structlog.get_logger()
 
-REPORT_S = 0.4
+REPORT_S = 0.3
 """Seconds between a daemon's reports; a third of the silence after which the keeper is
 replaced."""
 
-STAGGER_S = 0.3
+STAGGER_S = 0.2
 """Daemons that would take over wait for up to this long, in seconds, so that as a rule one
 of them does before the others try."""
 
@@ -64,7 +64,7 @@
 """How long ago a new keeper must have had the store without a break to know that the last
 one did not grant for longer than usual, in seconds."""
 
-HOLD_S = 3.5
+HOLD_S = 2.5
 """How long keys are granted for, in seconds: renewed three times over, it bears the change
 of a keeper; a lost owner's keys wait for it to run out."""
 
@@ -112,6 +112,7 @@
         self._store_worked_since = parts.clock.monotonic()
         self._confirmed_at = -math.inf
         self._stopping = False
+        self._woken = asyncio.Event()
         parts.view.subscribe_lease(self._on_lease)
 
     @property
@@ -142,8 +143,9 @@
     async def run(self) -> None:
         """Report, and take over when there is need, until cancelled."""
         last_at = self._parts.clock.monotonic()
+        await self._start()
         while True:
-            await asyncio.sleep(REPORT_S)
+            await self._pause()
             now = self._parts.clock.monotonic()
             if not self._parts.store_works():
                 self._store_worked_since = math.inf
@@ -158,6 +160,22 @@
                 if reason is not None:
                     await self._try_to_take_over(reason)
 
+    async def _start(self) -> None:
+        """Read the tables; take over at once where this daemon's last life was keeper."""
+        while not await self._read():
+            await asyncio.sleep(REPORT_S)
+        lease = self._parts.view.lease
+        if lease is not None and lease.holder == self.name:
+            self._heard_at = -math.inf
+
+    async def _pause(self) -> None:
+        self._woken.clear()
+        try:
+            async with asyncio.timeout(REPORT_S):
+                await self._woken.wait()
+        except TimeoutError:
+            return
+
     async def _read(self) -> bool:
         """Read the lease and the tables from the store; false if it did not answer.
 
@@ -189,10 +207,18 @@
                 expected_revision=self._parts.view.lease_revision,
             )
             logger.info('lease given back', epoch=lease.epoch)
+            self._announce_end(lease)
         except (StoreConflictError, StoreUnavailableError) as error:
             logger.warning('lease not given back', epoch=lease.epoch, reason=str(error))
         self._step_down('the daemon is stopping')
 
+    def _announce_end(self, lease: KeeperLease) -> None:
+        if self._channel is None:
+            return
+        for _, _, address in self._report_by_daemon.values():
+            if address != self._address:
+                self._channel.send(Beat('', lease.epoch, True, self.daemons), address)
+
     def received(self, message: Message, sender: Address) -> None:
         """Take a message of another daemon."""
         now = self._parts.clock.monotonic()
@@ -210,6 +236,10 @@
             self._step_down(f'{beat.keeper} is keeper under epoch {beat.epoch}')
         if lease is None or beat.epoch < lease.epoch:
             return
+        if not beat.keeper:
+            self._heard_at = -math.inf
+            self._woken.set()
+            return
         self._heard_at = now
         self.daemons = max(1, beat.daemons)
         if beat.store_works:
--- a/src/coltsfootstair/keyspace/_lease.py
+++ b/src/coltsfootstair/keyspace/_lease.py
@@ -11,7 +11,7 @@
 
 __all__ = ['ElectionState', 'KeeperLease', 'decode_lease', 'encode_lease', 'may_take_over']
 
-SILENCE_S = 1.2
+SILENCE_S = 0.9
 """How long the keeper may be silent before another daemon takes over, in seconds: three of
 its beats."""
 
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -34,7 +34,7 @@
 
 logger = structlog.get_logger()
 
-RENEW_S = 1.0
+RENEW_S = 0.8
 """Seconds between renewals of a grant."""
 
 PLAN_S = 0.25
@@ -47,7 +47,7 @@
 """Seconds after which the figures of an owner tell of a change of its keys: a move, a report
 and some answers."""
 
-GRANT_TIMEOUT_S = 0.5
+GRANT_TIMEOUT_S = 0.4
 """How long a grant may stay unanswered, in seconds; it is sent again then."""
 
 RELEASE_TIMEOUT_S = 2.5
--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -35,6 +35,9 @@
 """Requests for each slot beyond which no backend server is given more. Queues of backend
 servers are short and their length is not stated anywhere."""
 
+SILENT_RETRY_S = 0.3
+"""When a caller may come back whose backend servers do not answer, in seconds."""
+
 SHORTEST_RETRY_S = 0.05
 """Shortest time after which a refused caller is asked to come back, in seconds."""
 
@@ -97,6 +100,9 @@
         if candidate.cold_wait_s > 0:
             soonest_s = min(soonest_s, candidate.cold_wait_s)
             continue
+        if load.seems_silent(now):
+            soonest_s = min(soonest_s, SILENT_RETRY_S)
+            continue
         expected_s = load.expected_s(now)
         longest_s = min(demand.left_s, PATIENCE * demand.objective_s)
         waits = load.occupied(now) + 1.0 > load.slots
--- a/src/coltsfootstair/placement/_load.py
+++ b/src/coltsfootstair/placement/_load.py
@@ -27,6 +27,16 @@
 """Time constant in which past failures are forgotten, in seconds, so that a server that has
 recovered is tried again."""
 
+SILENT_REQUESTS = 3
+"""Requests without an answer from which a server may be taken for silent."""
+
+SILENT_SERVICE_TIMES = 5.0
+"""Mean service times without any answer after which it is taken for silent; the longest
+usual work takes about as long."""
+
+RETRIAL_S = 0.5
+"""How long a silent server is left alone before it is tried again, in seconds."""
+
 DEFAULT_SERVICE_S = 0.1
 """Mean service time taken for granted before the first answer, in seconds."""
 
@@ -59,6 +69,7 @@
         'service_s',
         'slots',
         'unanswered',
+        'waiting_since',
     )
 
     def __init__(self, slots: int, service_s: float = DEFAULT_SERVICE_S) -> None:
@@ -68,6 +79,7 @@
         self.finished = 0
         self.busy_s = 0.0
         self.unanswered = 0
+        self.waiting_since = math.inf
         self._others = 0.0
         self._others_mean = 0.0
         self._pace = 1.0
@@ -75,8 +87,10 @@
         self._failures = 0.0
         self._failed_at = -math.inf
 
-    def started(self) -> None:
+    def started(self, now: float) -> None:
         """Count a request that is being sent."""
+        if not self.in_flight:
+            self.waiting_since = now
         self.in_flight += 1
 
     def ended(self) -> None:
@@ -98,6 +112,7 @@
     def answered(self, latency_s: float, now: float) -> None:
         """Take the time of an answer, less the wait that was to be expected for it."""
         self.finished += 1
+        self.waiting_since = now
         self.unanswered = 0
         queued = max(0.0, self.occupied(now) - self.slots) / self.slots
         sample = latency_s / (1.0 + queued)
@@ -117,6 +132,20 @@
         self.unanswered += 1
         self.failed(now)
 
+    def heard(self, now: float) -> None:
+        """Note an answer of any kind."""
+        self.unanswered = 0
+        self.waiting_since = now
+
+    def seems_silent(self, now: float) -> bool:
+        """Whether nothing has come back for so long that nothing may come any more."""
+        if self.in_flight + self.unanswered < SILENT_REQUESTS:
+            return False
+        if not self.in_flight:
+            return self.unanswered >= SILENT_REQUESTS and now - self._failed_at < RETRIAL_S
+        allowed_s = SILENT_SERVICE_TIMES * self.service_s * max(1.0, self.pace(now))
+        return now - self.waiting_since > allowed_s
+
     def failure_share(self, now: float) -> float:
         """Return the recent share of failures, from 0 to 1."""
         if self._failures == 0.0:
