--- a/src/coltsfootstair/keyspace/_holds.py
+++ b/src/coltsfootstair/keyspace/_holds.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from coltsfootstair.keyspace._table import Life
 
-__all__ = ['Holds']
+__all__ = ['CLOCK_RATE', 'TRANSIT_S', 'Holds']
 
 CLOCK_RATE = 1.02
 """How much longer a hold may last by a backend server's clock; stated by the platform."""
@@ -27,6 +27,10 @@
         self._unknown_until = unknown_until
         self._until_by_life: dict[Life, float] = {}
 
+    def bound_unknown(self, until: float) -> None:
+        """Note that holds that another keeper granted end by ``until`` at the latest."""
+        self._unknown_until = min(self._unknown_until, until)
+
     def granted(self, life: Life, hold_s: float, ended_at: float) -> None:
         """Note a grant whose call ended, answered or not, at ``ended_at``."""
         until = ended_at + TRANSIT_S + hold_s * CLOCK_RATE
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -12,6 +12,7 @@
 
 from coltsfootstair.clock import Clock
 from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
+from coltsfootstair.keyspace._holds import CLOCK_RATE, TRANSIT_S
 from coltsfootstair.keyspace._lease import (
     ALONE_PAUSE_S,
     ElectionState,
@@ -52,17 +53,16 @@
 PEER_MEMORY_S = 2.0
 """How long a daemon counts after its last report, in seconds."""
 
+COUNT_S = 3.0
+"""How long after a take-over the daemons that report are counted, in seconds."""
+
 ISOLATED_S = 2.0
 """How long a keeper that has neither the store nor other daemons goes on renewing, in
 seconds."""
 
 OUTAGE_LEASE_S = 10.0
-"""How long a keeper without the store goes on renewing while most other daemons are without
-it too, in seconds; nobody can take over as long as that holds."""
-
-OUTAGE_MEMORY_S = 13.0
-"""How long ago a new keeper must have had the store without a break to know that the last
-one did not grant for longer than usual, in seconds."""
+"""How long a keeper without the store goes on renewing while most daemons report to it that
+they are without it too, in seconds."""
 
 HOLD_S = 2.5
 """How long keys are granted for, in seconds: renewed three times over, it bears the change
@@ -109,7 +109,8 @@
         self._heard_at = parts.clock.monotonic()
         self._storeless_since: float | None = None
         self._alone_until = -math.inf
-        self._store_worked_since = parts.clock.monotonic()
+        self._most_daemons = 0
+        self._took_over_at = -math.inf
         self._confirmed_at = -math.inf
         self._stopping = False
         self._woken = asyncio.Event()
@@ -126,16 +127,19 @@
         now = self._parts.clock.monotonic()
         unconfirmed_s = now - self._confirmed_at
         if unconfirmed_s <= CONFIRM_S + CONFIRM_RETRY_S:
-            return HOLD_S
+            return self._granted_s
         reports = self._recent_reports()
-        others = [report for report in reports if report.daemon != self.name]
-        storeless = sum(not report.store_works for report in others)
-        if others and 2 * storeless > len(others) and unconfirmed_s <= OUTAGE_LEASE_S:
-            return self._parts.longest_hold_s
+        storeless = sum(not report.store_works for report in reports)
+        if self._is_majority(storeless) and unconfirmed_s <= OUTAGE_LEASE_S:
+            return self._granted_s
         if unconfirmed_s <= CONFIRM_S + ISOLATED_S:
-            return HOLD_S
+            return self._granted_s
         return None
 
+    @property
+    def _granted_s(self) -> float:
+        return min(HOLD_S, self._parts.longest_hold_s)
+
     def attach(self, channel: PeerChannel) -> None:
         """Use ``channel`` to talk with the other daemons."""
         self._channel = channel
@@ -147,10 +151,6 @@
         while True:
             await self._pause()
             now = self._parts.clock.monotonic()
-            if not self._parts.store_works():
-                self._store_worked_since = math.inf
-            elif math.isinf(self._store_worked_since):
-                self._store_worked_since = now
             self._report(now - last_at)
             last_at = now
             if self._stopping or self.is_leading:
@@ -242,6 +242,7 @@
             return
         self._heard_at = now
         self.daemons = max(1, beat.daemons)
+        self._most_daemons = self.daemons
         if beat.store_works:
             self._storeless_since = None
         elif self._storeless_since is None:
@@ -299,6 +300,10 @@
         horizon = self._parts.clock.monotonic() - PEER_MEMORY_S
         return [report for at, report, _ in self._report_by_daemon.values() if at >= horizon]
 
+    def _is_majority(self, daemons: int) -> bool:
+        """Whether ``daemons`` are most of those that were counted last."""
+        return self._most_daemons > 0 and 2 * daemons > self._most_daemons
+
     def _report(self, seconds: float) -> None:
         lease = self._parts.view.lease
         if lease is None or not lease.holder:
@@ -311,6 +316,8 @@
             self._report_by_daemon[self.name] = (now, report, self._address)
             self._take_figures(report, now)
             self.daemons = max(1, len(self._recent_reports()))
+            if now - self._took_over_at > COUNT_S:
+                self._most_daemons = max(self._most_daemons, self.daemons)
         elif self._channel is not None and lease.holder != self.name:
             self._channel.send(report, lease.address)
 
@@ -355,16 +362,18 @@
             logger.warning('take-over not answered', reason=str(error))
             return
         logger.info('became keeper', reason=reason, epoch=epoch)
+        given_back = view.lease is not None and not view.lease.holder
         view.take(item)
-        self._lead(lease)
+        self._lead(lease, given_back=given_back)
 
-    def _lead(self, lease: KeeperLease) -> None:
+    def _lead(self, lease: KeeperLease, *, given_back: bool) -> None:
         now = self._parts.clock.monotonic()
         self._lease = lease
         self._confirmed_at = now
+        self._took_over_at = now
         self._alone_until = now + ALONE_PAUSE_S
         self._report_by_daemon = {}
-        self._leading = asyncio.create_task(self._run_as_keeper(lease))
+        self._leading = asyncio.create_task(self._run_as_keeper(lease, given_back=given_back))
 
     def _step_down(self, reason: str) -> None:
         lease, self._lease = self._lease, None
@@ -378,12 +387,12 @@
             keeper.close()
         self._service_keepers = {}
 
-    async def _run_as_keeper(self, lease: KeeperLease) -> None:
+    async def _run_as_keeper(self, lease: KeeperLease, *, given_back: bool) -> None:
         now = self._parts.clock.monotonic()
-        had_store_s = now - self._store_worked_since
-        usual = had_store_s > OUTAGE_MEMORY_S or lease.epoch == 1
-        longest_s = HOLD_S if usual else self._parts.longest_hold_s
-        unknown_until = now + ISOLATED_S + CONFIRM_S + longest_s * 1.02
+        hold_ends_s = self._granted_s * CLOCK_RATE + TRANSIT_S
+        unknown_until = now + OUTAGE_LEASE_S + CONFIRM_S + hold_ends_s
+        if given_back:
+            unknown_until = now + hold_ends_s
         if lease.epoch == 1:
             unknown_until = now
         while True:
@@ -403,9 +412,16 @@
             self._confirmed_at = read_at
             for _ in range(4):
                 await asyncio.sleep(CONFIRM_S / 4)
+                if self._is_majority(len(self._recent_reports())):
+                    # The last keeper no longer hears most daemons, and stops.
+                    now = self._parts.clock.monotonic()
+                    ends_at = now + PEER_MEMORY_S + ISOLATED_S + hold_ends_s
+                    unknown_until = min(unknown_until, ends_at)
                 self._match_services(unknown_until)
 
     def _match_services(self, unknown_until: float) -> None:
+        for keeper in self._service_keepers.values():
+            keeper.bound_unknown_holds(unknown_until)
         services = self._parts.services()
         for service in services - self._service_keepers.keys():
             keeper = ServiceKeeper(
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -109,6 +109,10 @@
         """Start the work."""
         self._spawn(self._run())
 
+    def bound_unknown_holds(self, until: float) -> None:
+        """Note that holds that the last keeper granted end by ``until`` at the latest."""
+        self._holds.bound_unknown(until)
+
     def pause(self) -> None:
         """Send no more orders."""
         self._paused = True
@@ -378,6 +382,7 @@
     async def _take_back(self, life: Life, row: KeyRow) -> str | None:
         """Return once ``life`` holds no key of ``row``, with its handover if it gave one."""
         clock = self._parts.clock
+        logged = False
         async with self._lock(life):
             pass  # Renewals that were under way have ended; no more are sent.
         while clock.monotonic() < self._holds.until(life):
@@ -398,13 +403,16 @@
             except WrongServerError:
                 return None
             except (BrokenExchangeError, OrderRefusedError) as error:
-                logger.info(
-                    'release not answered',
-                    service=self.service,
-                    server=life[0],
-                    fence=row.fence,
-                    reason=str(error),
-                )
+                if not logged:
+                    logger.info(
+                        'release not answered',
+                        service=self.service,
+                        server=life[0],
+                        fence=row.fence,
+                        held_for_s=round(remaining_s, 2),
+                        reason=str(error),
+                    )
+                logged = True
                 await asyncio.sleep(ORDER_RETRY_S)
         return None
 
