--- /dev/null
+++ b/tests/coltsfootstair_platform/standin.py
@@ -0,0 +1,294 @@
+"""Stand-ins that speak the platform's protocol on loopback: its store and a backend server."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import urllib.parse
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, NamedTuple
+
+__all__ = ['Received', 'ServerStandin', 'StoreStandin', 'answer', 'configuration']
+
+
+class Received(NamedTuple):
+    """A request that a stand-in has read whole."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+async def _read(reader: asyncio.StreamReader) -> Received | None:
+    try:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    first, *lines = head.rstrip().split('\r\n')
+    method, target, _ = first.split(' ')
+    headers = {
+        name.lower(): value.strip() for name, _, value in (it.partition(':') for it in lines)
+    }
+    body = await reader.readexactly(int(headers.get('content-length', '0')))
+    return Received(method, target, headers, body)
+
+
+def answer(status: int, body: bytes = b'', **headers: str) -> bytes:
+    """Return an answer's bytes; underscores in names of headers stand for dashes."""
+    lines = [f'HTTP/1.1 {status} Any', f'Content-Length: {len(body)}']
+    lines += [f'{name.replace("_", "-")}: {value}' for name, value in headers.items()]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+class _Listener:
+    """Serves one connection after the other with ``_serve``."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, port: int = 0) -> None:
+        self._server = await asyncio.start_server(self._on_connection, '127.0.0.1', port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while (request := await _read(reader)) is not None:
+                if not await self._serve(request, reader, writer):
+                    break
+        except (ConnectionError, asyncio.CancelledError):
+            return  # The peer has left, or the test is over.
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve(
+        self, request: Received, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        raise NotImplementedError
+
+
+class StoreStandin(_Listener):
+    """Objects by kind and name with one revision counter, watches and faults."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.down = False
+        self.calls = 0
+        self._revision = 1
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._events: list[tuple[str, int, dict[str, Any], bool]] = []
+        self._changed = asyncio.Condition()
+
+    async def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write as the operator or a backend server does."""
+        self._revision += 1
+        item = {'metadata': {'name': name, 'revision': self._revision}, 'spec': spec}
+        self._objects.setdefault(kind, {})[name] = item
+        await self._note(kind, item, deleted=False)
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self._revision += 1
+        item = self._objects[kind].pop(name)
+        await self._note(kind, item, deleted=True)
+
+    async def _note(self, kind: str, item: dict[str, Any], *, deleted: bool) -> None:
+        self._events.append((kind, self._revision, item, deleted))
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _serve(
+        self, request: Received, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        self.calls += 1
+        if self.down:
+            writer.write(answer(503))
+            return True
+        url = urllib.parse.urlsplit(request.target)
+        parts = [urllib.parse.unquote(it) for it in url.path.split('/')[3:]]
+        query = dict(urllib.parse.parse_qsl(url.query))
+        status, body = await self._answer(request, parts, query)
+        writer.write(answer(status, json.dumps(body).encode()))
+        return True
+
+    async def _answer(
+        self, request: Received, parts: list[str], query: dict[str, str]
+    ) -> tuple[int, Any]:
+        kind = parts[0]
+        by_name = self._objects.setdefault(kind, {})
+        if request.method == 'GET' and 'watch' in query:
+            return 200, await self._watch(
+                kind, int(query['watch']), int(query.get('wait-ms', '0')) / 1000
+            )
+        if request.method == 'GET' and len(parts) == 1:
+            items = list(by_name.values())
+            return 200, {'items': items, 'has-more': False, 'current-rev': self._revision}
+        if request.method == 'GET':
+            found = by_name.get(parts[1])
+            return (200, found) if found else (404, None)
+        sent = json.loads(request.body)
+        name = sent['metadata']['name']
+        found = by_name.get(name)
+        if request.method == 'POST' and found is not None:
+            return 409, found
+        expected = sent['metadata'].get('revision')
+        if expected and (found is None or found['metadata']['revision'] != expected):
+            return 409, found
+        await self.put(kind, name, sent['spec'])
+        return 200, by_name[name]
+
+    async def _watch(self, kind: str, after: int, wait_s: float) -> dict[str, Any]:
+        def events() -> list[dict[str, Any]]:
+            return [
+                {'object': item, 'deleted': deleted}
+                for each, revision, item, deleted in self._events
+                if each == kind and revision > after
+            ]
+
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(lambda: bool(events()))
+        return {'events': events(), 'current-rev': self._revision}
+
+
+Behaviour = Callable[[Received, asyncio.StreamWriter], Awaitable[bool]]
+
+
+class ServerStandin(_Listener):
+    """A backend server that answers as told, and grants whatever it is asked to.
+
+    :param behaviour: answers a request; returns whether the connection stays open
+    """
+
+    def __init__(self, name: str, behaviour: Behaviour | None = None) -> None:
+        super().__init__()
+        self.name = name
+        self.behaviour = behaviour or self.echo
+        self.received: list[Received] = []
+        self.orders: list[tuple[str, dict[str, Any]]] = []
+        self.left = 0
+
+    async def echo(self, request: Received, writer: asyncio.StreamWriter) -> bool:
+        """Answer at once with what was asked."""
+        writer.write(self.whole(request))
+        return True
+
+    def whole(self, request: Received, body: bytes | None = None, **headers: str) -> bytes:
+        """Return a proper answer to ``request``."""
+        echoed = request.target.encode() + request.body if body is None else body
+        return answer(
+            200,
+            echoed,
+            X_Request_Id=request.headers.get('x-request-id', ''),
+            X_Upstream_Signature=f'signed-by-{self.name}',
+            X_Upstream_Load='1,0,4,100',
+            **headers,
+        )
+
+    def entry(self, of: str, zone: str = 'north', **fields: Any) -> dict[str, Any]:
+        """Return the entry that the server writes of itself."""
+        return {
+            'service': of,
+            'address': f'127.0.0.1:{self.port}',
+            'zone': zone,
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+            'warmup-left-ms': 0,
+            'sequence': 1,
+            'born': 1700000000000,
+        } | fields
+
+    async def _serve(
+        self, request: Received, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        if request.target in ('/-/grant', '/-/release'):
+            self.orders.append((request.target, json.loads(request.body)))
+            writer.write(answer(200, X_Handover='h1'))
+            return True
+        self.received.append(request)
+        work = asyncio.ensure_future(self.behaviour(request, writer))
+        closed = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait({work, closed}, return_when=asyncio.FIRST_COMPLETED)
+        if not work.done():
+            # The caller has left, or sent more; either way this request is over.
+            self.left += 1
+            work.cancel()
+            return False
+        closed.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await closed
+        return work.result()
+
+
+def _route(name: str, service: str, **fields: Any) -> dict[str, Any]:
+    spec = {
+        'host': f'{name}.example',
+        'path-prefix': '/x/',
+        'kind': 'idempotent',
+        'timeout-ms': 1000,
+        'target-latency-ms': 300,
+        'priority': 1,
+        'service': service,
+        'max-attempts': 2,
+    }
+    return {'resource-kind': 'routes', 'metadata': {'name': name}, 'spec': spec | fields}
+
+
+def _service(name: str, **fields: Any) -> dict[str, Any]:
+    spec = {
+        'health-path': '/health',
+        'max-conns': 50,
+        'warmup-s': 3.0,
+        'warmup-per-s': 5.0,
+    }
+    return {'resource-kind': 'services', 'metadata': {'name': name}, 'spec': spec | fields}
+
+
+def configuration(version: int = 1, **limits: int) -> dict[str, Any]:
+    """Return a configuration with lookups, bookings and keyed lookups."""
+    stated = {
+        'max-header-bytes': 4096,
+        'max-body-bytes': 1_000_000,
+        'header-timeout-ms': 300,
+        'idle-timeout-ms': 5000,
+    }
+    return {
+        'version': f'{version:08x}',
+        'resources': [
+            _route('lookups', 'calendar'),
+            _route('bookings', 'desk', kind='non_idempotent'),
+            _route('uploads', 'desk', kind='upload'),
+            _route('keyed', 'slots'),
+            _service('calendar'),
+            _service('desk'),
+            _service('slots', **{'is-sharded': True, 'warm-s': 3.0}),
+            {'resource-kind': 'limits', 'metadata': {}, 'spec': stated | limits},
+        ],
+    }
+
+
+@contextlib.asynccontextmanager
+async def started(*listeners: _Listener) -> AsyncIterator[None]:
+    """Run stand-ins for as long as the block lasts."""
+    for listener in listeners:
+        await listener.start()
+    try:
+        yield
+    finally:
+        for listener in listeners:
+            listener.stop()
--- /dev/null
+++ b/tests/coltsfootstair_platform/test_adapter.py
@@ -0,0 +1,206 @@
+"""What the adapter reads and writes, and what it keeps out of the rest."""
+
+from __future__ import annotations
+
+import platform
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from coltsfootstair.errors import BadInputError
+from coltsfootstair.http1 import Address, Answer
+from coltsfootstair.objects import StoredObject
+from coltsfootstair.registry import BackendServer, ServerState
+from coltsfootstair.routes import RequestKind
+from coltsfootstair_platform import HeaderDialect, PlatformDecoder, load
+from tests.coltsfootstair_platform.standin import ServerStandin, configuration
+
+ROOT = Path(__file__).parents[2]
+DECODER = PlatformDecoder()
+DIALECT = HeaderDialect()
+SETTINGS = """
+node-name = "edge-north-1"
+ip = "10.1.0.34"
+zone = "north"
+internal-port-range = [7540, 7555]
+bounds = ["grace-s=6", "drain-timeout-ms=2000", "hold-max-ms=10000", "retry-slack=58",
+  "retry-budget-ratio=0.2", "fenced=true", "addr-reuse-s=2"]
+unknown = "ignored"
+[listen-addrs]
+front = "10.1.0.34:8548"
+ready = "10.1.0.34:8542"
+[limits]
+memory-mb = 300
+[platform]
+address = "10.200.1.7:8541"
+"""
+
+
+def _entry(**fields: Any) -> StoredObject:
+    server = ServerStandin('s1')
+    server.port = 80
+    return StoredObject('s1', 4, server.entry('calendar', **fields))
+
+
+def test_settings_are_read_into_the_projects_terms(tmp_path: Path) -> None:
+    path = tmp_path / 'node.toml'
+    path.write_text(SETTINGS)
+    settings = load(path)
+    assert settings.name == 'edge-north-1'
+    assert settings.data_centre == 'north'
+    assert settings.callers == Address('10.1.0.34', 8548)
+    assert settings.inner == Address('10.1.0.34', 7540)
+    assert settings.drain_s == 2.0
+    assert settings.longest_hold_s == 10.0
+    assert settings.retries.slack == 58
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'field'),
+    [
+        ('zone = "north"\n', '', 'zone'),
+        ('"10.1.0.34:8548"', '"10.1.0.34"', 'listen-addrs.front'),
+        ('memory-mb = 300', 'memory-mb = "much"', 'memory-mb'),
+        ('retry-slack=58', 'retry-slack=many', 'retry-slack'),
+        ('[limits]', '[limits', 'TOML'),
+    ],
+)
+def test_bad_settings_are_named_by_file_field_and_what_is_allowed(
+    tmp_path: Path, old: str, new: str, field: str
+) -> None:
+    path = tmp_path / 'node.toml'
+    path.write_text(SETTINGS.replace(old, new))
+    with pytest.raises(BadInputError) as caught:
+        load(path)
+    assert str(path) in str(caught.value)
+    assert field in str(caught.value)
+
+
+def test_a_configuration_is_read_into_routes_policies_and_limits() -> None:
+    read = DECODER.configuration(StoredObject('main', 3, configuration(12)))
+    assert read is not None
+    assert read.version == 12
+    kinds = {route.name: route.kind for route in read.routes}
+    assert kinds['lookups'] is RequestKind.IDEMPOTENT
+    assert kinds['uploads'] is RequestKind.AT_MOST_ONCE
+    assert read.policy_by_service['slots'].divided_by_key
+    assert read.limits.header_timeout_s == 0.3
+    assert DECODER.configuration(StoredObject('another', 3, 'anything')) is None
+
+
+@pytest.mark.parametrize('value', [None, 7, 'text', [], {}, {'version': '1'}, {'version': 1}])
+def test_an_unreadable_configuration_is_bad_input(value: Any) -> None:
+    with pytest.raises(BadInputError):
+        DECODER.configuration(StoredObject('main', 3, value))
+
+
+def test_a_route_to_an_unknown_service_is_bad_input() -> None:
+    document = configuration()
+    document['resources'][0]['spec']['service'] = 'nowhere'
+    with pytest.raises(BadInputError, match='nowhere'):
+        DECODER.configuration(StoredObject('main', 3, document))
+
+
+def test_an_entry_is_read_into_a_backend_server() -> None:
+    read = DECODER.backend_server(_entry(**{'warmup-left-ms': 1500}))
+    assert read == BackendServer(
+        's1',
+        1700000000000,
+        'calendar',
+        Address('127.0.0.1', 80),
+        'north',
+        4,
+        ServerState.READY,
+        1.5,
+    )
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'state': 'resting'},
+        {'slots': 'four'},
+        {'born': None},
+        {'born': 1.5},
+        {'address': 'nowhere'},
+        {'service': 3},
+        {'zone': None},
+    ],
+)
+def test_a_foreign_or_broken_entry_names_no_server(fields: dict[str, Any]) -> None:
+    with pytest.raises(BadInputError):
+        DECODER.backend_server(_entry(**fields))
+
+
+def test_headers_that_a_caller_forged_are_replaced() -> None:
+    server = DECODER.backend_server(_entry())
+    sent = [
+        (b'Host', b'a.example'),
+        (b'X-Target-Instance', b'forged'),
+        (b'X-Request-Deadline', b'99999'),
+        (b'Connection', b'close, X-Private'),
+        (b'X-Private', b'1'),
+        (b'X-Kept', b'1'),
+    ]
+    passed = DIALECT.request_headers(sent, 1.25, server)
+    assert passed == [
+        (b'Host', b'a.example'),
+        (b'X-Kept', b'1'),
+        (b'X-Request-Deadline', b'1250'),
+        (b'X-Target-Instance', b's1'),
+    ]
+
+
+@pytest.mark.parametrize(
+    ('value', 'key'),
+    [
+        (b'0', 0),
+        (b'65535', 65535),
+        (b'65536', None),
+        (b'-1', None),
+        (b'x', None),
+        (b'nan', None),
+    ],
+)
+def test_keys_out_of_range_are_none(value: bytes, key: int | None) -> None:
+    assert DIALECT.caller_facts([(b'X-Shard-Key', value)]).key == key
+
+
+@pytest.mark.parametrize(
+    ('value', 'pace'), [(b'3,0,8', 1.0), (b'3,0,8,250', 2.5), (b'3,0', None), (b'a,b,c', None)]
+)
+def test_load_reports(value: bytes, pace: float | None) -> None:
+    load_report = DIALECT.answer_facts(Answer(200, [(b'X-Upstream-Load', value)], b'')).load
+    assert (load_report.pace if load_report else None) == pace
+
+
+def test_only_marks_of_the_platform_say_that_nothing_was_run() -> None:
+    for status, headers, not_run in (
+        (503, [], False),
+        (503, [(b'X-Not-Executed', b'1')], True),
+        (421, [], True),
+        (429, [], False),
+    ):
+        assert DIALECT.answer_facts(Answer(status, headers, b'')).not_run is not_run
+
+
+def test_no_name_of_the_platform_is_known_outside_the_adapter() -> None:
+    names = re.compile(
+        r'X-Upstream-|X-Target-Instance|X-Not-Executed|X-Warmup|X-Handover|X-Shard-Key'
+        r'|X-Request-Deadline|delete-pending|weighted-backends|is-sharded',
+        re.IGNORECASE,
+    )
+    found = [
+        str(path.relative_to(ROOT))
+        for path in (ROOT / 'src').rglob('*.py')
+        if names.search(path.read_text())
+    ]
+    assert found == []
+
+
+def test_the_folder_does_not_shadow_the_standard_library() -> None:
+    assert not hasattr(platform, '__path__')
+    assert platform.python_version()
+    assert not (ROOT / 'platform' / '__init__.py').exists()
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the path from callers to backend servers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/gateway/harness.py
@@ -0,0 +1,158 @@
+"""A gateway in this process, with stand-ins on loopback around it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any, NamedTuple, TypeVar
+
+from coltsfootstair.clock import SystemClock
+from coltsfootstair.gateway import Gateway, GatewaySettings, PlatformPorts, StoreSettings
+from coltsfootstair.http1 import Address
+from coltsfootstair_platform import (
+    KINDS,
+    HeaderDialect,
+    HttpKeyOrders,
+    HttpObjectStore,
+    PlatformDecoder,
+)
+from tests.coltsfootstair_platform.standin import (
+    ServerStandin,
+    StoreStandin,
+    configuration,
+    started,
+)
+
+__all__ = ['Answered', 'Caller', 'System', 'play', 'system']
+
+T = TypeVar('T')
+
+
+class Answered(NamedTuple):
+    """An answer as a caller reads it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    def send(
+        self, route: str, path: str = '/x/a', body: bytes | None = None, **headers: Any
+    ) -> None:
+        """Send one request; underscores in names of headers stand for dashes."""
+        fields = {'Host': f'{route}.example', 'X-Request-Id': 'r1', 'X-Request-Deadline': 2000}
+        fields |= {name.replace('_', '-'): value for name, value in headers.items()}
+        if body is not None:
+            fields['Content-Length'] = len(body)
+        method = 'GET' if body is None else 'POST'
+        lines = [f'{method} {path} HTTP/1.1']
+        lines += [f'{name}: {value}' for name, value in fields.items()]
+        self.writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + (body or b''))
+
+    async def answer(self) -> Answered:
+        """Read the next answer."""
+        head = (await self.reader.readuntil(b'\r\n\r\n')).decode()
+        first, *lines = head.rstrip().split('\r\n')
+        headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(':') for line in lines)
+        }
+        body = await self.reader.readexactly(int(headers['content-length']))
+        return Answered(int(first.split(' ')[1]), headers, body)
+
+    async def ended(self) -> bool:
+        """Wait for the end of the connection; false if bytes came instead."""
+        try:
+            return not await self.reader.read(1)
+        except ConnectionError:
+            return True
+
+
+class System(NamedTuple):
+    """A gateway and what stands around it."""
+
+    gateway: Gateway
+    store: StoreStandin
+    address: Address
+
+    async def call(self, route: str, *args: Any, **fields: Any) -> Answered:
+        """Send one request on a connection of its own and return its answer."""
+        caller = await self.connect()
+        try:
+            caller.send(route, *args, **fields)
+            async with asyncio.timeout(5.0):
+                return await caller.answer()
+        finally:
+            caller.writer.close()
+
+    async def connect(self) -> Caller:
+        """Open a connection as a caller."""
+        return Caller(*await asyncio.open_connection(self.address.host, self.address.port))
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+@contextlib.asynccontextmanager
+async def system(
+    *servers: tuple[str, ServerStandin], grace_s: float = 6.0, **limits: int
+) -> AsyncIterator[System]:
+    """Run a gateway over backend servers, each with its service, until the block ends."""
+    store = StoreStandin()
+    async with started(store, *(server for _, server in servers)):
+        await store.put('config', 'main', configuration(**limits))
+        for service, server in servers:
+            await store.put('servers', server.name, server.entry(service))
+        clock = SystemClock()
+        store_address = Address('127.0.0.1', store.port)
+        settings = GatewaySettings(
+            'd1',
+            'north',
+            Address('127.0.0.1', _free_port()),
+            None,
+            Address('127.0.0.1', _free_port()),
+            StoreSettings(store_address),
+            grace_s=grace_s,
+        )
+        ports = PlatformPorts(
+            KINDS,
+            HeaderDialect(),
+            HttpObjectStore(store_address, clock),
+            HttpKeyOrders(clock),
+            PlatformDecoder(),
+        )
+        gateway = Gateway(settings, ports, clock)
+        task = asyncio.create_task(gateway.run())
+        try:
+            async with asyncio.timeout(5.0):
+                while not gateway.is_ready:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.05)
+            yield System(gateway, store, settings.callers)
+        finally:
+            gateway.stop()
+            task.cancel()
+            await asyncio.wait({task})
+
+
+def play(work: Coroutine[Any, Any, T]) -> T:
+    """Run a test's coroutine with a bound on its time."""
+
+    async def bounded() -> T:
+        async with asyncio.timeout(30.0):
+            return await work
+
+    return asyncio.run(bounded())
