--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -21,7 +21,7 @@
 )
 from coltsfootstair.http1 import CallerConnection, CallerLimits, ConnectionPool, serve_status
 from coltsfootstair.keyspace import Keeper, KeeperParts, OwnershipView
-from coltsfootstair.objects import Follower, StoreHealth
+from coltsfootstair.objects import Follower, Relay, StoreHealth
 from coltsfootstair.peers import PeerChannel
 from coltsfootstair.registry import Registry
 from coltsfootstair.results import Ran, Refusal, ResultCode
@@ -32,6 +32,7 @@
     from coltsfootstair.gateway._settings import GatewaySettings
     from coltsfootstair.gateway._types import PlatformPorts
     from coltsfootstair.http1 import IncomingRequest, Reply
+    from coltsfootstair.objects import RelayedChanges
 
 __all__ = ['Gateway']
 
@@ -86,15 +87,24 @@
         self._body_limit = int(settings.memory_mib * 2**20 * BODY_MEMORY_SHARE)
         random_source = random.Random()
         self._health = StoreHealth()
+        self._relay = Relay()
         self._registry = Registry(clock)
         self._configuration = ConfigurationSubscriber(ports.decoder)
         self._ownership = OwnershipView()
         self._pool = ConnectionPool(clock, ports.dialect.id_header)
         self._fleet = Fleet(
-            settings.name, self._registry, clock, settings.retries, lambda: self._daemons()
+            settings.name,
+            self._registry,
+            clock,
+            settings.retries,
+            lambda: self._daemons(),
+            self._cold_per_s,
+            random_source,
         )
         self._keeper = Keeper(settings.name, settings.inner, self._keeper_parts(random_source))
         self._followers = self._make_followers(random_source)
+        for follower in self._followers:
+            follower.publish_to(self._keeper.publish)
         self._dispatcher = Dispatcher(
             ports.dialect,
             lambda: self._configuration.table,
@@ -237,7 +247,7 @@
             self._pool.sweep()
 
     def _daemons(self) -> int:
-        return self._keeper.daemons
+        return self._keeper.known_daemons
 
     def _store_works(self) -> bool:
         return self._health.works
@@ -268,9 +278,20 @@
             self._cold_per_s,
             self._settings.longest_hold_s,
             self._settings.address_reuse_s,
+            self._relay,
+            self._revisions,
+            self._relayed,
             self._fleet.collect,
         )
 
+    def _revisions(self) -> dict[str, int]:
+        return {follower.kind: follower.revision for follower in self._followers}
+
+    def _relayed(self, changes: RelayedChanges) -> None:
+        for follower in self._followers:
+            if follower.kind == changes.kind:
+                follower.relayed(changes)
+
     def _make_followers(self, random_source: random.Random) -> list[Follower]:
         kinds = self._ports.kinds
         decoder = self._ports.decoder
@@ -284,6 +305,7 @@
                 self.clock,
                 random_source,
                 self._health,
+                self._relay,
                 gap_s,
             )
             for kind, subscriber, gap_s in (
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -322,7 +322,7 @@
 
     async def _attempt(self, request: _Request, server: BackendServer) -> Attempt:
         load = self._fleet.load(server)
-        self._fleet.sent(server, request.policy.cold_per_s)
+        self._fleet.sent(server)
         try:
             return await self._exchange(request, server)
         finally:
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -6,9 +6,10 @@
 
 from coltsfootstair.peers import LoadFigures, Report
 from coltsfootstair.placement import Candidate, ColdPacer, ServerLoad
-from coltsfootstair.retries import RetryBudget
+from coltsfootstair.retries import WindowBudget
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from coltsfootstair.clock import Clock
@@ -24,14 +25,16 @@
 """Part of the further repeats that daemons give out: they are split by a count of daemons
 that lags, and each start of a daemon brings its part again."""
 
-DAEMONS_BEFORE_KNOWN = 20
-"""How many daemons share a limit before the keeper has said how many there are."""
+DAEMONS_BEFORE_KNOWN = 100
+"""How many daemons share a limit before it is known how many there are: more than any
+deployment has today."""
 
 
 class Fleet:
     """Owns the loads, the pacing of cold servers and the budgets of repeats.
 
     :param daemons: returns how many daemons there are, 0 while that is not known
+    :param cold_per_s: returns what a cold server of a service bears from all daemons
     """
 
     def __init__(
@@ -41,15 +44,19 @@
         clock: Clock,
         retries: RetrySettings,
         daemons: Callable[[], int],
+        cold_per_s: Callable[[str], float],
+        random_source: random.Random,
     ) -> None:
         self._name = name
         self._registry = registry
         self._clock = clock
         self._retries = retries
         self._daemons = daemons
+        self._cold_per_s = cold_per_s
+        self._random = random_source
         self._load_by_life: dict[tuple[str, int], ServerLoad] = {}
         self._pacer = ColdPacer()
-        self._budget_by_service: dict[str, RetryBudget] = {}
+        self._budget_by_service: dict[str, WindowBudget] = {}
         self._requests_by_key: dict[str, dict[int, int]] = {}
 
     @property
@@ -68,26 +75,36 @@
         """Return a backend server as one that may be chosen."""
         wait_s = 0.0
         if self._registry.cold_left_s(server) > 0:
+            per_s = self._cold_per_s(server.service)
+            self._pacer.first_seen(
+                server.life,
+                self._clock.monotonic(),
+                per_s,
+                self.daemons,
+                self._random.random(),
+            )
             wait_s = self._pacer.wait_s(server.life, self._clock.monotonic())
         return Candidate(server, self.load(server), wait_s)
 
-    def sent(self, server: BackendServer, cold_per_s: float) -> None:
+    def sent(self, server: BackendServer) -> None:
         """Count a request that is being sent to ``server``."""
         now = self._clock.monotonic()
         self.load(server).started(now)
         if self._registry.cold_left_s(server) > 0:
-            self._pacer.sent(server.life, now, cold_per_s, self.daemons)
+            per_s = self._cold_per_s(server.service)
+            self._pacer.sent(server.life, now, per_s, self.daemons)
 
     def requested(self, service: str, key: int | None) -> None:
         """Count a request of a caller."""
-        self._budget(service).requested()
+        self._budget(service).requested(self._clock.monotonic())
         if key is not None:
             counts = self._requests_by_key.setdefault(service, {})
             counts[key] = counts.get(key, 0) + 1
 
     def may_repeat(self, service: str) -> bool:
         """Spend one repeat of the budget, if there is one."""
-        return self._budget(service).take()
+        slack = SLACK_SHARE * self._retries.slack / self.daemons
+        return self._budget(service).take(self._clock.monotonic(), slack)
 
     def collect(
         self, epoch: int, store_works: bool, seconds: float, revisions: dict[str, int]
@@ -110,11 +127,9 @@
             self._name, epoch, store_works, seconds, revisions, requests, load_by_server
         )
 
-    def _budget(self, service: str) -> RetryBudget:
-        burst = SLACK_SHARE * self._retries.slack / self.daemons
+    def _budget(self, service: str) -> WindowBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
-            share = BUDGET_SHARE * self._retries.ratio
-            budget = self._budget_by_service[service] = RetryBudget(share, burst)
-        budget.resize(burst)
+            budget = WindowBudget(BUDGET_SHARE * self._retries.ratio, self._retries.window_s)
+            self._budget_by_service[service] = budget
         return budget
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -15,6 +15,7 @@
 from coltsfootstair.keyspace._holds import CLOCK_RATE, TRANSIT_S
 from coltsfootstair.keyspace._lease import (
     ALONE_PAUSE_S,
+    SILENCE_S,
     ElectionState,
     KeeperLease,
     decode_lease,
@@ -24,8 +25,15 @@
 from coltsfootstair.keyspace._orders import KeyOrders
 from coltsfootstair.keyspace._service import ServiceKeeper
 from coltsfootstair.keyspace._view import KIND, LEASE_NAME, OwnershipView
-from coltsfootstair.objects import ObjectStore
-from coltsfootstair.peers import Beat, Message, Report, TableUpdate
+from coltsfootstair.objects import Change, ObjectStore, Relay, RelayedChanges, StoredObject
+from coltsfootstair.peers import (
+    Beat,
+    Message,
+    ObjectsUpdate,
+    Report,
+    TableUpdate,
+    encode,
+)
 from coltsfootstair.registry import Registry
 
 if TYPE_CHECKING:
@@ -63,6 +71,10 @@
 """How long a keeper without the store goes on renewing while most daemons report to it that
 they are without it too, in seconds."""
 
+LARGEST_UPDATE_BYTES = 16 * 1024
+"""Size up to which changes are passed on in one datagram; beyond it each daemon reads them
+from the store itself."""
+
 HOLD_S = 2.5
 """How long keys are granted for, in seconds: renewed three times over, it bears the change
 of a keeper; a lost owner's keys wait for it to run out."""
@@ -82,6 +94,9 @@
     :param services: names of the services whose keys have owners
     :param longest_hold_s: the longest hold that backend servers accept, in seconds
     :param address_reuse_s: how long an ended server's address stays unused, in seconds
+    :param relay: is turned on while the keeper passes changes of objects on
+    :param revisions: up to which revision this daemon has read each kind of objects
+    :param relayed: takes changes that the keeper passed on
     :param collect: returns this daemon's figures since the last call
     """
 
@@ -96,6 +111,9 @@
     cold_per_s: Callable[[str], float]
     longest_hold_s: float
     address_reuse_s: float
+    relay: Relay
+    revisions: Callable[[], dict[str, int]]
+    relayed: Callable[[RelayedChanges], None]
     collect: Callable[[int, bool, float, dict[str, int]], Report]
 
 
@@ -120,6 +138,7 @@
         self._confirmed_at = -math.inf
         self._stopping = False
         self._woken = asyncio.Event()
+        self._beaten = False
         parts.view.subscribe_lease(self._on_lease)
 
     @property
@@ -127,6 +146,12 @@
         """Whether this daemon is the keeper."""
         return self._lease is not None
 
+    @property
+    def known_daemons(self) -> int:
+        """How many daemons there are, as last reported or written; 0 if not known."""
+        lease = self._parts.view.lease
+        return max(self.daemons, lease.daemons if lease is not None else 0)
+
     @property
     def hold_s(self) -> float | None:
         """How long keys may be granted for now, in seconds; ``None`` if not at all."""
@@ -157,6 +182,7 @@
         while True:
             await self._pause()
             now = self._parts.clock.monotonic()
+            self._turn_relay(now)
             self._report(now - last_at)
             last_at = now
             if self._stopping or self.is_leading:
@@ -166,6 +192,10 @@
                 if reason is not None:
                     await self._try_to_take_over(reason)
 
+    def _turn_relay(self, now: float) -> None:
+        heard = now - self._heard_at <= SILENCE_S and self._beaten
+        self._parts.relay.turn(heard and not self.is_leading and self._storeless_since is None)
+
     async def _start(self) -> None:
         """Read the tables; take over at once where this daemon's last life was keeper."""
         while not await self._read():
@@ -204,7 +234,7 @@
             return
         for keeper in self._service_keepers.values():
             keeper.pause()
-        given_back = KeeperLease('', self._address, lease.epoch)
+        given_back = KeeperLease('', self._address, lease.epoch, self.known_daemons)
         try:
             await self._parts.store.replace(
                 KIND,
@@ -221,9 +251,8 @@
     def _announce_end(self, lease: KeeperLease) -> None:
         if self._channel is None:
             return
-        for _, _, address in self._report_by_daemon.values():
-            if address != self._address:
-                self._channel.send(Beat('', lease.epoch, True, self.daemons), address)
+        for address in self._addresses():
+            self._channel.send(Beat('', lease.epoch, True, self.daemons, {}), address)
 
     def close(self) -> None:
         """End the work of a keeper without a word to anybody."""
@@ -237,6 +266,10 @@
                 self._received_beat(message, now)
             case Report():
                 self._received_report(message, sender, now)
+            case ObjectsUpdate():
+                lease = self._parts.view.lease
+                if lease is not None and message.epoch >= lease.epoch:
+                    self._parts.relayed(_changes_of(message))
             case TableUpdate():
                 self._received_table(message, now)
 
@@ -251,8 +284,10 @@
             self._woken.set()
             return
         self._heard_at = now
+        self._beaten = True
         self.daemons = max(1, beat.daemons)
         self._most_daemons = self.daemons
+        self._parts.relay.announce(beat.revision_by_kind)
         if beat.store_works:
             self._storeless_since = None
         elif self._storeless_since is None:
@@ -266,7 +301,13 @@
         self._take_figures(report, now)
         if self._channel is not None:
             works = now - self._confirmed_at <= CONFIRM_S + CONFIRM_RETRY_S
-            beat = Beat(self.name, self._lease.epoch, works, len(self._recent_reports()))
+            beat = Beat(
+                self.name,
+                self._lease.epoch,
+                works,
+                len(self._recent_reports()),
+                self._parts.revisions(),
+            )
             self._channel.send(beat, sender)
             for service, keeper in self._service_keepers.items():
                 if report.revision_by_service.get(service, 0) < keeper.revision:
@@ -278,15 +319,37 @@
             self._heard_at = now
             self._parts.view.take_update(update)
 
+    def publish(self, changes: RelayedChanges) -> None:
+        """Pass on what this daemon read, if it is the keeper; much at once is only noted."""
+        if self._lease is None or self._channel is None:
+            return
+        update = ObjectsUpdate(
+            self._lease.epoch,
+            changes.kind,
+            changes.after,
+            changes.revision,
+            [(*change.object, change.deleted) for change in changes.changes],
+        )
+        if len(encode(update)) > LARGEST_UPDATE_BYTES:
+            return
+        for address in self._addresses():
+            self._channel.send(update, address)
+
+    def _addresses(self) -> list[Address]:
+        horizon = self._parts.clock.monotonic() - PEER_MEMORY_S
+        return [
+            address
+            for at, _, address in self._report_by_daemon.values()
+            if at >= horizon and address != self._address
+        ]
+
     def _announce(self, service: str) -> None:
         """Send a changed table to all daemons; one that misses it gets it with its beat."""
         keeper = self._service_keepers.get(service)
         if keeper is None:
             return
-        horizon = self._parts.clock.monotonic() - PEER_MEMORY_S
-        for at, _, address in self._report_by_daemon.values():
-            if at >= horizon and address != self._address:
-                self._send_table(keeper, address)
+        for address in self._addresses():
+            self._send_table(keeper, address)
 
     def _send_table(self, keeper: ServiceKeeper, address: Address) -> None:
         update = keeper.update() if self._lease is not None else None
@@ -343,6 +406,7 @@
     def _on_lease(self) -> None:
         lease = self._parts.view.lease
         self._heard_at = self._parts.clock.monotonic()
+        self._beaten = False
         self._storeless_since = None
         if self._lease is not None and lease is not None and lease.epoch > self._lease.epoch:
             self._step_down(f'{lease.holder} has taken over')
@@ -357,7 +421,7 @@
         if may_take_over(self._election_state(), now) is None:
             return
         epoch = 1 if view.lease is None else view.lease.epoch + 1
-        lease = KeeperLease(self.name, self._address, epoch)
+        lease = KeeperLease(self.name, self._address, epoch, self.known_daemons)
         try:
             if view.lease is None:
                 item = await self._parts.store.create(KIND, LEASE_NAME, encode_lease(lease))
@@ -415,11 +479,13 @@
                 logger.warning('lease not confirmed', epoch=lease.epoch, reason=repr(error))
                 await asyncio.sleep(CONFIRM_RETRY_S)
                 continue
-            if item is not None and decode_lease(item.value) != lease:
+            if item is not None and decode_lease(item.value).epoch != lease.epoch:
                 self._parts.view.take(item)
                 self._step_down('the store names another keeper')
                 return
             self._confirmed_at = read_at
+            if item is not None:
+                await self._note_daemons(item)
             for _ in range(4):
                 await asyncio.sleep(CONFIRM_S / 4)
                 if self._is_majority(len(self._recent_reports())):
@@ -429,6 +495,20 @@
                     unknown_until = min(unknown_until, ends_at)
                 self._match_services(unknown_until)
 
+    async def _note_daemons(self, item: StoredObject) -> None:
+        """Write how many daemons there are, for those that start while nobody is heard."""
+        lease = decode_lease(item.value)
+        if not lease.daemons * 0.75 <= self._most_daemons <= lease.daemons * 1.25:
+            noted = encode_lease(lease._replace(daemons=self._most_daemons))
+            try:
+                written = await self._parts.store.replace(
+                    KIND, LEASE_NAME, noted, expected_revision=item.revision
+                )
+            except (StoreConflictError, StoreUnavailableError) as error:
+                logger.info('number of daemons not written', reason=str(error))
+                return
+            self._parts.view.take(written)
+
     def _match_services(self, unknown_until: float) -> None:
         for keeper in self._service_keepers.values():
             keeper.bound_unknown_holds(unknown_until)
@@ -455,3 +535,11 @@
     def is_leading_now(self) -> bool:
         """Whether this daemon is keeper and not about to stop."""
         return self._lease is not None and not self._stopping
+
+
+def _changes_of(update: ObjectsUpdate) -> RelayedChanges:
+    changes = [
+        Change(StoredObject(name, revision, value), deleted)
+        for name, revision, value, deleted in update.changes
+    ]
+    return RelayedChanges(update.kind, update.after, update.revision, changes)
--- a/src/coltsfootstair/keyspace/_lease.py
+++ b/src/coltsfootstair/keyspace/_lease.py
@@ -9,7 +9,14 @@
 from coltsfootstair.errors import ProtocolError
 from coltsfootstair.http1 import Address
 
-__all__ = ['ElectionState', 'KeeperLease', 'decode_lease', 'encode_lease', 'may_take_over']
+__all__ = [
+    'SILENCE_S',
+    'ElectionState',
+    'KeeperLease',
+    'decode_lease',
+    'encode_lease',
+    'may_take_over',
+]
 
 SILENCE_S = 0.9
 """How long the keeper may be silent before another daemon takes over, in seconds: three of
@@ -28,11 +35,13 @@
 
     :param holder: name of the daemon; empty when it has given the lease back
     :param epoch: rises with each holder
+    :param daemons: how many daemons there were when it was written; 0 if not known
     """
 
     holder: str
     address: Address
     epoch: int
+    daemons: int = 0
 
 
 class ElectionState(NamedTuple):
@@ -72,6 +81,7 @@
     host: str
     port: int
     epoch: int
+    daemons: int = 0
 
 
 def encode_lease(lease: KeeperLease) -> dict[str, Any]:
@@ -81,6 +91,7 @@
         'host': lease.address.host,
         'port': lease.address.port,
         'epoch': lease.epoch,
+        'daemons': lease.daemons,
     }
 
 
@@ -93,4 +104,6 @@
         stored = msgspec.convert(value, _Stored)
     except msgspec.ValidationError as error:
         raise ProtocolError(f'no lease of a keeper: {error}') from None
-    return KeeperLease(stored.holder, Address(stored.host, stored.port), stored.epoch)
+    return KeeperLease(
+        stored.holder, Address(stored.host, stored.port), stored.epoch, stored.daemons
+    )
--- a/src/coltsfootstair/objects/__init__.py
+++ b/src/coltsfootstair/objects/__init__.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 from coltsfootstair.objects._follower import Follower, StoreHealth
-from coltsfootstair.objects._types import Change, Changes, Listing, ObjectStore, StoredObject
+from coltsfootstair.objects._relay import Relay
+from coltsfootstair.objects._types import (
+    Change,
+    Changes,
+    Listing,
+    ObjectStore,
+    RelayedChanges,
+    StoredObject,
+)
 
 __all__ = [
     'Change',
@@ -11,6 +19,8 @@
     'Follower',
     'Listing',
     'ObjectStore',
+    'Relay',
+    'RelayedChanges',
     'StoreHealth',
     'StoredObject',
 ]
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -8,12 +8,15 @@
 import structlog
 
 from coltsfootstair.errors import RevisionTooOldError, StoreUnavailableError
+from coltsfootstair.objects._types import Change, RelayedChanges
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from coltsfootstair.clock import Clock
-    from coltsfootstair.objects._types import Change, Listing, ObjectStore
+    from coltsfootstair.objects._relay import Relay
+    from coltsfootstair.objects._types import Listing, ObjectStore
 
 __all__ = ['Follower', 'StoreHealth', 'Subscriber']
 
@@ -30,6 +33,13 @@
 in which changes must be in force after the store's return."""
 
 
+OUTAGE_EFFECT_S = 2.5
+"""How long after an outage the removal of an entry may be its effect, in seconds."""
+
+RELAY_LAG_S = 0.1
+"""How much later than the notice of it a change may arrive from the keeper, in seconds."""
+
+
 class StoreHealth:
     """Whether this daemon reaches the store; one follower at a time finds out.
 
@@ -76,6 +86,9 @@
 class Follower:
     """Lists a kind once, then watches it, and lists again when history is missing.
 
+    While the relay is on, changes come from the keeper and the store is asked only for
+    what did not arrive.
+
     :param gap_s: pause between an answer of a watch and the next watch, so that changes
         in quick succession cost one call together
     """
@@ -88,6 +101,7 @@
         clock: Clock,
         random_source: random.Random,
         health: StoreHealth,
+        relay: Relay,
         gap_s: float,
     ) -> None:
         self._store = store
@@ -96,11 +110,35 @@
         self._clock = clock
         self._random = random_source
         self._health = health
+        self._relay = relay
         self._gap_s = gap_s
         self._revision: int | None = None
         self._failures = 0
         self._outage_ended_at: float | None = None
-        self.synced = asyncio.Event()
+        self._relied = False
+        self._publish: Callable[[RelayedChanges], None] | None = None
+
+    @property
+    def kind(self) -> str:
+        """The kind that is followed."""
+        return self._kind
+
+    @property
+    def revision(self) -> int:
+        """Up to which revision of the store the kind is known; 0 before the first list."""
+        return self._revision or 0
+
+    def publish_to(self, receiver: Callable[[RelayedChanges], None]) -> None:
+        """Pass on what the store answers."""
+        self._publish = receiver
+
+    def relayed(self, update: RelayedChanges) -> None:
+        """Take changes that the keeper read, if none before them is missing."""
+        if self._revision is None or not update.after <= self._revision < update.revision:
+            return
+        self._revision = update.revision
+        for change in update.changes:
+            self._subscriber.changed(change, after_outage=self._after_outage())
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
@@ -123,18 +161,34 @@
             self._answered()
             self._revision = listing.revision
             self._subscriber.listed(listing, after_outage=self._after_outage())
-            self.synced.set()
             return
-        # After a failed call a short watch shows soon whether the store is back.
-        wait_s = 0.0 if self._failures else WATCH_S
-        answer = await self._store.watch(self._kind, self._revision, wait_s)
+        if self._relay.is_on and not self._failures:
+            self._relied = True
+            if not await self._is_behind():
+                await self._relay.change()
+                return
+        # A short watch shows soon whether the store is there and what was missed.
+        wait_s = 0.0 if self._failures or self._relied else WATCH_S
+        self._relied = False
+        before = self._revision
+        answer = await self._store.watch(self._kind, before, wait_s)
         self._answered()
-        self._revision = answer.revision
-        for change in answer.changes:
-            self._subscriber.changed(change, after_outage=self._after_outage())
+        if answer.revision > self._revision:
+            self._revision = answer.revision
+            for change in answer.changes:
+                self._subscriber.changed(change, after_outage=self._after_outage())
+        if self._publish is not None and answer.revision > before:
+            self._publish(RelayedChanges(self._kind, before, answer.revision, answer.changes))
         if answer.changes:
             await asyncio.sleep(self._gap_s)
 
+    async def _is_behind(self) -> bool:
+        """Whether the keeper has read on and its message did not arrive."""
+        if self._relay.revision(self._kind) <= self.revision:
+            return False
+        await asyncio.sleep(RELAY_LAG_S)
+        return self._relay.revision(self._kind) > self.revision
+
     def _failed(self, error: Exception) -> None:
         self._failures += 1
         self._health.failed(self)
@@ -154,7 +208,3 @@
         if self._outage_ended_at is None:
             return False
         return self._clock.monotonic() - self._outage_ended_at < OUTAGE_EFFECT_S
-
-
-OUTAGE_EFFECT_S = 2.5
-"""How long after an outage the removal of an entry may be its effect, in seconds."""
--- a/src/coltsfootstair/objects/_types.py
+++ b/src/coltsfootstair/objects/_types.py
@@ -4,7 +4,7 @@
 
 from typing import Any, NamedTuple, Protocol
 
-__all__ = ['Change', 'Changes', 'Listing', 'ObjectStore', 'StoredObject']
+__all__ = ['Change', 'Changes', 'Listing', 'ObjectStore', 'RelayedChanges', 'StoredObject']
 
 
 class StoredObject(NamedTuple):
@@ -42,6 +42,15 @@
     revision: int
 
 
+class RelayedChanges(NamedTuple):
+    """Changes of ``kind`` past the revision ``after``, up to ``revision``."""
+
+    kind: str
+    after: int
+    revision: int
+    changes: list[Change]
+
+
 class ObjectStore(Protocol):
     """Objects with revisions, conditional updates and watches.
 
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from coltsfootstair.errors import ProtocolError
 
-__all__ = ['Beat', 'LoadFigures', 'Message', 'Report', 'TableUpdate', 'decode', 'encode']
+__all__ = [
+    'Beat',
+    'LoadFigures',
+    'Message',
+    'ObjectsUpdate',
+    'Report',
+    'TableUpdate',
+    'decode',
+    'encode',
+]
 
 
 class LoadFigures(msgspec.Struct, array_like=True):
@@ -41,13 +52,16 @@
 class Beat(msgspec.Struct, tag='beat', array_like=True):
     """From the keeper, in answer to a report.
 
+    :param keeper: its name; empty when it has given the lease back
     :param daemons: how many daemons report
+    :param revision_by_kind: up to which revision it has read each kind of objects
     """
 
     keeper: str
     epoch: int
     store_works: bool
     daemons: int
+    revision_by_kind: dict[str, int]
 
 
 class TableUpdate(msgspec.Struct, tag='table', array_like=True):
@@ -66,11 +80,24 @@
     rows: list[tuple[int, int, int, int, bool, list[int]]]
 
 
-Message = Report | Beat | TableUpdate
+class ObjectsUpdate(msgspec.Struct, tag='objects', array_like=True):
+    """From the keeper: what changed in one kind of objects between two revisions.
+
+    :param changes: name, revision, value and whether the object is gone
+    """
+
+    epoch: int
+    kind: str
+    after: int
+    revision: int
+    changes: list[tuple[str, int, Any, bool]]
+
+
+Message = Report | Beat | TableUpdate | ObjectsUpdate
 """All that daemons send each other."""
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Report | Beat | TableUpdate)
+_DECODER = msgspec.msgpack.Decoder(Message)
 
 
 def encode(message: Message) -> bytes:
--- a/src/coltsfootstair/placement/_cold.py
+++ b/src/coltsfootstair/placement/_cold.py
@@ -15,6 +15,16 @@
     def __init__(self) -> None:
         self._next_at_by_life: dict[tuple[str, int], float] = {}
 
+    def first_seen(
+        self, life: tuple[str, int], now: float, per_s: float, daemons: int, share: float
+    ) -> None:
+        """Give a life that is new here its first turn at a random point of the first round.
+
+        :param share: a random number from 0 to 1
+        """
+        if per_s > 0:
+            self._next_at_by_life.setdefault(life, now + share * daemons / per_s)
+
     def wait_s(self, life: tuple[str, int], now: float) -> float:
         """Return the seconds until the next request may go to ``life``."""
         return max(0.0, self._next_at_by_life.get(life, 0.0) - now)
--- a/src/coltsfootstair/retries/__init__.py
+++ b/src/coltsfootstair/retries/__init__.py
@@ -12,12 +12,14 @@
     without_memory,
 )
 from coltsfootstair.retries._uploads import UploadBudget
+from coltsfootstair.retries._window import WindowBudget
 
 __all__ = [
     'Attempt',
     'Repeat',
     'RetryBudget',
     'UploadBudget',
+    'WindowBudget',
     'may_hedge',
     'may_repeat',
     'pause_s',
--- a/src/coltsfootstair/retries/_budget.py
+++ b/src/coltsfootstair/retries/_budget.py
@@ -22,11 +22,6 @@
         self._burst = burst
         self._tokens = burst
 
-    def resize(self, burst: float) -> None:
-        """Change how many repeats may come at once; nothing is added to what is left."""
-        self._burst = burst
-        self._tokens = min(self._tokens, burst)
-
     def requested(self) -> None:
         """Count a request of a caller."""
         self._tokens = min(self._burst, self._tokens + self._share)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -9,7 +9,13 @@
 from typing import Any, NamedTuple, TypeVar
 
 from coltsfootstair.clock import SystemClock
-from coltsfootstair.gateway import Gateway, GatewaySettings, PlatformPorts, StoreSettings
+from coltsfootstair.gateway import (
+    Gateway,
+    GatewaySettings,
+    PlatformPorts,
+    RetrySettings,
+    StoreSettings,
+)
 from coltsfootstair.http1 import Address
 from coltsfootstair_platform import (
     KINDS,
@@ -126,6 +132,7 @@
             Address('127.0.0.1', _free_port()),
             StoreSettings(store_address),
             grace_s=grace_s,
+            retries=RetrySettings(slack=500.0),
         )
         ports = PlatformPorts(
             KINDS,
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -16,7 +16,7 @@
     OwnershipView,
     WrongServerError,
 )
-from coltsfootstair.objects import Changes, Listing, StoredObject
+from coltsfootstair.objects import Changes, Listing, Relay, StoredObject
 from coltsfootstair.peers import Message, Report
 from coltsfootstair.registry import BackendServer, Registry, ServerState
 from tests.virtual_time import LoopClock
@@ -222,6 +222,9 @@
             cold_per_s=lambda _service: 5.0,
             longest_hold_s=10.0,
             address_reuse_s=2.0,
+            relay=Relay(),
+            revisions=dict,
+            relayed=lambda _changes: None,
             collect=self._collect,
         )
         self._random = world.random
--- a/tests/placement/test_choose.py
+++ b/tests/placement/test_choose.py
@@ -98,6 +98,22 @@
     assert len(sent) >= 40
 
 
+def test_first_turns_at_a_cold_server_are_spread() -> None:
+    """80 daemons each sent one request in the second in which a server fell cold."""
+    source = random.Random(3)
+    pacers = [ColdPacer() for _ in range(80)]
+    sent = []
+    for step in range(300):
+        now = NOW + step * 0.01
+        for pacer in pacers:
+            pacer.first_seen(('s', 1), now, 5.0, 80, source.random())
+            if pacer.wait_s(('s', 1), now) <= 0:
+                pacer.sent(('s', 1), now, per_s=5.0, daemons=80)
+                sent.append(now)
+    worst = max(sum(at <= other < at + 1.0 for other in sent) for at in sent)
+    assert worst <= 5.0 * 1.5 + 5
+
+
 def test_other_daemons_load_is_remembered_between_reports() -> None:
     """A busy server looked idle 0.6 s after its last answer, and was given too much."""
     load = ServerLoad(4, 0.2)
--- /dev/null
+++ b/tests/retries/test_window.py
@@ -0,0 +1,39 @@
+"""Repeats stay within their bound over any window."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coltsfootstair.retries import WindowBudget
+
+RATIO, WINDOW_S, SLACK = 0.2, 10.0, 6.0
+
+steps = st.lists(st.tuples(st.floats(0.0, 3.0), st.booleans()), max_size=200)
+
+
+@given(steps)
+def test_no_window_has_more_repeats_than_allowed(events: list[tuple[float, bool]]) -> None:
+    budget = WindowBudget(RATIO, WINDOW_S)
+    now = 50.0
+    requests: list[float] = []
+    repeats: list[float] = []
+    for after_s, is_request in events:
+        now += after_s
+        if is_request:
+            budget.requested(now)
+            requests.append(now)
+        elif budget.take(now, SLACK):
+            repeats.append(now)
+    for end in repeats:
+        within = sum(end - WINDOW_S < at <= end for at in repeats)
+        # Requests of the window before count as well, as the platform's rule has it.
+        asked = sum(end - 2 * WINDOW_S < at <= end for at in requests)
+        assert within <= RATIO * asked + SLACK
+
+
+def test_the_slack_comes_back_with_time() -> None:
+    budget = WindowBudget(RATIO, WINDOW_S)
+    assert sum(budget.take(10.0, SLACK) for _ in range(20)) == 6
+    assert sum(budget.take(15.0, SLACK) for _ in range(20)) == 0
+    assert sum(budget.take(22.0, SLACK) for _ in range(20)) == 6
