--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -12,15 +12,16 @@
 
 from coltsfootstair.gateway._dispatcher import Dispatcher
 from coltsfootstair.gateway._fleet import Fleet
-from coltsfootstair.gateway._metrics import GatewayMetrics
 from coltsfootstair.gateway._refusals import render_refusal
 from coltsfootstair.gateway._subscribers import (
     ConfigurationSubscriber,
     EvacuationSubscriber,
     ServerSubscriber,
 )
+from coltsfootstair.gateway._trace import RequestLog
 from coltsfootstair.http1 import CallerConnection, CallerLimits, ConnectionPool, serve_status
 from coltsfootstair.keyspace import Keeper, KeeperParts, OwnershipView
+from coltsfootstair.metrics import GatewayMetrics
 from coltsfootstair.objects import Follower, Relay, StoreHealth
 from coltsfootstair.peers import PeerChannel
 from coltsfootstair.registry import Registry
@@ -28,6 +29,8 @@
 from coltsfootstair.routes import RequestKind
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._settings import GatewaySettings
     from coltsfootstair.gateway._types import PlatformPorts
@@ -59,6 +62,9 @@
 EXPIRE_S = 0.1
 """Seconds between two looks for entries that did not come back."""
 
+REPORT_S = 5.0
+"""Seconds between two lines that count what was not logged singly."""
+
 BACKLOG = 1024
 """Connections that may wait to be accepted; a full queue costs callers seconds."""
 
@@ -75,9 +81,17 @@
 class Gateway:
     """One daemon; serves from ``run`` on until ``stop`` is called."""
 
-    def __init__(self, settings: GatewaySettings, ports: PlatformPorts, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        ports: PlatformPorts,
+        clock: Clock,
+        dropped_lines: Callable[[], int] = lambda: 0,
+    ) -> None:
         self.clock = clock
-        self.metrics = GatewayMetrics()
+        self.metrics = GatewayMetrics(settings.name)
+        self._log = RequestLog(clock)
+        self._dropped_lines = dropped_lines
         self._settings = settings
         self._ports = ports
         self._stop = asyncio.Event()
@@ -116,6 +130,7 @@
             random_source,
             settings.data_centre,
             self.metrics,
+            self._log,
         )
 
     # What follows is what connections of callers need.
@@ -195,6 +210,11 @@
             servers.append(
                 await serve_status(settings.ready.host, settings.ready.port, self._status)
             )
+        if settings.metrics is not None:
+            servers.append(
+                await serve_status(settings.metrics.host, settings.metrics.port, self._status)
+            )
+        self._observe()
         tasks = [asyncio.create_task(follower.run()) for follower in self._followers]
         tasks.append(asyncio.create_task(self._keeper.run()))
         tasks.append(asyncio.create_task(self._housekeeping()))
@@ -210,17 +230,69 @@
             server.close()
         channel.close()
         self._pool.close()
+        self.metrics.close()
+        self._log.flush()
         logger.info('stopped', requests_cut=self._requests)
 
+    def _observe(self) -> None:
+        self.metrics.observe(
+            'coltsfootstair.under_way',
+            'Requests, connections and bytes of bodies that are under way',
+            lambda: {
+                'requests': self._requests,
+                'connections': len(self._connections),
+                'body_bytes': self._body_bytes,
+            },
+            'what',
+        )
+        self.metrics.observe(
+            'coltsfootstair.state',
+            'The version in force, whether the daemon is ready, has the store, or is keeper',
+            self._state,
+            'what',
+        )
+        self.metrics.observe(
+            'coltsfootstair.backend_servers',
+            'Backend servers that may be sent requests, by service',
+            lambda: {
+                service: len(self._registry.usable(service)) for service in self._services()
+            },
+            'service',
+        )
+        self.metrics.observe(
+            'coltsfootstair.backend_connections_opened',
+            'Connections to backend servers that were opened',
+            lambda: {'all': self._pool.opened},
+            'what',
+        )
+
+    def _state(self) -> dict[str, float]:
+        table = self._configuration.table
+        return {
+            'configuration_version': table.configuration.version if table else 0,
+            'ready': float(self.is_ready),
+            'store_works': float(self._store_works()),
+            'keeper': float(self._keeper.is_leading),
+            'daemons': self._keeper.known_daemons,
+        }
+
+    def _services(self) -> list[str]:
+        table = self._configuration.table
+        return [] if table is None else sorted(table.configuration.policy_by_service)
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
         return not self.draining and self._configuration.table is not None
 
     async def _status(self, path: bytes) -> tuple[int, bytes]:
-        if path == b'/-/ready':
-            return (200 if self.is_ready else 503), b''
-        return 404, b''
+        match path:
+            case b'/-/ready':
+                return (200 if self.is_ready else 503), b''
+            case b'/metrics':
+                return 200, self.metrics.page()
+            case _:
+                return 404, b''
 
     async def _drain(self, server: asyncio.Server) -> None:
         started_at = self.clock.monotonic()
@@ -241,10 +313,18 @@
             await asyncio.sleep(0.05)
 
     async def _housekeeping(self) -> None:
+        next_report_at = self.clock.monotonic() + REPORT_S
+        dropped = 0
         while True:
             await asyncio.sleep(EXPIRE_S)
             self._registry.expire()
             self._pool.sweep()
+            if self.clock.monotonic() >= next_report_at:
+                next_report_at += REPORT_S
+                self._log.flush()
+                if self._dropped_lines() > dropped:
+                    logger.warning('log lines dropped', count=self._dropped_lines() - dropped)
+                    dropped = self._dropped_lines()
 
     def _daemons(self) -> int:
         return self._keeper.known_daemons
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from coltsfootstair.gateway._refusals import render_refusal
-from coltsfootstair.gateway._trace import RequestTrace
+from coltsfootstair.gateway._trace import RequestLog, RequestTrace
 from coltsfootstair.http1 import Answer, BrokenExchangeError, Reply, first_value
 from coltsfootstair.placement import Demand, Place, Refused, place
-from coltsfootstair.results import Ran, Refusal, ResultCode
+from coltsfootstair.results import Ran, Refusal, ResultCode, title
 from coltsfootstair.routes import RequestKind
 
 if TYPE_CHECKING:
@@ -19,10 +19,10 @@
 
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._fleet import Fleet
-    from coltsfootstair.gateway._metrics import GatewayMetrics
     from coltsfootstair.gateway._types import Dialect
     from coltsfootstair.http1 import Connection, ConnectionPool, IncomingRequest
     from coltsfootstair.keyspace import OwnershipView
+    from coltsfootstair.metrics import GatewayMetrics
     from coltsfootstair.registry import BackendServer, Registry
     from coltsfootstair.routes import Route, RouteTable, ServicePolicy
 
@@ -151,6 +151,7 @@
         random_source: random.Random,
         data_centre: str,
         metrics: GatewayMetrics,
+        log: RequestLog,
     ) -> None:
         self._dialect = dialect
         self._route_table = route_table
@@ -162,6 +163,7 @@
         self._random = random_source
         self._data_centre = data_centre
         self._metrics = metrics
+        self._log = log
 
     def route_of(self, incoming: IncomingRequest) -> Route | None:
         """Return the route of a request, or ``None``."""
@@ -188,7 +190,7 @@
             return self._out_of_time(request)
         except asyncio.CancelledError:
             now = self._clock.monotonic()
-            request.trace.write('caller left', now)
+            self._log.write(request.trace, 'caller left', '')
             self._metrics.ended(request.route.name, 'caller left', now - incoming.received_at)
             raise
 
@@ -450,19 +452,21 @@
     def _passed_on(self, request: _Request, answer: Answer, outcome: str) -> Reply:
         now = self._clock.monotonic()
         took_s = now - request.incoming.received_at
-        late = took_s > request.route.target_latency_s
-        if outcome == 'answered' and late:
+        if outcome == 'answered' and took_s > request.route.target_latency_s:
             outcome = 'answered late'
-        if outcome != 'answered' or not request.trace.is_plain:
-            request.trace.write(outcome, now, status=answer.status)
+        if outcome == 'answered' and request.attempts == 1 and not request.unconnected:
+            self._log.plain(request.trace)
+        else:
+            self._log.write(request.trace, outcome, '', status=answer.status)
         self._metrics.ended(request.route.name, outcome, took_s)
         return Reply(answer.status, self._dialect.answer_headers(answer.headers), answer.body)
 
     def _refused(self, request: _Request, refusal: Refusal) -> Reply:
         now = self._clock.monotonic()
-        request.trace.write(
+        self._log.write(
+            request.trace,
             'refused',
-            now,
+            f'{int(refusal.code)} {title(refusal.code)}',
             code=int(refusal.code),
             ran=refusal.ran.value,
             detail=refusal.detail,
--- a/src/coltsfootstair/gateway/_settings.py
+++ b/src/coltsfootstair/gateway/_settings.py
@@ -32,6 +32,7 @@
 
     :param callers: address on which callers are served
     :param ready: address on which the balancer asks
+    :param metrics: address on which the metrics page is served; none if ``None``
     :param inner: address for datagrams between daemons
     :param memory_mib: memory that the process may use, in MiB
     :param grace_s: seconds from SIGTERM to the end of the process
@@ -46,6 +47,7 @@
     ready: Address | None
     inner: Address
     store: StoreSettings
+    metrics: Address | None = None
     memory_mib: int = 256
     grace_s: float = 6.0
     drain_s: float = 2.0
--- a/src/coltsfootstair/logs/__init__.py
+++ b/src/coltsfootstair/logs/__init__.py
@@ -1,7 +1,8 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line."""
 
 from __future__ import annotations
 
 from coltsfootstair.logs._setup import configure
+from coltsfootstair.logs._stream import DroppingStream
 
-__all__ = ['configure']
+__all__ = ['DroppingStream', 'configure']
--- a/src/coltsfootstair/logs/_setup.py
+++ b/src/coltsfootstair/logs/_setup.py
@@ -4,14 +4,20 @@
 
 import logging
 import sys
+from typing import TYPE_CHECKING, TextIO, cast
 
 import structlog
 
+if TYPE_CHECKING:
+    from coltsfootstair.logs._stream import DroppingStream
+
 __all__ = ['configure']
 
 
-def configure(level: int = logging.INFO, **context: str) -> None:
-    """Write JSON lines on standard error, each with ``context`` added."""
+def configure(
+    level: int = logging.INFO, stream: TextIO | DroppingStream = sys.stderr, **context: str
+) -> None:
+    """Write JSON lines on ``stream``, each with ``context`` added."""
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -22,7 +28,7 @@
             structlog.processors.JSONRenderer(default=str),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast('TextIO', stream)),
         cache_logger_on_first_use=False,
     )
 
--- a/src/coltsfootstair/metrics/__init__.py
+++ b/src/coltsfootstair/metrics/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootstair.metrics._gateway import GatewayMetrics
 from coltsfootstair.metrics._metrics import DaemonMetrics
 
-__all__ = ['DaemonMetrics']
+__all__ = ['DaemonMetrics', 'GatewayMetrics']
--- a/src/coltsfootstair/metrics/_metrics.py
+++ b/src/coltsfootstair/metrics/_metrics.py
@@ -1,31 +1,22 @@
-"""The instruments of one daemon and the page that shows them."""
+"""What a daemon of the product's own interface counts."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.resources import Resource
-from prometheus_client import REGISTRY, generate_latest
+from coltsfootstair.metrics._page import MetricsPage
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
-
     from coltsfootstair.results import ResultCode
 
 __all__ = ['DaemonMetrics']
 
 
-class DaemonMetrics:
+class DaemonMetrics(MetricsPage):
     """Counts requests by service and result, and observes what is under way."""
 
     def __init__(self, daemon: str) -> None:
-        self._reader = PrometheusMetricReader()
-        resource = Resource.create({'service.name': 'coltsfootstair', 'daemon': daemon})
-        self._provider = MeterProvider(metric_readers=[self._reader], resource=resource)
-        self._meter = self._provider.get_meter('coltsfootstair')
+        super().__init__(daemon)
         self._requests = self._meter.create_counter(
             'coltsfootstair.requests', description='Requests of callers by service and result'
         )
@@ -33,21 +24,3 @@
     def count_request(self, service: str, code: ResultCode) -> None:
         """Count one answered or refused request."""
         self._requests.add(1, {'service': service, 'result': str(int(code))})
-
-    def observe(
-        self, name: str, description: str, read: Callable[[], Mapping[str, float]], label: str
-    ) -> None:
-        """Show the values that ``read`` returns by ``label``, each time they are asked for."""
-
-        def callback(_options: CallbackOptions) -> Iterable[Observation]:
-            return [Observation(value, {label: key}) for key, value in read().items()]
-
-        self._meter.create_observable_gauge(name, [callback], description=description)
-
-    def page(self) -> bytes:
-        """Return the metrics in the text format of Prometheus."""
-        return generate_latest(REGISTRY)
-
-    def close(self) -> None:
-        """Take the instruments off the page."""
-        self._provider.shutdown()
