Explain a request from the daemons' logs

A command merges the logs and prints a request's steps, its cause, and what bore on it. A test plays a refused, a late and an unknown request over a real process and finds each cause from its log.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -211,9 +211,17 @@
                 await serve_status(settings.ready.host, settings.ready.port, self._status)
             )
         if settings.metrics is not None:
-            servers.append(
-                await serve_status(settings.metrics.host, settings.metrics.port, self._status)
-            )
+            try:
+                servers.append(
+                    await serve_status(
+                        settings.metrics.host, settings.metrics.port, self._status
+                    )
+                )
+            except OSError as error:
+                # Callers are served without metrics rather than not at all.
+                logger.warning(
+                    'metrics not served', address=str(settings.metrics), reason=str(error)
+                )
         self._observe()
         tasks = [asyncio.create_task(follower.run()) for follower in self._followers]
         tasks.append(asyncio.create_task(self._keeper.run()))
--- /dev/null
+++ b/tests/explain/test_explain.py
@@ -0,0 +1,175 @@
+"""The cause of three kinds of failed request is found from the logs of real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from coltsfootstair.explain import explain, read_lines
+from coltsfootstair.http1 import Address
+from tests.coltsfootstair_platform.standin import (
+    Received,
+    ServerStandin,
+    StoreStandin,
+    configuration,
+    started,
+)
+from tests.gateway.harness import Answered, Caller, play
+
+ROOT = Path(__file__).parents[2]
+SETTINGS = """
+node-name = "{name}"
+ip = "127.0.0.1"
+zone = "north"
+internal-port-range = [{inner}, {inner}]
+bounds = ["grace-s=3"]
+[listen-addrs]
+front = "{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+memory-mb = 300
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def _ports(count: int) -> list[int]:
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(('127.0.0.1', 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
+async def _until_ready(port: int) -> None:
+    while True:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(b'GET /-/ready HTTP/1.1\r\n\r\n')
+            line = await reader.readline()
+            writer.close()
+            if b' 200 ' in line:
+                return
+        await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def _daemon(tmp_path: Path, store: StoreStandin) -> AsyncIterator[Address]:
+    """Run the platform's program as a process; its log is ``tmp_path/log``."""
+    front, ready, inner = _ports(3)
+    settings = tmp_path / 'node.toml'
+    address = Address('127.0.0.1', front)
+    settings.write_text(
+        SETTINGS.format(name='d1', front=address, ready=ready, inner=inner, store=store.port)
+    )
+    with (tmp_path / 'log').open('wb') as log:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / 'platform' / 'daemon.py'),
+            env=os.environ | {'COLTSFOOTSTAIR_SETTINGS': str(settings)},
+            stdout=log,
+        )
+        try:
+            async with asyncio.timeout(20.0):
+                await _until_ready(ready)
+            await asyncio.sleep(0.5)
+            yield address
+        finally:
+            process.terminate()
+            await process.wait()
+
+
+async def _call(address: Address, route: str, request_id: str) -> Answered:
+    caller = Caller(*await asyncio.open_connection(address.host, address.port))
+    caller.send(route, body=None if route == 'lookups' else b'x', X_Request_Id=request_id)
+    answered = await caller.answer()
+    caller.writer.close()
+    return answered
+
+
+async def _slow(request: Received, writer: asyncio.StreamWriter) -> bool:
+    await asyncio.sleep(0.6)
+    writer.write(CALENDAR.whole(request))
+    return True
+
+
+async def _hang(_request: Received, _writer: asyncio.StreamWriter) -> bool:
+    await asyncio.sleep(30.0)
+    return False
+
+
+CALENDAR = ServerStandin('calendar-1', _slow)
+
+
+@pytest.fixture
+def log(tmp_path: Path) -> Path:
+    """Play one failed request of each kind and return the daemon's log."""
+
+    async def work() -> list[int]:
+        store, desk = StoreStandin(), ServerStandin('desk-1', _hang)
+        async with started(store, CALENDAR, desk):
+            await store.put('config', 'main', configuration())
+            await store.put('servers', CALENDAR.name, CALENDAR.entry('calendar'))
+            await store.put('servers', desk.name, desk.entry('desk'))
+            async with _daemon(tmp_path, store) as address:
+                statuses = [
+                    (await _call(address, 'lookups', 'late')).status,
+                    (await _call(address, 'bookings', 'unknown')).status,
+                ]
+                await store.delete('servers', desk.name)
+                await asyncio.sleep(0.8)
+                statuses.append((await _call(address, 'bookings', 'refused')).status)
+                return statuses
+
+    assert play(work()) == [200, 504, 503]
+    return tmp_path / 'log'
+
+
+def test_each_cause_is_found_from_the_log_alone(log: Path) -> None:
+    lines = read_lines(log.read_text().splitlines())
+    late = '\n'.join(explain('late', lines))
+    assert 'answered late' in late
+    assert 'calendar-1 took 6' in late
+    unknown = '\n'.join(explain('unknown', lines))
+    assert 'sent server=desk-1' in unknown
+    assert 'ran: unknown' in unknown
+    refused = '\n'.join(explain('refused', lines))
+    assert 'desk has no server' in refused
+    assert 'ran: no' in refused
+    assert explain('never seen', lines) == []
+
+
+def test_the_command_prints_the_path_or_says_why_not(log: Path) -> None:
+    def run(*args: str) -> subprocess.CompletedProcess[str]:
+        command = [sys.executable, '-m', 'coltsfootstair', 'explain', *args]
+        return subprocess.run(command, capture_output=True, text=True, check=False)
+
+    found = run('late', str(log))
+    assert found.returncode == 0
+    assert 'calendar-1 took' in found.stdout
+    missing = run('nobody', str(log))
+    assert missing.returncode == 1
+    assert 'nobody' in missing.stderr
+    unreadable = run('late', str(log.parent / 'none'))
+    assert unreadable.returncode == 2
+    assert 'readable' in unreadable.stderr
+
+
+def test_lines_of_other_programs_are_passed_over() -> None:
+    lines = read_lines(
+        [
+            'no json at all',
+            '{"event": "no time"}',
+            '  1.5 vm-1 {"event": "ready", "timestamp": "2026-01-01T00:00:00Z"}',
+            '{broken',
+        ]
+    )
+    assert [line.event for line in lines] == ['ready']
--- /dev/null
+++ b/tests/logs/test_stream.py
@@ -0,0 +1,25 @@
+"""Logging never blocks a request."""
+
+from __future__ import annotations
+
+import os
+
+from coltsfootstair.logs import DroppingStream
+
+
+def test_a_full_pipe_drops_lines_and_counts_them() -> None:
+    reader, writer = os.pipe()
+    stream = DroppingStream(writer)
+    line = 'x' * 999 + '\n'
+    for _ in range(500):
+        stream.write(line)
+    assert stream.dropped > 300
+    received = os.read(reader, 1_000_000)
+    dropped = stream.dropped
+    stream.write(line)
+    stream.write(line)
+    assert stream.dropped == dropped
+    received += os.read(reader, 1_000_000)
+    assert set(received.split(b'\n')[:-1]) == {b'x' * 999}, 'no line is torn'
+    os.close(reader)
+    os.close(writer)
