--- a/src/coltsfootstair/keyspace/_demand.py
+++ b/src/coltsfootstair/keyspace/_demand.py
@@ -34,6 +34,7 @@
         self._weight_by_key: dict[int, float] = {}
         self._decayed_at = 0.0
         self._service_s_by_server: dict[str, float] = {}
+        self._answers_by_server: dict[str, int] = {}
 
     def requested(self, requests_by_key: Mapping[int, int], now: float) -> None:
         """Count the requests of one report."""
@@ -47,7 +48,12 @@
             return
         mean_s = figures.busy_s / figures.finished
         known = self._service_s_by_server.setdefault(server, mean_s)
-        weight = 1.0 - (1.0 - SERVICE_WEIGHT) ** figures.finished
+        answers = self._answers_by_server.get(server, 0) + figures.finished
+        self._answers_by_server[server] = answers
+        # The plain mean at first, so that one odd answer does not count for long.
+        weight = max(
+            figures.finished / answers, 1.0 - (1.0 - SERVICE_WEIGHT) ** figures.finished
+        )
         self._service_s_by_server[server] = known + weight * (mean_s - known)
 
     def rate_by_key(self, now: float) -> dict[int, float]:
--- a/src/coltsfootstair/placement/_load.py
+++ b/src/coltsfootstair/placement/_load.py
@@ -57,6 +57,7 @@
     """Own requests in flight, the last report, mean service time and failures."""
 
     __slots__ = (
+        '_answers',
         '_failed_at',
         '_failures',
         '_others',
@@ -77,6 +78,7 @@
         self.service_s = service_s
         self.in_flight = 0
         self.finished = 0
+        self._answers = 0
         self.busy_s = 0.0
         self.unanswered = 0
         self.waiting_since = math.inf
@@ -117,7 +119,9 @@
         queued = max(0.0, self.occupied(now) - self.slots) / self.slots
         sample = latency_s / (1.0 + queued)
         self.busy_s += sample
-        self.service_s += LATENCY_WEIGHT * (sample - self.service_s)
+        self._answers += 1
+        weight = max(LATENCY_WEIGHT, 1.0 / self._answers)
+        self.service_s += weight * (sample - self.service_s)
         self._failures = self.failure_share(now) * (1.0 - FAILURE_WEIGHT)
         self._failed_at = now
 
