--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -56,9 +56,19 @@
 EXIT_MARGIN_S = 0.4
 """How long before the end of its grace a daemon gives up what is still open, in seconds."""
 
+DRAIN_STEP_S = 0.05
+"""Seconds between two looks at what is left in flight."""
+
 BODY_MEMORY_SHARE = 0.3
 """Part of the process's memory that bodies under way may fill."""
 
+USUAL_SHARE = 0.3
+"""Part of the strictest target latency that a service is expected to take while nothing is
+known of it: the rest is left for waits."""
+
+DEFAULT_TARGET_S = 0.3
+"""Target latency taken for granted where no route states one, in seconds."""
+
 EXPIRE_S = 0.1
 """Seconds between two looks for entries that did not come back."""
 
@@ -113,6 +123,7 @@
             settings.retries,
             lambda: self._daemons(),
             self._cold_per_s,
+            self._usual_s,
             random_source,
         )
         self._keeper = Keeper(settings.name, settings.inner, self._keeper_parts(random_source))
@@ -308,7 +319,7 @@
         logger.info('stopping', requests=self._requests, connections=len(self._connections))
         for connection in list(self._connections):
             connection.end_after_present()
-        await self._keeper.stop()
+        giving_back = asyncio.create_task(self._keeper.stop())
         while (now := self.clock.monotonic()) < ends_at:
             if now - started_at >= BALANCER_NOTICE_S:
                 # What is still sent here is refused by the socket, and goes elsewhere.
@@ -316,9 +327,10 @@
                 for connection in list(self._connections):
                     connection.end_after_present()
                     connection.end_when_idle()
-                if not self._requests and not self._connections:
+                if giving_back.done() and not self._requests and not self._connections:
                     return
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(DRAIN_STEP_S)
+        giving_back.cancel()
 
     async def _housekeeping(self) -> None:
         next_report_at = self.clock.monotonic() + REPORT_S
@@ -353,6 +365,20 @@
             return 0.0
         return table.configuration.policy_by_service[service].cold_per_s
 
+    def _usual_s(self, service: str) -> float:
+        """Return a service's time as the operators' targets let expect it, in seconds."""
+        table = self._configuration.table
+        targets = (
+            []
+            if table is None
+            else [
+                route.target_latency_s
+                for route in table.configuration.routes
+                if any(share.service == service for share in route.shares)
+            ]
+        )
+        return USUAL_SHARE * min(targets, default=DEFAULT_TARGET_S)
+
     def _keeper_parts(self, random_source: random.Random) -> KeeperParts:
         return KeeperParts(
             self._ports.store,
@@ -364,6 +390,7 @@
             self._store_works,
             self._divided_services,
             self._cold_per_s,
+            self._usual_s,
             self._settings.longest_hold_s,
             self._settings.address_reuse_s,
             self._relay,
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -34,6 +34,7 @@
     """Owns the loads, the pacing of cold servers and the budgets of repeats.
 
     :param daemons: returns how many daemons there are, 0 while that is not known
+    :param usual_s: returns the service time to expect of a service before any answer
     :param cold_per_s: returns what a cold server of a service bears from all daemons
     """
 
@@ -45,6 +46,7 @@
         retries: RetrySettings,
         daemons: Callable[[], int],
         cold_per_s: Callable[[str], float],
+        usual_s: Callable[[str], float],
         random_source: random.Random,
     ) -> None:
         self._name = name
@@ -53,6 +55,7 @@
         self._retries = retries
         self._daemons = daemons
         self._cold_per_s = cold_per_s
+        self._usual_s = usual_s
         self._random = random_source
         self._load_by_life: dict[tuple[str, int], ServerLoad] = {}
         self._pacer = ColdPacer()
@@ -68,7 +71,8 @@
         """Return what is known of a backend server's load."""
         load = self._load_by_life.get(server.life)
         if load is None:
-            load = self._load_by_life[server.life] = ServerLoad(server.slots)
+            usual_s = self._usual_s(server.service)
+            load = self._load_by_life[server.life] = ServerLoad(server.slots, usual_s)
         return load
 
     def candidate(self, server: BackendServer) -> Candidate:
--- a/src/coltsfootstair/keyspace/_demand.py
+++ b/src/coltsfootstair/keyspace/_demand.py
@@ -20,9 +20,6 @@
 SERVICE_WEIGHT = 0.03
 """Weight of one answer in an owner's mean service time."""
 
-DEFAULT_SERVICE_S = 0.1
-"""Service time that is taken for granted before any answer, in seconds."""
-
 LOWEST_RATE = 0.02
 """Requests a second below which a key is forgotten."""
 
@@ -61,14 +58,17 @@
         self._decay(now)
         return self._weight_by_key
 
-    def service_s(self, server: str) -> float:
-        """Return the mean service time of an owner, in seconds."""
+    def service_s(self, server: str, usual_s: float) -> float:
+        """Return the mean service time of an owner, in seconds.
+
+        :param usual_s: what to expect before any answer
+        """
         known = self._service_s_by_server.get(server)
         if known is not None:
             return known
         if self._service_s_by_server:
             return statistics.median(self._service_s_by_server.values())
-        return DEFAULT_SERVICE_S
+        return usual_s
 
     def _decay(self, now: float) -> None:
         passed_s = now - self._decayed_at
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -92,6 +92,8 @@
 
     :param store_works: whether this daemon's last call of the store was answered
     :param services: names of the services whose keys have owners
+    :param cold_per_s: what a cold server of a service bears from all daemons
+    :param usual_s: the service time to expect of a service before any answer
     :param longest_hold_s: the longest hold that backend servers accept, in seconds
     :param address_reuse_s: how long an ended server's address stays unused, in seconds
     :param relay: is turned on while the keeper passes changes of objects on
@@ -109,6 +111,7 @@
     store_works: Callable[[], bool]
     services: Callable[[], set[str]]
     cold_per_s: Callable[[str], float]
+    usual_s: Callable[[str], float]
     longest_hold_s: float
     address_reuse_s: float
     relay: Relay
@@ -227,26 +230,31 @@
         return True
 
     async def stop(self) -> None:
-        """Give the lease back, so that another daemon takes over at once."""
+        """Give the lease back, so that another daemon takes over at once.
+
+        While the store is away nobody could, and this daemon goes on as keeper until the
+        lease is given back or the process ends.
+        """
         self._stopping = True
-        lease = self._lease
-        if lease is None:
-            return
-        for keeper in self._service_keepers.values():
-            keeper.pause()
-        given_back = KeeperLease('', self._address, lease.epoch, self.known_daemons)
-        try:
-            await self._parts.store.replace(
-                KIND,
-                LEASE_NAME,
-                encode_lease(given_back),
-                expected_revision=self._parts.view.lease_revision,
-            )
+        while (lease := self._lease) is not None:
+            given_back = KeeperLease('', self._address, lease.epoch, self.known_daemons)
+            try:
+                await self._parts.store.replace(
+                    KIND,
+                    LEASE_NAME,
+                    encode_lease(given_back),
+                    expected_revision=self._parts.view.lease_revision,
+                )
+            except StoreUnavailableError as error:
+                logger.warning('lease not given back', epoch=lease.epoch, reason=str(error))
+                await asyncio.sleep(CONFIRM_RETRY_S)
+                continue
+            except StoreConflictError:
+                self._step_down('the lease was written by another daemon')
+                return
             logger.info('lease given back', epoch=lease.epoch)
             self._announce_end(lease)
-        except (StoreConflictError, StoreUnavailableError) as error:
-            logger.warning('lease not given back', epoch=lease.epoch, reason=str(error))
-        self._step_down('the daemon is stopping')
+            self._step_down('the daemon is stopping')
 
     def _announce_end(self, lease: KeeperLease) -> None:
         if self._channel is None:
@@ -533,8 +541,8 @@
         self._step_down(f'a table was written under epoch {epoch}')
 
     def is_leading_now(self) -> bool:
-        """Whether this daemon is keeper and not about to stop."""
-        return self._lease is not None and not self._stopping
+        """Whether this daemon is keeper."""
+        return self._lease is not None
 
 
 def _changes_of(update: ObjectsUpdate) -> RelayedChanges:
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -245,7 +245,7 @@
                     del self._failing_since_by_life[server.life]
                 continue
             cold = self._parts.registry.cold_left_s(server) > 0
-            service_s = self.demand.service_s(server.name)
+            service_s = self.demand.service_s(server.name, self._parts.usual_s(self.service))
             if cold:
                 allowed_per_s = max(0.1, self._parts.cold_per_s(self.service))
                 service_s = max(service_s, server.slots / allowed_per_s)
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -220,6 +220,7 @@
             store_works=lambda: name not in world.storeless,
             services=lambda: {SERVICE},
             cold_per_s=lambda _service: 5.0,
+            usual_s=lambda _service: 0.1,
             longest_hold_s=10.0,
             address_reuse_s=2.0,
             relay=Relay(),
--- a/tests/keyspace/test_keeper.py
+++ b/tests/keyspace/test_keeper.py
@@ -61,6 +61,28 @@
     assert took_s < 0.5, 'a lease that is given back is noticed at once, not by silence'
 
 
+def test_a_keeper_that_stops_without_the_store_looks_after_keys_until_it_ends() -> None:
+    """Keys lapsed for seconds when the keeper was stopped while the store was away."""
+
+    async def play() -> tuple[float, float, list[str]]:
+        world = World(1)
+        await asyncio.sleep(5.0)
+        first = _keepers(world)[0]
+        world.storeless.update(world.daemon_by_name)
+        stopping = asyncio.create_task(world.daemon_by_name[first].keeper.stop())
+        await asyncio.sleep(5.0)
+        during = world.served_share()
+        world.storeless.clear()
+        await stopping
+        world.dead.add(first)
+        await asyncio.sleep(1.5)
+        return during, world.served_share(), _keepers(world)
+
+    during, after, keepers = run(play())
+    assert during == after == 1.0
+    assert len(keepers) == 1
+
+
 def test_a_keeper_that_restarts_takes_over_from_its_own_last_life() -> None:
     async def play() -> tuple[float, int]:
         world = World(1)
