--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -69,6 +69,13 @@
 DEFAULT_TARGET_S = 0.3
 """Target latency taken for granted where no route states one, in seconds."""
 
+STRONG_LINK_MBPS = 100.0
+"""Bandwidth at which a VM is no weaker as keeper than others, in megabits a second: at ten
+changes a second of some kilobytes each, it serves some hundred daemons."""
+
+STRONG_CORES = 0.8
+"""Processor time a second at which it is no weaker either."""
+
 EXPIRE_S = 0.1
 """Seconds between two looks for entries that did not come back."""
 
@@ -142,6 +149,7 @@
             settings.data_centre,
             self.metrics,
             self._log,
+            lambda: self._keeper.admitted_by_server,
         )
 
     # What follows is what connections of callers need.
@@ -393,12 +401,17 @@
             self._usual_s,
             self._settings.longest_hold_s,
             self._settings.address_reuse_s,
+            self._strength(),
             self._relay,
             self._revisions,
             self._relayed,
             self._fleet.collect,
         )
 
+    def _strength(self) -> float:
+        by_link = self._settings.link_mbps / STRONG_LINK_MBPS
+        return min(1.0, by_link, self._settings.cores / STRONG_CORES)
+
     def _revisions(self) -> dict[str, int]:
         return {follower.kind: follower.revision for follower in self._followers}
 
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -9,7 +9,7 @@
 from coltsfootstair.gateway._refusals import render_refusal
 from coltsfootstair.gateway._trace import RequestLog, RequestTrace
 from coltsfootstair.http1 import Answer, BrokenExchangeError, Reply, first_value
-from coltsfootstair.placement import Demand, Place, Refused, place
+from coltsfootstair.placement import AdmissionGate, Demand, Place, Refused, place
 from coltsfootstair.results import Ran, Refusal, ResultCode, title
 from coltsfootstair.routes import RequestKind
 
@@ -152,6 +152,7 @@
         data_centre: str,
         metrics: GatewayMetrics,
         log: RequestLog,
+        admitted_by_server: Callable[[], dict[str, float]],
     ) -> None:
         self._dialect = dialect
         self._route_table = route_table
@@ -164,6 +165,7 @@
         self._data_centre = data_centre
         self._metrics = metrics
         self._log = log
+        self._admission = AdmissionGate(admitted_by_server, clock)
 
     def route_of(self, incoming: IncomingRequest) -> Route | None:
         """Return the route of a request, or ``None``."""
@@ -263,7 +265,10 @@
                 ResultCode.SERVICE_OUT, Ran.NO, f'{request.service} has no server', 0.5
             )
         untried = [server for server in usable if server.name not in request.tried]
-        candidates = [self._fleet.candidate(server) for server in untried or usable]
+        connections = request.policy.max_connections
+        candidates = [
+            self._fleet.candidate(server, connections) for server in untried or usable
+        ]
         choice = place(candidates, self._demand(request, now), now, self._random)
         if isinstance(choice, Refused):
             return Refusal(
@@ -296,11 +301,18 @@
                     RETRY_OWNER_S,
                 )
         now = self._clock.monotonic()
-        candidate = self._fleet.candidate(server)
+        candidate = self._fleet.candidate(server, request.policy.max_connections)
         if candidate.cold_wait_s > 0:
             return Refusal(
                 ResultCode.COLD, Ran.NO, f'{server.name} is cold', candidate.cold_wait_s
             )
+        if not self._admission.admits(server.name):
+            return Refusal(
+                ResultCode.OVERLOADED,
+                Ran.NO,
+                f'{server.name}, which owns key {key}, is asked for more than it can serve',
+                RETRY_OWNER_S,
+            )
         choice = place([candidate], self._demand(request, now), now, self._random)
         if isinstance(choice, Refused):
             return Refusal(
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -25,6 +25,10 @@
 """Part of the further repeats that daemons give out: they are split by a count of daemons
 that lags, and each start of a daemon brings its part again."""
 
+CONNECTION_SHARE = 0.8
+"""Part of a server's connections that daemons share out; orders and idle ones take the
+rest."""
+
 DAEMONS_BEFORE_KNOWN = 100
 """How many daemons share a limit before it is known how many there are: more than any
 deployment has today."""
@@ -75,8 +79,11 @@
             load = self._load_by_life[server.life] = ServerLoad(server.slots, usual_s)
         return load
 
-    def candidate(self, server: BackendServer) -> Candidate:
-        """Return a backend server as one that may be chosen."""
+    def candidate(self, server: BackendServer, connections: int) -> Candidate:
+        """Return a backend server as one that may be chosen.
+
+        :param connections: connections that it takes from all daemons
+        """
         wait_s = 0.0
         if self._registry.cold_left_s(server) > 0:
             per_s = self._cold_per_s(server.service)
@@ -88,7 +95,8 @@
                 self._random.random(),
             )
             wait_s = self._pacer.wait_s(server.life, self._clock.monotonic())
-        return Candidate(server, self.load(server), wait_s)
+        most = max(server.slots, CONNECTION_SHARE * connections / self.daemons)
+        return Candidate(server, self.load(server), wait_s, most)
 
     def sent(self, server: BackendServer) -> None:
         """Count a request that is being sent to ``server``."""
--- a/src/coltsfootstair/gateway/_settings.py
+++ b/src/coltsfootstair/gateway/_settings.py
@@ -35,6 +35,8 @@
     :param metrics: address on which the metrics page is served; none if ``None``
     :param inner: address for datagrams between daemons
     :param memory_mib: memory that the process may use, in MiB
+    :param cores: processor time a second that the VM has
+    :param link_mbps: bandwidth of the VM's link, in megabits a second
     :param grace_s: seconds from SIGTERM to the end of the process
     :param drain_s: how long a leaving backend server may be sent requests, in seconds
     :param longest_hold_s: the longest time that keys may be granted for, in seconds
@@ -49,6 +51,8 @@
     store: StoreSettings
     metrics: Address | None = None
     memory_mib: int = 256
+    cores: float = 1.0
+    link_mbps: float = 1000.0
     grace_s: float = 6.0
     drain_s: float = 2.0
     longest_hold_s: float = 10.0
--- a/src/coltsfootstair/gateway/_subscribers.py
+++ b/src/coltsfootstair/gateway/_subscribers.py
@@ -42,10 +42,11 @@
         for item in listing.objects:
             self._take(item)
 
-    def changed(self, change: Change, *, after_outage: bool) -> None:
+    def changed(self, change: Change, *, after_outage: bool) -> bool:
         """Take a changed configuration; a deleted one stays in force."""
         if not change.deleted:
             self._take(change.object)
+        return True
 
     def _take(self, item: StoredObject) -> None:
         try:
@@ -87,7 +88,7 @@
                     servers.append(known)
         self._registry.replace(servers, after_outage=after_outage)
 
-    def changed(self, change: Change, *, after_outage: bool) -> None:
+    def changed(self, change: Change, *, after_outage: bool) -> bool:
         """Take one changed entry."""
         item = change.object
         if change.deleted:
@@ -95,11 +96,12 @@
                 self._registry.lapse(item.name)
             else:
                 self._registry.remove(item.name)
-            return
+            return True
         try:
-            self._registry.put(self._decoder.backend_server(item))
+            return self._registry.put(self._decoder.backend_server(item))
         except BadInputError as error:
             _log_refused('backend server', item, error)
+        return True
 
 
 class EvacuationSubscriber:
@@ -115,7 +117,7 @@
         self._data_centres = {self._decoder.evacuated(item) for item in listing.objects}
         self._registry.evacuate(frozenset(self._data_centres))
 
-    def changed(self, change: Change, *, after_outage: bool) -> None:
+    def changed(self, change: Change, *, after_outage: bool) -> bool:
         """Take the beginning or the end of an evacuation."""
         data_centre = self._decoder.evacuated(change.object)
         if change.deleted:
@@ -123,3 +125,4 @@
         else:
             self._data_centres.add(data_centre)
         self._registry.evacuate(frozenset(self._data_centres))
+        return True
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -71,6 +71,14 @@
 """How long a keeper without the store goes on renewing while most daemons report to it that
 they are without it too, in seconds."""
 
+UPDATE_TRANSIT_S = 0.1
+"""How long a change of a table may be under way to a daemon before the whole table is sent,
+in seconds."""
+
+WEAK_DELAY_S = 0.6
+"""How much longer the weakest VM waits than a strong one before it takes over, in seconds:
+the keeper sends each change to all daemons."""
+
 LARGEST_UPDATE_BYTES = 16 * 1024
 """Size up to which changes are passed on in one datagram; beyond it each daemon reads them
 from the store itself."""
@@ -96,6 +104,7 @@
     :param usual_s: the service time to expect of a service before any answer
     :param longest_hold_s: the longest hold that backend servers accept, in seconds
     :param address_reuse_s: how long an ended server's address stays unused, in seconds
+    :param strength: what this VM can bear as keeper, from 0 to 1
     :param relay: is turned on while the keeper passes changes of objects on
     :param revisions: up to which revision this daemon has read each kind of objects
     :param relayed: takes changes that the keeper passed on
@@ -114,6 +123,7 @@
     usual_s: Callable[[str], float]
     longest_hold_s: float
     address_reuse_s: float
+    strength: float
     relay: Relay
     revisions: Callable[[], dict[str, int]]
     relayed: Callable[[RelayedChanges], None]
@@ -142,6 +152,8 @@
         self._stopping = False
         self._woken = asyncio.Event()
         self._beaten = False
+        self.admitted_by_server: dict[str, float] = {}
+        self._admitted_at = -math.inf
         parts.view.subscribe_lease(self._on_lease)
 
     @property
@@ -260,7 +272,7 @@
         if self._channel is None:
             return
         for address in self._addresses():
-            self._channel.send(Beat('', lease.epoch, True, self.daemons, {}), address)
+            self._channel.send(Beat('', lease.epoch, True, self.daemons, {}, {}), address)
 
     def close(self) -> None:
         """End the work of a keeper without a word to anybody."""
@@ -296,6 +308,7 @@
         self.daemons = max(1, beat.daemons)
         self._most_daemons = self.daemons
         self._parts.relay.announce(beat.revision_by_kind)
+        self.admitted_by_server = beat.admitted_by_server
         if beat.store_works:
             self._storeless_since = None
         elif self._storeless_since is None:
@@ -314,13 +327,26 @@
                 self._lease.epoch,
                 works,
                 len(self._recent_reports()),
+                self._admitted(now),
                 self._parts.revisions(),
             )
             self._channel.send(beat, sender)
             for service, keeper in self._service_keepers.items():
-                if report.revision_by_service.get(service, 0) < keeper.revision:
+                behind = report.revision_by_service.get(service, 0) < keeper.revision
+                if behind and now - keeper.published_at > UPDATE_TRANSIT_S:
                     self._send_table(keeper, sender)
 
+    def _admitted(self, now: float) -> dict[str, float]:
+        """Return what overloaded owners can serve, worked out once for all daemons."""
+        if now - self._admitted_at > REPORT_S / 2:
+            self._admitted_at = now
+            self.admitted_by_server = {
+                name: share
+                for keeper in self._service_keepers.values()
+                for name, share in keeper.admitted().items()
+            }
+        return self.admitted_by_server
+
     def _received_table(self, update: TableUpdate, now: float) -> None:
         lease = self._parts.view.lease
         if lease is not None and update.epoch >= lease.epoch:
@@ -351,13 +377,11 @@
             if at >= horizon and address != self._address
         ]
 
-    def _announce(self, service: str) -> None:
-        """Send a changed table to all daemons; one that misses it gets it with its beat."""
-        keeper = self._service_keepers.get(service)
-        if keeper is None:
-            return
-        for address in self._addresses():
-            self._send_table(keeper, address)
+    def _announce(self, update: TableUpdate) -> None:
+        """Send what changed in a table; a daemon that misses it gets the table later."""
+        if self._channel is not None:
+            for address in self._addresses():
+                self._channel.send(update, address)
 
     def _send_table(self, keeper: ServiceKeeper, address: Address) -> None:
         update = keeper.update() if self._lease is not None else None
@@ -396,6 +420,7 @@
         if self._lease is not None:
             self._report_by_daemon[self.name] = (now, report, self._address)
             self._take_figures(report, now)
+            self._admitted(now)
             self.daemons = max(1, len(self._recent_reports()))
             if now - self._took_over_at > COUNT_S:
                 self._most_daemons = max(self._most_daemons, self.daemons)
@@ -421,7 +446,9 @@
 
     async def _try_to_take_over(self, reason: str) -> None:
         seen = self._parts.view.lease_revision
-        await asyncio.sleep(STAGGER_S * self._parts.random_source.random())
+        weakness = 1.0 - self._parts.strength
+        delay_s = STAGGER_S * self._parts.random_source.random() + WEAK_DELAY_S * weakness
+        await asyncio.sleep(delay_s)
         view = self._parts.view
         if view.lease_revision != seen:
             return
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -17,7 +17,7 @@
 from coltsfootstair.keyspace._demand import Demand
 from coltsfootstair.keyspace._holds import Holds
 from coltsfootstair.keyspace._orders import OrderRefusedError, WrongServerError
-from coltsfootstair.keyspace._planner import FENCE_STEP, OwnerCapacity, plan
+from coltsfootstair.keyspace._planner import FENCE_STEP, KeyRates, OwnerCapacity, plan
 from coltsfootstair.keyspace._table import KeyRow, KeyTable, decode, encode, pack
 from coltsfootstair.keyspace._view import KIND, TABLE_PREFIX
 
@@ -47,6 +47,10 @@
 """Seconds after which the figures of an owner tell of a change of its keys: a move, a report
 and some answers."""
 
+OVERLOAD = 1.15
+"""Demand over ability beyond which an owner's requests are refused in part: both are
+estimates, and a queue of some requests is wanted."""
+
 GRANT_TIMEOUT_S = 0.4
 """How long a grant may stay unanswered, in seconds; it is sent again then."""
 
@@ -79,7 +83,7 @@
         hold_s: Callable[[], float | None],
         is_leading: Callable[[], bool],
         deposed: Callable[[int], None],
-        announce: Callable[[str], None],
+        announce: Callable[[TableUpdate], None],
     ) -> None:
         self.service = service
         self.demand = Demand()
@@ -92,6 +96,8 @@
         self._holds = Holds(unknown_until)
         self._table = KeyTable([], 0)
         self._stored_table = self._table
+        self._published: tuple[int, KeyTable] | None = None
+        self.published_at = -math.inf
         self._revision: int | None = None
         self._unwritten = False
         self._tasks: dict[asyncio.Task[None], None] = {}
@@ -345,15 +351,35 @@
 
     def _publish(self, item: StoredObject) -> None:
         self._parts.view.take(item)
-        if self._revision is not None:
-            self._announce(self.service)
+        if self._revision is None:
+            return
+        known, self._published = self._published, (self._revision, self._stored_table)
+        self.published_at = self._parts.clock.monotonic()
+        if known is None or known[0] != self._revision:
+            self._announce(pack(self._stored_table, self.service, self._revision, known))
 
     def update(self) -> TableUpdate | None:
-        """Return the message with the table as it lies in the store."""
+        """Return the message with the whole table as it lies in the store."""
         if self._revision is None:
             return None
         return pack(self._stored_table, self.service, self._revision)
 
+    def admitted(self) -> dict[str, float]:
+        """Return the part of their requests that overloaded owners can serve, by name."""
+        rates = KeyRates(self.demand.rate_by_key(self._parts.clock.monotonic()))
+        load_by_life: dict[Life, float] = {}
+        for row in self._table.rows:
+            load = load_by_life.get(row.owner, 0.0) + rates.over(row.first, row.last)
+            load_by_life[row.owner] = load
+        admitted = {}
+        for server in self._parts.registry.usable(self.service):
+            usual_s = self._parts.usual_s(self.service)
+            able_per_s = server.slots / self.demand.service_s(server.name, usual_s)
+            load = load_by_life.get(server.life, 0.0)
+            if load > OVERLOAD * able_per_s:
+                admitted[server.name] = round(able_per_s / load, 3)
+        return admitted
+
     @property
     def revision(self) -> int:
         """The revision of the table in the store, 0 while that is not known."""
--- a/src/coltsfootstair/keyspace/_table.py
+++ b/src/coltsfootstair/keyspace/_table.py
@@ -90,13 +90,21 @@
     return _checked(rows, stored.fence, stored.epoch)
 
 
-def pack(table: KeyTable, service: str, revision: int) -> TableUpdate:
-    """Return the message that carries ``table`` to other daemons."""
-    lives = list(
-        dict.fromkeys(life for row in table.rows for life in (row.owner, *row.previous))
-    )
+def pack(
+    table: KeyTable, service: str, revision: int, known: tuple[int, KeyTable] | None = None
+) -> TableUpdate:
+    """Return the message that carries ``table`` to other daemons.
+
+    :param known: revision and table that they have; only what differs is sent then
+    """
+    after, rows = 0, table.rows
+    if known is not None:
+        after, before = known
+        kept = set(before.rows)
+        rows = [row for row in table.rows if row not in kept]
+    lives = list(dict.fromkeys(life for row in rows for life in (row.owner, *row.previous)))
     number_by_life = {life: number for number, life in enumerate(lives)}
-    rows = [
+    packed = [
         (
             row.first,
             row.last,
@@ -105,14 +113,15 @@
             row.live,
             [number_by_life[life] for life in row.previous],
         )
-        for row in table.rows
+        for row in rows
     ]
-    return TableUpdate(table.epoch, service, revision, table.fence, lives, rows)
+    return TableUpdate(table.epoch, service, after, revision, table.fence, lives, packed)
 
 
-def unpack(update: TableUpdate) -> KeyTable:
+def unpack(update: TableUpdate, known: KeyTable | None = None) -> KeyTable:
     """Read what ``pack`` wrote.
 
+    :param known: the table at the revision that the update comes after, if it has one
     :raises ProtocolError: rows name lives that are not there, or do not cover all keys
     """
     lives = update.lives
@@ -123,9 +132,22 @@
         ]
     except IndexError:
         raise ProtocolError(f'rows must name one of {len(lives)} owners') from None
+    if known is not None:
+        rows = sorted([*_without(known.rows, rows), *rows])
     return _checked(rows, update.fence, update.epoch)
 
 
+def _without(rows: list[KeyRow], replaced: list[KeyRow]) -> list[KeyRow]:
+    """Return the rows that no row of ``replaced``, in the order of keys, overlaps."""
+    lasts = [row.last for row in replaced]
+    kept = []
+    for row in rows:
+        place = bisect.bisect_left(lasts, row.first)
+        if place == len(replaced) or replaced[place].first > row.last:
+            kept.append(row)
+    return kept
+
+
 def _checked(rows: list[KeyRow], fence: int, epoch: int) -> KeyTable:
     ends = [-1, *(row.last for row in rows)]
     if rows and (
--- a/src/coltsfootstair/keyspace/_view.py
+++ b/src/coltsfootstair/keyspace/_view.py
@@ -72,12 +72,14 @@
         }
 
     def take_update(self, update: TableUpdate) -> None:
-        """Take a table that the keeper sent, unless a later one is known."""
+        """Take a table that the keeper sent, unless it is older or does not follow on."""
         name = TABLE_PREFIX + update.service
-        if update.revision <= self._revision_by_name.get(name, 0):
+        revision = self._revision_by_name.get(name, 0)
+        if update.revision <= revision or update.after not in (0, revision):
             return
+        known = self._table_by_service.get(update.service) if update.after else None
         try:
-            table = unpack(update)
+            table = unpack(update, known)
         except ProtocolError as error:
             logger.warning('table refused', service=update.service, reason=str(error))
             return
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -79,8 +79,8 @@
     def listed(self, listing: Listing, *, after_outage: bool) -> None:
         """Take all objects."""
 
-    def changed(self, change: Change, *, after_outage: bool) -> None:
-        """Take one change."""
+    def changed(self, change: Change, *, after_outage: bool) -> bool:
+        """Take one change; false if it says nothing new."""
 
 
 class Follower:
@@ -173,12 +173,16 @@
         before = self._revision
         answer = await self._store.watch(self._kind, before, wait_s)
         self._answered()
-        if answer.revision > self._revision:
-            self._revision = answer.revision
-            for change in answer.changes:
-                self._subscriber.changed(change, after_outage=self._after_outage())
-        if self._publish is not None and answer.revision > before:
-            self._publish(RelayedChanges(self._kind, before, answer.revision, answer.changes))
+        if answer.revision <= self._revision:
+            return
+        self._revision = answer.revision
+        new = [
+            change
+            for change in answer.changes
+            if self._subscriber.changed(change, after_outage=self._after_outage())
+        ]
+        if self._publish is not None:
+            self._publish(RelayedChanges(self._kind, before, answer.revision, new))
         if answer.changes:
             await asyncio.sleep(self._gap_s)
 
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -54,6 +54,7 @@
 
     :param keeper: its name; empty when it has given the lease back
     :param daemons: how many daemons report
+    :param admitted_by_server: part of their requests that overloaded owners can serve
     :param revision_by_kind: up to which revision it has read each kind of objects
     """
 
@@ -61,12 +62,15 @@
     epoch: int
     store_works: bool
     daemons: int
+    admitted_by_server: dict[str, float]
     revision_by_kind: dict[str, int]
 
 
 class TableUpdate(msgspec.Struct, tag='table', array_like=True):
-    """From the keeper: the table of keys of one service.
+    """From the keeper: the table of keys of one service, or what changed in it.
 
+    :param after: revision whose rows the sent ones replace where they overlap; 0 where all
+        rows are sent
     :param lives: names and starts of the backend servers that the rows refer to
     :param rows: first and last key, owner, fencing token, whether it is live, and former
         owners that may still hold keys of it
@@ -74,6 +78,7 @@
 
     epoch: int
     service: str
+    after: int
     revision: int
     fence: int
     lives: list[tuple[str, int]]
--- a/src/coltsfootstair/placement/__init__.py
+++ b/src/coltsfootstair/placement/__init__.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from coltsfootstair.placement._admission import AdmissionGate
 from coltsfootstair.placement._choose import Candidate, Demand, Place, Refused, place
 from coltsfootstair.placement._cold import ColdPacer
 from coltsfootstair.placement._load import LoadReport, ServerLoad
 
 __all__ = [
+    'AdmissionGate',
     'Candidate',
     'ColdPacer',
     'Demand',
--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from coltsfootstair.placement._load import ServerLoad
@@ -46,11 +47,13 @@
     """A backend server that may get a request.
 
     :param cold_wait_s: seconds until a cold server may get its next request; 0 if now
+    :param most_at_once: requests that this daemon may have there, each on a connection
     """
 
     server: BackendServer
     load: ServerLoad
     cold_wait_s: float
+    most_at_once: float = math.inf
 
 
 class Demand(NamedTuple):
@@ -103,6 +106,9 @@
         if load.seems_silent(now):
             soonest_s = min(soonest_s, SILENT_RETRY_S)
             continue
+        if load.in_flight >= candidate.most_at_once:
+            soonest_s = min(soonest_s, load.expected_s(now))
+            continue
         expected_s = load.expected_s(now)
         longest_s = min(demand.left_s, PATIENCE * demand.objective_s)
         waits = load.occupied(now) + 1.0 > load.slots
--- a/src/coltsfootstair/registry/_view.py
+++ b/src/coltsfootstair/registry/_view.py
@@ -24,6 +24,10 @@
 two seconds as the platform states, less the time in which its return is noticed."""
 
 
+COLD_TOLERANCE_S = 0.5
+"""How far a cold server's figure may be from what is expected, in seconds, to be no news."""
+
+
 class Registry:
     """Backend servers by name and service.
 
@@ -77,15 +81,29 @@
         """Take what a server said of its cold start outside of its entry."""
         self._cold_until_by_life[server.life] = self._clock.monotonic() + left_s
 
-    def put(self, server: BackendServer) -> None:
-        """Take an entry that is new or has changed."""
+    def put(self, server: BackendServer) -> bool:
+        """Take an entry that is new or has changed; false if it says nothing new.
+
+        A cold server writes every now and then how much longer it stays cold, which is
+        known if it counts down as expected.
+        """
         known = self._by_name.get(server.name)
         self._lapsed_until_by_name.pop(server.name, None)
-        if known == server:
-            return
+        if known == server or (known is not None and self._counts_down(known, server)):
+            return False
         self._by_name[server.name] = server
         if server.cold_left_s > 0 or server.life in self._cold_until_by_life:
             self.note_cold(server, server.cold_left_s)
+        self._log_change(known, server)
+        self._rebuild()
+        return True
+
+    def _counts_down(self, known: BackendServer, server: BackendServer) -> bool:
+        if known._replace(cold_left_s=server.cold_left_s) != server:
+            return False
+        return abs(self.cold_left_s(known) - server.cold_left_s) < COLD_TOLERANCE_S
+
+    def _log_change(self, known: BackendServer | None, server: BackendServer) -> None:
         if known is None or known.life != server.life:
             logger.info(
                 'backend server joined',
@@ -101,7 +119,6 @@
             logger.info(
                 'backend server cold', server=server.name, cold_left_s=server.cold_left_s
             )
-        self._rebuild()
 
     def remove(self, name: str) -> None:
         """Take the removal of an entry."""
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -482,10 +482,13 @@
         port = receiver._transport.get_extra_info('sockname')[1]
         async with asyncio.timeout(5.0):
             while not heard:
-                sender.send(Beat('d1', 3, True, 9, {}), Address('127.0.0.1', port))
+                sender.send(
+                    Beat('d1', 3, True, 9, {'s1': 0.5}, {'servers': 7}),
+                    Address('127.0.0.1', port),
+                )
                 await asyncio.sleep(0.01)
         receiver.close()
         sender.close()
         return heard
 
-    assert play(work())[0] == Beat('d1', 3, True, 9, {})
+    assert play(work())[0] == Beat('d1', 3, True, 9, {'s1': 0.5}, {'servers': 7})
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -223,6 +223,7 @@
             usual_s=lambda _service: 0.1,
             longest_hold_s=10.0,
             address_reuse_s=2.0,
+            strength=1.0,
             relay=Relay(),
             revisions=dict,
             relayed=lambda _changes: None,
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -68,9 +68,10 @@
         names = ' '.join(item.name for item in listing.objects)
         self.events.append((f'listed {names}', after_outage))
 
-    def changed(self, change: Change, *, after_outage: bool) -> None:
+    def changed(self, change: Change, *, after_outage: bool) -> bool:
         verb = 'deleted' if change.deleted else 'put'
         self.events.append((f'{verb} {change.object.name}', after_outage))
+        return True
 
 
 def _object(name: str, revision: int) -> StoredObject:
