--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -131,6 +131,7 @@
             lambda: self._daemons(),
             self._cold_per_s,
             self._usual_s,
+            lambda: self._keeper.silent_servers,
             random_source,
         )
         self._keeper = Keeper(settings.name, settings.inner, self._keeper_parts(random_source))
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -29,6 +29,10 @@
 """Part of a server's connections that daemons share out; orders and idle ones take the
 rest."""
 
+TRIALS_PER_S = 1.0
+"""Requests a second that all daemons together send to a silent server to find out whether
+it answers again."""
+
 DAEMONS_BEFORE_KNOWN = 100
 """How many daemons share a limit before it is known how many there are: more than any
 deployment has today."""
@@ -38,6 +42,7 @@
     """Owns the loads, the pacing of cold servers and the budgets of repeats.
 
     :param daemons: returns how many daemons there are, 0 while that is not known
+    :param silent_servers: returns the servers that answer no daemon at present
     :param usual_s: returns the service time to expect of a service before any answer
     :param cold_per_s: returns what a cold server of a service bears from all daemons
     """
@@ -51,6 +56,7 @@
         daemons: Callable[[], int],
         cold_per_s: Callable[[str], float],
         usual_s: Callable[[str], float],
+        silent_servers: Callable[[], list[str]],
         random_source: random.Random,
     ) -> None:
         self._name = name
@@ -63,6 +69,8 @@
         self._random = random_source
         self._load_by_life: dict[tuple[str, int], ServerLoad] = {}
         self._pacer = ColdPacer()
+        self._trials = ColdPacer()
+        self._silent_servers = silent_servers
         self._budget_by_service: dict[str, WindowBudget] = {}
         self._requests_by_key: dict[str, dict[int, int]] = {}
 
@@ -95,13 +103,18 @@
                 self._random.random(),
             )
             wait_s = self._pacer.wait_s(server.life, self._clock.monotonic())
+        silent = server.name in self._silent_servers()
+        if silent and self._trials.wait_s(server.life, self._clock.monotonic()) <= 0:
+            silent = False
         most = max(server.slots, CONNECTION_SHARE * connections / self.daemons)
-        return Candidate(server, self.load(server), wait_s, most)
+        return Candidate(server, self.load(server), wait_s, most, silent)
 
     def sent(self, server: BackendServer) -> None:
         """Count a request that is being sent to ``server``."""
         now = self._clock.monotonic()
         self.load(server).started(now)
+        if server.name in self._silent_servers():
+            self._trials.sent(server.life, now, TRIALS_PER_S, self.daemons)
         if self._registry.cold_left_s(server) > 0:
             per_s = self._cold_per_s(server.service)
             self._pacer.sent(server.life, now, per_s, self.daemons)
@@ -131,10 +144,13 @@
                 del self._load_by_life[life]
                 continue
             alive.add(life)
-            if load.finished:
-                load_by_server[life[0]] = LoadFigures(load.finished, round(load.busy_s, 4))
+            silent = load.is_overdue(self._clock.monotonic())
+            if load.finished or silent:
+                figures = LoadFigures(load.finished, round(load.busy_s, 4), silent)
+                load_by_server[life[0]] = figures
                 load.finished, load.busy_s = 0, 0.0
         self._pacer.forget(alive)
+        self._trials.forget(alive)
         return Report(
             self._name, epoch, store_works, seconds, revisions, requests, load_by_server
         )
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -24,6 +24,7 @@
 )
 from coltsfootstair.keyspace._orders import KeyOrders
 from coltsfootstair.keyspace._service import ServiceKeeper
+from coltsfootstair.keyspace._suspects import Suspects
 from coltsfootstair.keyspace._view import KIND, LEASE_NAME, OwnershipView
 from coltsfootstair.objects import Change, ObjectStore, Relay, RelayedChanges, StoredObject
 from coltsfootstair.peers import (
@@ -153,6 +154,8 @@
         self._woken = asyncio.Event()
         self._beaten = False
         self.admitted_by_server: dict[str, float] = {}
+        self.silent_servers: list[str] = []
+        self._suspects = Suspects()
         self._admitted_at = -math.inf
         parts.view.subscribe_lease(self._on_lease)
 
@@ -272,7 +275,7 @@
         if self._channel is None:
             return
         for address in self._addresses():
-            self._channel.send(Beat('', lease.epoch, True, self.daemons, {}, {}), address)
+            self._channel.send(Beat('', lease.epoch, True, self.daemons, {}, [], {}), address)
 
     def close(self) -> None:
         """End the work of a keeper without a word to anybody."""
@@ -309,6 +312,7 @@
         self._most_daemons = self.daemons
         self._parts.relay.announce(beat.revision_by_kind)
         self.admitted_by_server = beat.admitted_by_server
+        self._note_silent(beat.silent_servers)
         if beat.store_works:
             self._storeless_since = None
         elif self._storeless_since is None:
@@ -328,6 +332,7 @@
                 works,
                 len(self._recent_reports()),
                 self._admitted(now),
+                self.silent_servers,
                 self._parts.revisions(),
             )
             self._channel.send(beat, sender)
@@ -388,7 +393,14 @@
         if update is not None and self._channel is not None:
             self._channel.send(update, address)
 
+    def _note_silent(self, names: list[str]) -> None:
+        if names != self.silent_servers:
+            logger.info('silent backend servers', servers=names)
+            self.silent_servers = names
+
     def _take_figures(self, report: Report, now: float) -> None:
+        self._suspects.reported(report, now)
+        self._note_silent(self._suspects.names(now))
         for service, requests_by_key in report.requests_by_key.items():
             keeper = self._service_keepers.get(service)
             if keeper is not None:
@@ -482,6 +494,7 @@
         self._took_over_at = now
         self._alone_until = now + ALONE_PAUSE_S
         self._report_by_daemon = {}
+        self._suspects = Suspects()
         self._leading = asyncio.create_task(self._run_as_keeper(lease, given_back=given_back))
 
     def _step_down(self, reason: str) -> None:
@@ -560,6 +573,7 @@
                 self.is_leading_now,
                 self._deposed,
                 self._announce,
+                lambda: self.silent_servers,
             )
             self._service_keepers[service] = keeper
             keeper.start()
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -47,9 +47,9 @@
 """Seconds after which the figures of an owner tell of a change of its keys: a move, a report
 and some answers."""
 
-OVERLOAD = 1.15
-"""Demand over ability beyond which an owner's requests are refused in part: both are
-estimates, and a queue of some requests is wanted."""
+HEADROOM = 1.4
+"""How many times what an owner can serve is let pass: what it can serve is an estimate, and
+the daemons' own view of its queue refuses what is too much."""
 
 GRANT_TIMEOUT_S = 0.4
 """How long a grant may stay unanswered, in seconds; it is sent again then."""
@@ -84,6 +84,7 @@
         is_leading: Callable[[], bool],
         deposed: Callable[[int], None],
         announce: Callable[[TableUpdate], None],
+        silent_servers: Callable[[], list[str]],
     ) -> None:
         self.service = service
         self.demand = Demand()
@@ -93,6 +94,7 @@
         self._is_leading = is_leading
         self._deposed = deposed
         self._announce = announce
+        self._silent_servers = silent_servers
         self._holds = Holds(unknown_until)
         self._table = KeyTable([], 0)
         self._stored_table = self._table
@@ -241,7 +243,7 @@
         for server in self._parts.registry.usable(self.service):
             self._address_by_life[server.life] = server
             self._seen_at_by_life[server.life] = now
-            if server.life in self._ended_lives:
+            if server.life in self._ended_lives or server.name in self._silent_servers():
                 continue
             failing_since = self._failing_since_by_life.get(server.life)
             if failing_since is not None and now - failing_since > UNREACHABLE_S:
@@ -376,8 +378,8 @@
             usual_s = self._parts.usual_s(self.service)
             able_per_s = server.slots / self.demand.service_s(server.name, usual_s)
             load = load_by_life.get(server.life, 0.0)
-            if load > OVERLOAD * able_per_s:
-                admitted[server.name] = round(able_per_s / load, 3)
+            if load > HEADROOM * able_per_s:
+                admitted[server.name] = round(HEADROOM * able_per_s / load, 3)
         return admitted
 
     @property
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -25,10 +25,12 @@
 
     :param finished: answers received
     :param busy_s: sum of their times less the waits, by estimate, in seconds
+    :param silent: whether it has answered nothing for much longer than usual
     """
 
     finished: int
     busy_s: float
+    silent: bool = False
 
 
 class Report(msgspec.Struct, tag='report', array_like=True):
@@ -55,6 +57,7 @@
     :param keeper: its name; empty when it has given the lease back
     :param daemons: how many daemons report
     :param admitted_by_server: part of their requests that overloaded owners can serve
+    :param silent_servers: backend servers that answer nobody at present
     :param revision_by_kind: up to which revision it has read each kind of objects
     """
 
@@ -63,6 +66,7 @@
     store_works: bool
     daemons: int
     admitted_by_server: dict[str, float]
+    silent_servers: list[str]
     revision_by_kind: dict[str, int]
 
 
--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -47,6 +47,7 @@
     """A backend server that may get a request.
 
     :param cold_wait_s: seconds until a cold server may get its next request; 0 if now
+    :param answers_nobody: whether all daemons together find it silent
     :param most_at_once: requests that this daemon may have there, each on a connection
     """
 
@@ -54,6 +55,7 @@
     load: ServerLoad
     cold_wait_s: float
     most_at_once: float = math.inf
+    answers_nobody: bool = False
 
 
 class Demand(NamedTuple):
@@ -103,7 +105,7 @@
         if candidate.cold_wait_s > 0:
             soonest_s = min(soonest_s, candidate.cold_wait_s)
             continue
-        if load.seems_silent(now):
+        if candidate.answers_nobody or load.seems_silent(now):
             soonest_s = min(soonest_s, SILENT_RETRY_S)
             continue
         if load.in_flight >= candidate.most_at_once:
--- a/src/coltsfootstair/placement/_load.py
+++ b/src/coltsfootstair/placement/_load.py
@@ -141,14 +141,22 @@
         self.unanswered = 0
         self.waiting_since = now
 
+    def is_overdue(self, now: float) -> bool:
+        """Whether requests here wait for much longer than usual without any answer."""
+        if not self.in_flight:
+            return self.unanswered > 0 and now - self._failed_at < RETRIAL_S
+        return now - self.waiting_since > self._patience_s(now)
+
+    def _patience_s(self, now: float) -> float:
+        return SILENT_SERVICE_TIMES * self.service_s * max(1.0, self.pace(now))
+
     def seems_silent(self, now: float) -> bool:
         """Whether nothing has come back for so long that nothing may come any more."""
         if self.in_flight + self.unanswered < SILENT_REQUESTS:
             return False
         if not self.in_flight:
             return self.unanswered >= SILENT_REQUESTS and now - self._failed_at < RETRIAL_S
-        allowed_s = SILENT_SERVICE_TIMES * self.service_s * max(1.0, self.pace(now))
-        return now - self.waiting_since > allowed_s
+        return now - self.waiting_since > self._patience_s(now)
 
     def failure_share(self, now: float) -> float:
         """Return the recent share of failures, from 0 to 1."""
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -483,7 +483,7 @@
         async with asyncio.timeout(5.0):
             while not heard:
                 sender.send(
-                    Beat('d1', 3, True, 9, {'s1': 0.5}, {'servers': 7}),
+                    Beat('d1', 3, True, 9, {'s1': 0.5}, ['s2'], {'servers': 7}),
                     Address('127.0.0.1', port),
                 )
                 await asyncio.sleep(0.01)
@@ -491,4 +491,4 @@
         sender.close()
         return heard
 
-    assert play(work())[0] == Beat('d1', 3, True, 9, {'s1': 0.5}, {'servers': 7})
+    assert play(work())[0] == Beat('d1', 3, True, 9, {'s1': 0.5}, ['s2'], {'servers': 7})
