--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import enum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from coltsfootstair.gateway._refusals import render_refusal
+from coltsfootstair.gateway._sender import (
+    ANSWER_MARGIN_S,
+    Attempt,
+    Outcome,
+    RequestState,
+    Sender,
+)
 from coltsfootstair.gateway._trace import RequestLog, RequestTrace
-from coltsfootstair.http1 import Answer, BrokenExchangeError, Reply, first_value
+from coltsfootstair.http1 import Answer, Reply, first_value
 from coltsfootstair.placement import AdmissionGate, Demand, Place, Refused, place
 from coltsfootstair.results import Ran, Refusal, ResultCode, title
 from coltsfootstair.routes import RequestKind
@@ -20,30 +26,14 @@
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._fleet import Fleet
     from coltsfootstair.gateway._types import Dialect
-    from coltsfootstair.http1 import Connection, ConnectionPool, IncomingRequest
+    from coltsfootstair.http1 import ConnectionPool, IncomingRequest
     from coltsfootstair.keyspace import OwnershipView
     from coltsfootstair.metrics import GatewayMetrics
     from coltsfootstair.registry import BackendServer, Registry
-    from coltsfootstair.routes import Route, RouteTable, ServicePolicy
+    from coltsfootstair.routes import Route, RouteTable
 
 __all__ = ['Dispatcher']
 
-ANSWER_MARGIN_S = 0.03
-"""How long before its end a request is given up, in seconds, so that the answer still
-arrives in time."""
-
-CONNECT_TIMEOUT_S = 0.4
-"""How long a connection may take to be made, in seconds; many times the delay between data
-centres, and less than the first repeat of a lost packet."""
-
-CONNECT_SHARE = 0.25
-"""Part of a request's time that a connection may take to be made, so that another server
-can still be tried."""
-
-SHORTEST_CONNECT_S = 0.05
-"""Least time that a connection is given to be made, in seconds; several times the delay
-between data centres."""
-
 OWNER_WAIT_SHARE = 0.5
 """Part of the target latency for which a request waits for a key that is moving; moves take
 about as long as one request."""
@@ -62,76 +52,9 @@
 """Times that a request is sent to the only server that may run it while that server turns
 requests away though it has room."""
 
-FRESH_SHARE = 0.5
-"""Part of the idle time within which a kept connection is used for what may not be
-repeated; servers close idle connections at times of their own."""
-
 OWNER_RECHECK_S = 0.1
 """How long a request that met the wrong owner waits for a new table, in seconds."""
 
-SERVER_ERROR = 500
-"""Lowest status with which a server says that it failed."""
-
-
-class Outcome(enum.Enum):
-    """What follows from one attempt."""
-
-    NOT_SENT = 'not sent'
-    NOT_RUN = 'not run'
-    SHED_WITH_ROOM = 'not run, though there was room'
-    WRONG_SERVER = 'wrong server'
-    UNKNOWN = 'unknown'
-    FAILED = 'failed'
-    ANSWERED = 'answered'
-
-
-_NOT_RUN = frozenset({Outcome.NOT_RUN, Outcome.SHED_WITH_ROOM, Outcome.WRONG_SERVER})
-
-
-class Attempt(NamedTuple):
-    """One attempt and its answer, if there is one."""
-
-    outcome: Outcome
-    answer: Answer | None
-    reason: str = ''
-
-
-class _Request:
-    """State of one request while it is handled."""
-
-    __slots__ = (
-        'attempts',
-        'ends_at',
-        'incoming',
-        'key',
-        'may_have_run',
-        'policy',
-        'request_id',
-        'route',
-        'service',
-        'table',
-        'trace',
-        'tried',
-        'unconnected',
-    )
-
-    def __init__(
-        self, incoming: IncomingRequest, request_id: bytes | None, trace: RequestTrace
-    ) -> None:
-        self.incoming = incoming
-        self.request_id = request_id
-        self.trace = trace
-        self.key: int | None = None
-        self.tried: set[str] = set()
-        self.attempts = 0
-        self.unconnected = 0
-        self.may_have_run = False
-        self.ends_at = 0.0
-        self.table: RouteTable
-        self.route: Route
-        self.policy: ServicePolicy
-        self.service = ''
-
 
 class Dispatcher:
     """Handles the requests of one daemon.
@@ -159,7 +82,7 @@
         self._registry = registry
         self._ownership = ownership
         self._fleet = fleet
-        self._pool = pool
+        self._sender = Sender(dialect, fleet, pool, clock)
         self._clock = clock
         self._random = random_source
         self._data_centre = data_centre
@@ -179,7 +102,7 @@
         """Answer one request within its time."""
         facts = self._dialect.caller_facts(incoming.headers)
         trace = RequestTrace(facts.request_id, incoming.received_at)
-        request = _Request(incoming, facts.request_id, trace)
+        request = RequestState(incoming, facts.request_id, trace)
         request.key = facts.key
         refusal = self._route(request, facts.wait_s)
         if refusal is not None:
@@ -196,7 +119,7 @@
             self._metrics.ended(request.route.name, 'caller left', now - incoming.received_at)
             raise
 
-    def _route(self, request: _Request, wait_s: float | None) -> Refusal | None:
+    def _route(self, request: RequestState, wait_s: float | None) -> Refusal | None:
         table = self._route_table()
         if table is None:
             return Refusal(
@@ -225,7 +148,7 @@
         self._fleet.requested(request.service, request.key)
         return None
 
-    async def _serve(self, request: _Request) -> Reply:
+    async def _serve(self, request: RequestState) -> Reply:
         while True:
             if request.key is None:
                 choice = self._choose(request)
@@ -243,7 +166,7 @@
                 occupied=round(choice.candidate.load.occupied(now), 1),
                 version=request.table.configuration.version,
             )
-            attempt = await self._attempt(request, server)
+            attempt = await self._sender.attempt(request, server)
             if attempt.outcome is Outcome.ANSWERED and attempt.answer is not None:
                 return self._answered(request, attempt.answer, server)
             request.trace.step(
@@ -257,7 +180,7 @@
             if attempt.outcome is Outcome.WRONG_SERVER and request.key is not None:
                 await self._ownership.changed_within(OWNER_RECHECK_S)
 
-    def _choose(self, request: _Request) -> Place | Refusal:
+    def _choose(self, request: RequestState) -> Place | Refusal:
         now = self._clock.monotonic()
         usable = self._registry.usable(request.service)
         if not usable:
@@ -279,7 +202,7 @@
             )
         return choice
 
-    async def _choose_owner(self, request: _Request, key: int) -> Place | Refusal:
+    async def _choose_owner(self, request: RequestState, key: int) -> Place | Refusal:
         waits_until = (
             self._clock.monotonic() + OWNER_WAIT_SHARE * request.route.target_latency_s
         )
@@ -326,7 +249,7 @@
     def _takes_requests(self, server: BackendServer) -> bool:
         return self._registry.left_for_s(server.name) < LEAVING_GRACE_S
 
-    def _demand(self, request: _Request, now: float) -> Demand:
+    def _demand(self, request: RequestState, now: float) -> Demand:
         return Demand(
             self._data_centre,
             request.route.target_latency_s,
@@ -334,91 +257,7 @@
             len(request.incoming.body),
         )
 
-    async def _attempt(self, request: _Request, server: BackendServer) -> Attempt:
-        load = self._fleet.load(server)
-        self._fleet.sent(server)
-        try:
-            return await self._exchange(request, server)
-        finally:
-            load.ended()
-
-    async def _exchange(self, request: _Request, server: BackendServer) -> Attempt:
-        load = self._fleet.load(server)
-        try:
-            connection = await self._connection(request, server)
-        except BrokenExchangeError as error:
-            request.unconnected += 1
-            load.silent(self._clock.monotonic())
-            return Attempt(Outcome.NOT_SENT, None, str(error))
-        request.attempts += 1
-        request.tried.add(server.name)
-        may_have_run = request.may_have_run
-        request.may_have_run = True
-        incoming = request.incoming
-        started_at = self._clock.monotonic()
-        headers = self._dialect.request_headers(
-            incoming.headers, request.ends_at + ANSWER_MARGIN_S - started_at, server
-        )
-        if incoming.body or first_value(incoming.headers, b'content-length') is not None:
-            headers.append((b'Content-Length', str(len(incoming.body)).encode()))
-        line = incoming.method + b' ' + incoming.target + b' HTTP/1.1'
-        try:
-            answer = await connection.exchange(
-                line, headers, incoming.body, expected_id=request.request_id
-            )
-        except asyncio.CancelledError:
-            now = self._clock.monotonic()
-            if now - started_at > load.expected_s(now):
-                load.silent(now)
-            raise
-        except BrokenExchangeError as error:
-            load.silent(self._clock.monotonic())
-            if not error.sent:
-                request.may_have_run = may_have_run
-                return Attempt(Outcome.NOT_SENT, None, str(error))
-            return Attempt(Outcome.UNKNOWN, None, str(error))
-        self._pool.give_back(connection)
-        attempt = self._judge(request, answer, server, started_at)
-        if attempt.outcome in _NOT_RUN:
-            request.may_have_run = may_have_run
-        return attempt
-
-    async def _connection(self, request: _Request, server: BackendServer) -> Connection:
-        repeatable = request.route.kind is RequestKind.IDEMPOTENT
-        share = 1.0 if repeatable else FRESH_SHARE
-        kept = self._pool.idle(server.address, freshest_share=share)
-        if kept is not None:
-            return kept
-        left_s = request.ends_at - self._clock.monotonic()
-        timeout_s = max(SHORTEST_CONNECT_S, min(CONNECT_TIMEOUT_S, CONNECT_SHARE * left_s))
-        return await self._pool.open(server.address, timeout_s)
-
-    def _judge(
-        self, request: _Request, answer: Answer, server: BackendServer, started_at: float
-    ) -> Attempt:
-        """Tell what an answer says of its request, and of its server's load."""
-        now = self._clock.monotonic()
-        load = self._fleet.load(server)
-        facts = self._dialect.answer_facts(answer)
-        if facts.load is not None:
-            load.reported(facts.load, now)
-        load.heard(now)
-        if facts.wrong_server:
-            return Attempt(Outcome.WRONG_SERVER, answer, f'status {answer.status}')
-        if facts.not_run:
-            load.failed(now)
-            had_room = facts.load is not None and facts.load.running < facts.load.slots
-            outcome = Outcome.SHED_WITH_ROOM if had_room else Outcome.NOT_RUN
-            return Attempt(outcome, answer, f'status {answer.status}')
-        if not facts.signed or first_value(answer.headers, b'content-encoding') is not None:
-            load.failed(now)
-            return Attempt(Outcome.UNKNOWN, None, f'status {answer.status} without a mark')
-        load.answered(now - started_at, now)
-        if answer.status >= SERVER_ERROR:
-            return Attempt(Outcome.FAILED, answer, f'status {answer.status}')
-        return Attempt(Outcome.ANSWERED, answer)
-
-    def _may_go_on(self, request: _Request, attempt: Attempt) -> bool:
+    def _may_go_on(self, request: RequestState, attempt: Attempt) -> bool:
         """Whether another attempt may follow a failed one."""
         if attempt.outcome is Outcome.NOT_SENT:
             return request.unconnected < NEVER_SENT_TRIES
@@ -435,7 +274,7 @@
             return False
         return self._fleet.may_repeat(request.service)
 
-    def _given_up(self, request: _Request, attempt: Attempt) -> Reply:
+    def _given_up(self, request: RequestState, attempt: Attempt) -> Reply:
         if attempt.outcome is Outcome.FAILED and attempt.answer is not None:
             return self._passed_on(request, attempt.answer, 'failed by its server')
         if request.may_have_run:
@@ -447,7 +286,7 @@
             request, Refusal(ResultCode.SHED, Ran.NO, attempt.reason, retry_after_s)
         )
 
-    def _out_of_time(self, request: _Request) -> Reply:
+    def _out_of_time(self, request: RequestState) -> Reply:
         if request.may_have_run:
             detail = 'no answer within the time of the route or the caller'
             return self._refused(
@@ -458,10 +297,10 @@
             Refusal(ResultCode.QUEUE_DEADLINE, Ran.NO, 'not sent within its time', 0.1),
         )
 
-    def _answered(self, request: _Request, answer: Answer, server: BackendServer) -> Reply:
+    def _answered(self, request: RequestState, answer: Answer, server: BackendServer) -> Reply:
         return self._passed_on(request, answer, 'answered')
 
-    def _passed_on(self, request: _Request, answer: Answer, outcome: str) -> Reply:
+    def _passed_on(self, request: RequestState, answer: Answer, outcome: str) -> Reply:
         now = self._clock.monotonic()
         took_s = now - request.incoming.received_at
         if outcome == 'answered' and took_s > request.route.target_latency_s:
@@ -473,7 +312,7 @@
         self._metrics.ended(request.route.name, outcome, took_s)
         return Reply(answer.status, self._dialect.answer_headers(answer.headers), answer.body)
 
-    def _refused(self, request: _Request, refusal: Refusal) -> Reply:
+    def _refused(self, request: RequestState, refusal: Refusal) -> Reply:
         now = self._clock.monotonic()
         self._log.write(
             request.trace,
--- a/src/coltsfootstair/keyspace/__init__.py
+++ b/src/coltsfootstair/keyspace/__init__.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from coltsfootstair.keyspace._keeper import Keeper, KeeperParts
+from coltsfootstair.keyspace._keeper import Keeper
 from coltsfootstair.keyspace._orders import KeyOrders, OrderRefusedError, WrongServerError
+from coltsfootstair.keyspace._parts import KeeperParts
 from coltsfootstair.keyspace._planner import OwnerCapacity, plan
 from coltsfootstair.keyspace._table import KEY_COUNT, KeyRow, KeyTable, decode, encode
 from coltsfootstair.keyspace._view import KIND, OwnershipView
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -4,13 +4,10 @@
 
 import asyncio
 import math
-import random
-from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING
 
 import structlog
 
-from coltsfootstair.clock import Clock
 from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
 from coltsfootstair.keyspace._holds import CLOCK_RATE, TRANSIT_S
 from coltsfootstair.keyspace._lease import (
@@ -22,11 +19,11 @@
     encode_lease,
     may_take_over,
 )
-from coltsfootstair.keyspace._orders import KeyOrders
+from coltsfootstair.keyspace._reports import PEER_MEMORY_S, ReportBook
 from coltsfootstair.keyspace._service import ServiceKeeper
 from coltsfootstair.keyspace._suspects import Suspects
-from coltsfootstair.keyspace._view import KIND, LEASE_NAME, OwnershipView
-from coltsfootstair.objects import Change, ObjectStore, Relay, RelayedChanges, StoredObject
+from coltsfootstair.keyspace._view import KIND, LEASE_NAME
+from coltsfootstair.objects import Change, RelayedChanges, StoredObject
 from coltsfootstair.peers import (
     Beat,
     Message,
@@ -35,12 +32,12 @@
     TableUpdate,
     encode,
 )
-from coltsfootstair.registry import Registry
 
 if TYPE_CHECKING:
     from coltsfootstair.http1 import Address
+    from coltsfootstair.keyspace._parts import Channel, KeeperParts
 
-__all__ = ['Keeper', 'KeeperParts']
+__all__ = ['Keeper']
 
 logger = structlog.get_logger()
 
@@ -58,9 +55,6 @@
 CONFIRM_RETRY_S = 0.5
 """Seconds to the next read of the lease when one got no answer."""
 
-PEER_MEMORY_S = 2.0
-"""How long a daemon counts after its last report, in seconds."""
-
 COUNT_S = 3.0
 """How long after a take-over the daemons that report are counted, in seconds."""
 
@@ -89,48 +83,6 @@
 of a keeper; a lost owner's keys wait for it to run out."""
 
 
-class Channel(Protocol):
-    """The way to other daemons."""
-
-    def send(self, message: Message, address: Address) -> None:
-        """Send ``message``; it may be lost."""
-
-
-class KeeperParts(NamedTuple):
-    """What a keeper works with.
-
-    :param store_works: whether this daemon's last call of the store was answered
-    :param services: names of the services whose keys have owners
-    :param cold_per_s: what a cold server of a service bears from all daemons
-    :param usual_s: the service time to expect of a service before any answer
-    :param longest_hold_s: the longest hold that backend servers accept, in seconds
-    :param address_reuse_s: how long an ended server's address stays unused, in seconds
-    :param strength: what this VM can bear as keeper, from 0 to 1
-    :param relay: is turned on while the keeper passes changes of objects on
-    :param revisions: up to which revision this daemon has read each kind of objects
-    :param relayed: takes changes that the keeper passed on
-    :param collect: returns this daemon's figures since the last call
-    """
-
-    store: ObjectStore
-    orders: KeyOrders
-    registry: Registry
-    view: OwnershipView
-    clock: Clock
-    random_source: random.Random
-    store_works: Callable[[], bool]
-    services: Callable[[], set[str]]
-    cold_per_s: Callable[[str], float]
-    usual_s: Callable[[str], float]
-    longest_hold_s: float
-    address_reuse_s: float
-    strength: float
-    relay: Relay
-    revisions: Callable[[], dict[str, int]]
-    relayed: Callable[[RelayedChanges], None]
-    collect: Callable[[int, bool, float, dict[str, int]], Report]
-
-
 class Keeper:
     """Takes part in the choice of a keeper, and is one while it holds the lease."""
 
@@ -143,7 +95,7 @@
         self._lease: KeeperLease | None = None
         self._leading: asyncio.Task[None] | None = None
         self._service_keepers: dict[str, ServiceKeeper] = {}
-        self._report_by_daemon: dict[str, tuple[float, Report, Address]] = {}
+        self._reports = ReportBook(parts.clock)
         self._heard_at = parts.clock.monotonic()
         self._storeless_since: float | None = None
         self._alone_until = -math.inf
@@ -177,7 +129,7 @@
         unconfirmed_s = now - self._confirmed_at
         if unconfirmed_s <= CONFIRM_S + CONFIRM_RETRY_S:
             return self._granted_s
-        reports = self._recent_reports()
+        reports = self._reports.recent()
         storeless = sum(not report.store_works for report in reports)
         if self._is_majority(storeless) and unconfirmed_s <= OUTAGE_LEASE_S:
             return self._granted_s
@@ -274,7 +226,7 @@
     def _announce_end(self, lease: KeeperLease) -> None:
         if self._channel is None:
             return
-        for address in self._addresses():
+        for address in self._reports.addresses(self._address):
             self._channel.send(Beat('', lease.epoch, True, self.daemons, {}, [], {}), address)
 
     def close(self) -> None:
@@ -322,7 +274,7 @@
         if self._lease is None:
             return
         self._alone_until = -math.inf
-        self._report_by_daemon[report.daemon] = (now, report, sender)
+        self._reports.note(report, sender)
         self._take_figures(report, now)
         if self._channel is not None:
             works = now - self._confirmed_at <= CONFIRM_S + CONFIRM_RETRY_S
@@ -330,7 +282,7 @@
                 self.name,
                 self._lease.epoch,
                 works,
-                len(self._recent_reports()),
+                len(self._reports.recent()),
                 self._admitted(now),
                 self.silent_servers,
                 self._parts.revisions(),
@@ -371,21 +323,13 @@
         )
         if len(encode(update)) > LARGEST_UPDATE_BYTES:
             return
-        for address in self._addresses():
+        for address in self._reports.addresses(self._address):
             self._channel.send(update, address)
 
-    def _addresses(self) -> list[Address]:
-        horizon = self._parts.clock.monotonic() - PEER_MEMORY_S
-        return [
-            address
-            for at, _, address in self._report_by_daemon.values()
-            if at >= horizon and address != self._address
-        ]
-
     def _announce(self, update: TableUpdate) -> None:
         """Send what changed in a table; a daemon that misses it gets the table later."""
         if self._channel is not None:
-            for address in self._addresses():
+            for address in self._reports.addresses(self._address):
                 self._channel.send(update, address)
 
     def _send_table(self, keeper: ServiceKeeper, address: Address) -> None:
@@ -413,10 +357,6 @@
             if keeper is not None:
                 keeper.demand.answered(server_name, figures)
 
-    def _recent_reports(self) -> list[Report]:
-        horizon = self._parts.clock.monotonic() - PEER_MEMORY_S
-        return [report for at, report, _ in self._report_by_daemon.values() if at >= horizon]
-
     def _is_majority(self, daemons: int) -> bool:
         """Whether ``daemons`` are most of those that were counted last."""
         return self._most_daemons > 0 and 2 * daemons > self._most_daemons
@@ -430,10 +370,10 @@
         report = self._parts.collect(lease.epoch, works, seconds, revisions)
         now = self._parts.clock.monotonic()
         if self._lease is not None:
-            self._report_by_daemon[self.name] = (now, report, self._address)
+            self._reports.note(report, self._address)
             self._take_figures(report, now)
             self._admitted(now)
-            self.daemons = max(1, len(self._recent_reports()))
+            self.daemons = max(1, len(self._reports.recent()))
             if now - self._took_over_at > COUNT_S:
                 self._most_daemons = max(self._most_daemons, self.daemons)
         elif self._channel is not None and lease.holder != self.name:
@@ -493,7 +433,7 @@
         self._confirmed_at = now
         self._took_over_at = now
         self._alone_until = now + ALONE_PAUSE_S
-        self._report_by_daemon = {}
+        self._reports.clear()
         self._suspects = Suspects()
         self._leading = asyncio.create_task(self._run_as_keeper(lease, given_back=given_back))
 
@@ -536,7 +476,7 @@
                 await self._note_daemons(item)
             for _ in range(4):
                 await asyncio.sleep(CONFIRM_S / 4)
-                if self._is_majority(len(self._recent_reports())):
+                if self._is_majority(len(self._reports.recent())):
                     # The last keeper no longer hears most daemons, and stops.
                     now = self._parts.clock.monotonic()
                     ends_at = now + PEER_MEMORY_S + ISOLATED_S + hold_ends_s
--- /dev/null
+++ b/src/coltsfootstair/keyspace/_owner_orders.py
@@ -0,0 +1,190 @@
+"""Orders to the owners of one service's keys, and what is known of each owner."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import TYPE_CHECKING
+
+import structlog
+
+from coltsfootstair.http1 import BrokenExchangeError
+from coltsfootstair.keyspace._holds import Holds
+from coltsfootstair.keyspace._orders import OrderRefusedError, WrongServerError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coltsfootstair.keyspace._parts import KeeperParts
+    from coltsfootstair.keyspace._table import KeyRow, Life
+    from coltsfootstair.registry import BackendServer
+
+__all__ = ['ORDER_RETRY_S', 'OwnerOrders']
+
+logger = structlog.get_logger()
+
+GRANT_TIMEOUT_S = 0.4
+"""How long a grant may stay unanswered, in seconds; it is sent again then."""
+
+RELEASE_TIMEOUT_S = 2.5
+"""How long a release may take, in seconds: the work that runs on its keys ends first."""
+
+ORDER_RETRY_S = 0.15
+"""Seconds to the next try of an order that was not answered."""
+
+UNREACHABLE_S = 1.2
+"""How long an owner's orders may fail before its keys go to others, in seconds."""
+
+RETRIED_AFTER = 4.0
+"""How many times ``UNREACHABLE_S`` a server that owns nothing is left alone before it may own
+keys again."""
+
+
+class OwnerOrders:
+    """Grants rows and takes them back; keeps until when each life may hold keys.
+
+    :param hold_s: returns how long keys may be granted for now; ``None`` if not at all
+    """
+
+    def __init__(
+        self,
+        service: str,
+        parts: KeeperParts,
+        unknown_until: float,
+        hold_s: Callable[[], float | None],
+    ) -> None:
+        self.service = service
+        self._parts = parts
+        self._hold_s = hold_s
+        self._holds = Holds(unknown_until)
+        self._lock_by_life: dict[Life, asyncio.Lock] = {}
+        self._failing_since_by_life: dict[Life, float] = {}
+        self._fence_too_low: set[int] = set()
+        self._ended_lives: set[Life] = set()
+        self._address_by_life: dict[Life, BackendServer] = {}
+        self._seen_at_by_life: dict[Life, float] = {}
+        self._paused = False
+
+    def pause(self) -> None:
+        """Grant no more."""
+        self._paused = True
+
+    def bound_unknown_holds(self, until: float) -> None:
+        """Note that holds that the last keeper granted end by ``until`` at the latest."""
+        self._holds.bound_unknown(until)
+
+    def seen(self, server: BackendServer) -> None:
+        """Note a server that has an entry at present."""
+        self._address_by_life[server.life] = server
+        self._seen_at_by_life[server.life] = self._parts.clock.monotonic()
+
+    def may_own(self, life: Life, *, owns_some: bool) -> bool:
+        """Whether ``life`` answers orders, as far as is known."""
+        if life in self._ended_lives:
+            return False
+        failing_since = self._failing_since_by_life.get(life)
+        if failing_since is None:
+            return True
+        failing_s = self._parts.clock.monotonic() - failing_since
+        if not owns_some and failing_s > RETRIED_AFTER * UNREACHABLE_S:
+            del self._failing_since_by_life[life]
+        return failing_s <= UNREACHABLE_S
+
+    def refused_fences(self) -> set[int]:
+        """Return tokens that owners refused since the last call: they saw higher ones."""
+        refused, self._fence_too_low = self._fence_too_low, set()
+        return refused
+
+    async def grant(self, row: KeyRow, handover: str | None) -> bool:
+        """Grant a row to its owner, or renew it; false if that was not confirmed."""
+        server = self._parts.registry.get(row.owner[0])
+        hold_s = self._hold_s()
+        if server is None or server.life != row.owner or hold_s is None or self._paused:
+            return False
+        try:
+            await self._order_grant(server, row, hold_s, handover)
+        except BrokenExchangeError as error:
+            now = self._parts.clock.monotonic()
+            if server.life not in self._failing_since_by_life:
+                logger.info('grant not answered', server=server.name, reason=str(error))
+            self._failing_since_by_life.setdefault(server.life, now)
+            return False
+        except WrongServerError as error:
+            logger.info('owner has ended', server=server.name, reason=str(error))
+            self._ended_lives.add(server.life)
+            return False
+        except OrderRefusedError:
+            logger.warning(
+                'grant refused: a higher fencing token was seen',
+                service=self.service,
+                server=server.name,
+                fence=row.fence,
+            )
+            self._fence_too_low.add(row.fence)
+            return False
+        self._failing_since_by_life.pop(server.life, None)
+        return True
+
+    async def _order_grant(
+        self, server: BackendServer, row: KeyRow, hold_s: float, handover: str | None
+    ) -> None:
+        try:
+            await self._parts.orders.grant(
+                server,
+                row.first,
+                row.last,
+                row.fence,
+                hold_s,
+                handover,
+                GRANT_TIMEOUT_S,
+            )
+        finally:
+            self._holds.granted(server.life, hold_s, self._parts.clock.monotonic())
+
+    def lock(self, life: Life) -> asyncio.Lock:
+        """Return what keeps the orders to one life apart from its renewals."""
+        return self._lock_by_life.setdefault(life, asyncio.Lock())
+
+    async def take_back(self, life: Life, row: KeyRow) -> str | None:
+        """Return once ``life`` holds no key of ``row``, with its handover if it gave one."""
+        clock = self._parts.clock
+        logged = False
+        async with self.lock(life):
+            pass  # Renewals that were under way have ended; no more are sent.
+        while clock.monotonic() < self._holds.until(life):
+            now_server = self._parts.registry.get(life[0])
+            if now_server is not None and now_server.life != life:
+                return None
+            server = now_server or self._last_known(life)
+            if server is None:
+                await asyncio.sleep(ORDER_RETRY_S)
+                continue
+            remaining_s = self._holds.until(life) - clock.monotonic()
+            timeout_s = min(RELEASE_TIMEOUT_S, max(ORDER_RETRY_S, remaining_s))
+            try:
+                taken_back = row._replace(fence=row.fence - 1)
+                return await self._parts.orders.release(
+                    server, row.first, row.last, taken_back.fence, timeout_s
+                )
+            except WrongServerError:
+                return None
+            except (BrokenExchangeError, OrderRefusedError) as error:
+                if not logged:
+                    logger.info(
+                        'release not answered',
+                        service=self.service,
+                        server=life[0],
+                        fence=row.fence,
+                        held_for_s=round(remaining_s, 2),
+                        reason=str(error),
+                    )
+                logged = True
+                await asyncio.sleep(ORDER_RETRY_S)
+        return None
+
+    def _last_known(self, life: Life) -> BackendServer | None:
+        """Return a server that has no entry any more, while its address is still its own."""
+        seen_at = self._seen_at_by_life.get(life, -math.inf)
+        if self._parts.clock.monotonic() - seen_at > self._parts.address_reuse_s:
+            return None
+        return self._address_by_life.get(life)
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -13,10 +13,8 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from coltsfootstair.http1 import BrokenExchangeError
 from coltsfootstair.keyspace._demand import Demand
-from coltsfootstair.keyspace._holds import Holds
-from coltsfootstair.keyspace._orders import OrderRefusedError, WrongServerError
+from coltsfootstair.keyspace._owner_orders import ORDER_RETRY_S, OwnerOrders
 from coltsfootstair.keyspace._planner import FENCE_STEP, KeyRates, OwnerCapacity, plan
 from coltsfootstair.keyspace._table import KeyRow, KeyTable, decode, encode, pack
 from coltsfootstair.keyspace._view import KIND, TABLE_PREFIX
@@ -24,11 +22,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from coltsfootstair.keyspace._keeper import KeeperParts
+    from coltsfootstair.keyspace._parts import KeeperParts
     from coltsfootstair.keyspace._table import Life
     from coltsfootstair.objects import StoredObject
     from coltsfootstair.peers import TableUpdate
-    from coltsfootstair.registry import BackendServer
 
 __all__ = ['ServiceKeeper']
 
@@ -51,21 +48,9 @@
 """How many times what an owner can serve is let pass: what it can serve is an estimate, and
 the daemons' own view of its queue refuses what is too much."""
 
-GRANT_TIMEOUT_S = 0.4
-"""How long a grant may stay unanswered, in seconds; it is sent again then."""
-
-RELEASE_TIMEOUT_S = 2.5
-"""How long a release may take, in seconds: the work that runs on its keys ends first."""
-
-ORDER_RETRY_S = 0.15
-"""Seconds to the next try of an order that was not answered."""
-
 WRITE_RETRY_S = 0.3
 """Seconds to the next try of a write that was not answered."""
 
-UNREACHABLE_S = 1.2
-"""How long an owner's orders may fail before its keys go to others, in seconds."""
-
 
 class ServiceKeeper:
     """Owns the table of one service as long as this daemon is the keeper.
@@ -95,7 +80,7 @@
         self._deposed = deposed
         self._announce = announce
         self._silent_servers = silent_servers
-        self._holds = Holds(unknown_until)
+        self._orders = OwnerOrders(service, parts, unknown_until, hold_s)
         self._table = KeyTable([], 0)
         self._stored_table = self._table
         self._published: tuple[int, KeyTable] | None = None
@@ -104,16 +89,10 @@
         self._unwritten = False
         self._tasks: dict[asyncio.Task[None], None] = {}
         self._settling: dict[int, asyncio.Task[None]] = {}
-        self._lock_by_life: dict[Life, asyncio.Lock] = {}
         self._renewing: set[Life] = set()
         self._renewed_at_by_life: dict[Life, float] = {}
-        self._failing_since_by_life: dict[Life, float] = {}
-        self._fence_too_low: set[int] = set()
-        self._ended_lives: set[Life] = set()
         self._moved_at_by_life: dict[Life, float] = {}
-        self._address_by_life: dict[Life, BackendServer] = {}
         self._seen_servers_at = math.inf
-        self._seen_at_by_life: dict[Life, float] = {}
         self._settled = asyncio.Event()
         self._paused = False
 
@@ -123,15 +102,16 @@
 
     def bound_unknown_holds(self, until: float) -> None:
         """Note that holds that the last keeper granted end by ``until`` at the latest."""
-        self._holds.bound_unknown(until)
+        self._orders.bound_unknown_holds(until)
 
     def pause(self) -> None:
         """Send no more orders."""
         self._paused = True
+        self._orders.pause()
 
     def close(self) -> None:
         """End the work."""
-        self._paused = True
+        self.pause()
         for task in list(self._tasks):
             task.cancel()
 
@@ -241,16 +221,10 @@
         now = self._parts.clock.monotonic()
         owners = []
         for server in self._parts.registry.usable(self.service):
-            self._address_by_life[server.life] = server
-            self._seen_at_by_life[server.life] = now
-            if server.life in self._ended_lives or server.name in self._silent_servers():
-                continue
-            failing_since = self._failing_since_by_life.get(server.life)
-            if failing_since is not None and now - failing_since > UNREACHABLE_S:
-                owns_some = any(row.owner == server.life for row in self._table.rows)
-                if not owns_some and now - failing_since > 4 * UNREACHABLE_S:
-                    # Tried again as any other from the next look on.
-                    del self._failing_since_by_life[server.life]
+            self._orders.seen(server)
+            owns_some = any(row.owner == server.life for row in self._table.rows)
+            silent = server.name in self._silent_servers()
+            if silent or not self._orders.may_own(server.life, owns_some=owns_some):
                 continue
             cold = self._parts.registry.cold_left_s(server) > 0
             service_s = self.demand.service_s(server.name, self._parts.usual_s(self.service))
@@ -295,16 +269,16 @@
 
     def _with_new_fences(self) -> KeyTable:
         """Return the table with higher fences where an owner has seen a higher one."""
-        if not self._fence_too_low:
+        refused = self._orders.refused_fences()
+        if not refused:
             return self._table
         fence = self._table.fence
         rows = []
         for row in self._table.rows:
-            if row.fence in self._fence_too_low:
+            if row.fence in refused:
                 fence += FENCE_STEP
                 row = row._replace(fence=fence, live=False)
             rows.append(row)
-        self._fence_too_low.clear()
         return KeyTable(rows, fence, self._epoch)
 
     async def _write(self, table: KeyTable) -> None:
@@ -399,8 +373,8 @@
         """Take a row back from whoever had it, grant it, and note it as live."""
         handover = None
         for life in row.previous:
-            handover = await self._take_back(life, row) or handover
-        while not await self._grant(row, handover):
+            handover = await self._orders.take_back(life, row) or handover
+        while not await self._orders.grant(row, handover):
             await asyncio.sleep(ORDER_RETRY_S)
         self._table = KeyTable(
             [
@@ -424,50 +398,6 @@
         if not self._settling:
             self._settled.set()
 
-    async def _take_back(self, life: Life, row: KeyRow) -> str | None:
-        """Return once ``life`` holds no key of ``row``, with its handover if it gave one."""
-        clock = self._parts.clock
-        logged = False
-        async with self._lock(life):
-            pass  # Renewals that were under way have ended; no more are sent.
-        while clock.monotonic() < self._holds.until(life):
-            now_server = self._parts.registry.get(life[0])
-            if now_server is not None and now_server.life != life:
-                return None
-            server = now_server or self._last_known(life)
-            if server is None:
-                await asyncio.sleep(ORDER_RETRY_S)
-                continue
-            remaining_s = self._holds.until(life) - clock.monotonic()
-            timeout_s = min(RELEASE_TIMEOUT_S, max(ORDER_RETRY_S, remaining_s))
-            try:
-                taken_back = row._replace(fence=row.fence - 1)
-                return await self._parts.orders.release(
-                    server, row.first, row.last, taken_back.fence, timeout_s
-                )
-            except WrongServerError:
-                return None
-            except (BrokenExchangeError, OrderRefusedError) as error:
-                if not logged:
-                    logger.info(
-                        'release not answered',
-                        service=self.service,
-                        server=life[0],
-                        fence=row.fence,
-                        held_for_s=round(remaining_s, 2),
-                        reason=str(error),
-                    )
-                logged = True
-                await asyncio.sleep(ORDER_RETRY_S)
-        return None
-
-    def _last_known(self, life: Life) -> BackendServer | None:
-        """Return a server that has no entry any more, while its address is still its own."""
-        seen_at = self._seen_at_by_life.get(life, -math.inf)
-        if self._parts.clock.monotonic() - seen_at > self._parts.address_reuse_s:
-            return None
-        return self._address_by_life.get(life)
-
     def _renew_rows(self) -> None:
         now = self._parts.clock.monotonic()
         for life in dict.fromkeys(row.owner for row in self._table.rows if row.live):
@@ -478,59 +408,11 @@
 
     async def _renew(self, life: Life) -> None:
         try:
-            async with self._lock(life):
+            async with self._orders.lock(life):
                 for row in self._table.rows:
                     due = row.live and row.owner == life
-                    if due and not await self._grant(row, None):
+                    if due and not await self._orders.grant(row, None):
                         return
                 self._renewed_at_by_life[life] = self._parts.clock.monotonic()
         finally:
             self._renewing.discard(life)
-
-    async def _grant(self, row: KeyRow, handover: str | None) -> bool:
-        server = self._parts.registry.get(row.owner[0])
-        hold_s = self._hold_s()
-        if server is None or server.life != row.owner or hold_s is None or self._paused:
-            return False
-        try:
-            await self._order_grant(server, row, hold_s, handover)
-        except BrokenExchangeError as error:
-            now = self._parts.clock.monotonic()
-            if server.life not in self._failing_since_by_life:
-                logger.info('grant not answered', server=server.name, reason=str(error))
-            self._failing_since_by_life.setdefault(server.life, now)
-            return False
-        except WrongServerError as error:
-            logger.info('owner has ended', server=server.name, reason=str(error))
-            self._ended_lives.add(server.life)
-            return False
-        except OrderRefusedError:
-            logger.warning(
-                'grant refused: a higher fencing token was seen',
-                service=self.service,
-                server=server.name,
-                fence=row.fence,
-            )
-            self._fence_too_low.add(row.fence)
-            return False
-        self._failing_since_by_life.pop(server.life, None)
-        return True
-
-    async def _order_grant(
-        self, server: BackendServer, row: KeyRow, hold_s: float, handover: str | None
-    ) -> None:
-        try:
-            await self._parts.orders.grant(
-                server,
-                row.first,
-                row.last,
-                row.fence,
-                hold_s,
-                handover,
-                GRANT_TIMEOUT_S,
-            )
-        finally:
-            self._holds.granted(server.life, hold_s, self._parts.clock.monotonic())
-
-    def _lock(self, life: Life) -> asyncio.Lock:
-        return self._lock_by_life.setdefault(life, asyncio.Lock())
