--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -151,6 +151,7 @@
             self.metrics,
             self._log,
             lambda: self._keeper.admitted_by_server,
+            settings.drain_s,
         )
 
     # What follows is what connections of callers need.
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -38,9 +38,10 @@
 """Part of the target latency for which a request waits for a key that is moving; moves take
 about as long as one request."""
 
-LEAVING_GRACE_S = 0.3
-"""How long the owner of a key that is leaving still gets its requests, in seconds, while
-the key is moved: with the time until its leaving is known, below the 2 s allowed."""
+LEAVING_SHARE = 0.15
+"""Part of the time in which a leaving server must be left alone, for which the owner of a
+key still gets its requests while the key is moved; most of that time may have passed before
+the leaving is known here."""
 
 NEVER_SENT_TRIES = 3
 """Connections that are tried for one request; nothing is sent on those that fail."""
@@ -59,6 +60,7 @@
 class Dispatcher:
     """Handles the requests of one daemon.
 
+    :param drain_s: how long a leaving server may be sent requests, in seconds
     :param route_table: returns the configuration in force, ``None`` before the first
     """
 
@@ -76,6 +78,7 @@
         metrics: GatewayMetrics,
         log: RequestLog,
         admitted_by_server: Callable[[], dict[str, float]],
+        drain_s: float,
     ) -> None:
         self._dialect = dialect
         self._route_table = route_table
@@ -88,6 +91,7 @@
         self._data_centre = data_centre
         self._metrics = metrics
         self._log = log
+        self._leaving_grace_s = LEAVING_SHARE * drain_s
         self._admission = AdmissionGate(admitted_by_server, clock)
 
     def route_of(self, incoming: IncomingRequest) -> Route | None:
@@ -247,7 +251,7 @@
         return choice
 
     def _takes_requests(self, server: BackendServer) -> bool:
-        return self._registry.left_for_s(server.name) < LEAVING_GRACE_S
+        return self._registry.left_for_s(server.name) < self._leaving_grace_s
 
     def _demand(self, request: RequestState, now: float) -> Demand:
         return Demand(
--- a/tests/keyspace/test_keeper.py
+++ b/tests/keyspace/test_keeper.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from coltsfootstair.gateway._dispatcher import LEAVING_GRACE_S
+from coltsfootstair.gateway._dispatcher import LEAVING_SHARE
 from coltsfootstair.http1 import Address
 from coltsfootstair.keyspace import KIND, KeyTable, decode, encode
 from coltsfootstair.keyspace._lease import (
@@ -66,7 +66,8 @@
     """A server got a request 2.506 s after it had said that it leaves: the keeper's way to
     the store had gone silent, and the others relied on it for over 2 s.
     """
-    allowed_s, grace_s = 2.0, LEAVING_GRACE_S
+    allowed_s = 2.0
+    grace_s = LEAVING_SHARE * allowed_s
 
     async def play() -> float:
         worst_s = 0.0
