--- a/tests/registry/test_view.py
+++ b/tests/registry/test_view.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-import pytest
+from typing import TYPE_CHECKING
 
 from coltsfootstair.clock import ManualClock
 from coltsfootstair.http1 import Address
 from coltsfootstair.registry import BackendServer, Registry, ServerState
 from coltsfootstair.registry._view import RETURN_GRACE_S
 
+if TYPE_CHECKING:
+    import pytest
+
 SERVER = BackendServer(
     's1', 7, 'lookups', Address('10.0.0.1', 1), 'north', 4, ServerState.READY, 0.0
 )
