--- a/tests/coltsfootstair_platform/standin.py
+++ b/tests/coltsfootstair_platform/standin.py
@@ -9,7 +9,17 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
-__all__ = ['Received', 'ServerStandin', 'StoreStandin', 'answer', 'configuration']
+__all__ = [
+    'Listener',
+    'Received',
+    'ServerStandin',
+    'StoreStandin',
+    'answer',
+    'configuration',
+    'read_request',
+    'route',
+    'service',
+]
 
 
 class Received(NamedTuple):
@@ -21,7 +31,7 @@
     body: bytes
 
 
-async def _read(reader: asyncio.StreamReader) -> Received | None:
+async def read_request(reader: asyncio.StreamReader) -> Received | None:
     try:
         head = (await reader.readuntil(b'\r\n\r\n')).decode()
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -42,7 +52,7 @@
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
 
-class _Listener:
+class Listener:
     """Serves one connection after the other with ``_serve``."""
 
     def __init__(self) -> None:
@@ -66,7 +76,7 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            while (request := await _read(reader)) is not None:
+            while (request := await read_request(reader)) is not None:
                 if not await self._serve(request, reader, writer):
                     break
         except (ConnectionError, asyncio.CancelledError):
@@ -81,7 +91,7 @@
         raise NotImplementedError
 
 
-class StoreStandin(_Listener):
+class StoreStandin(Listener):
     """Objects by kind and name with one revision counter, watches and faults."""
 
     def __init__(self) -> None:
@@ -91,6 +101,7 @@
         self._revision = 1
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[str, int, dict[str, Any], bool]] = []
+        self._forgotten = 0
         self._changed = asyncio.Condition()
 
     async def put(self, kind: str, name: str, spec: Any) -> None:
@@ -106,6 +117,11 @@
         item = self._objects[kind].pop(name)
         await self._note(kind, item, deleted=True)
 
+    def forget_history(self) -> None:
+        """Drop what came before: watches from earlier on are told that it is gone."""
+        self._events.clear()
+        self._forgotten = self._revision
+
     async def _note(self, kind: str, item: dict[str, Any], *, deleted: bool) -> None:
         self._events.append((kind, self._revision, item, deleted))
         async with self._changed:
@@ -131,6 +147,8 @@
         kind = parts[0]
         by_name = self._objects.setdefault(kind, {})
         if request.method == 'GET' and 'watch' in query:
+            if int(query['watch']) < self._forgotten:
+                return 410, None
             return 200, await self._watch(
                 kind, int(query['watch']), int(query.get('wait-ms', '0')) / 1000
             )
@@ -168,7 +186,7 @@
 Behaviour = Callable[[Received, asyncio.StreamWriter], Awaitable[bool]]
 
 
-class ServerStandin(_Listener):
+class ServerStandin(Listener):
     """A backend server that answers as told, and grants whatever it is asked to.
 
     :param behaviour: answers a request; returns whether the connection stays open
@@ -235,7 +253,7 @@
         return work.result()
 
 
-def _route(name: str, service: str, **fields: Any) -> dict[str, Any]:
+def route(name: str, service: str, **fields: Any) -> dict[str, Any]:
     spec = {
         'host': f'{name}.example',
         'path-prefix': '/x/',
@@ -249,7 +267,7 @@
     return {'resource-kind': 'routes', 'metadata': {'name': name}, 'spec': spec | fields}
 
 
-def _service(name: str, **fields: Any) -> dict[str, Any]:
+def service(name: str, **fields: Any) -> dict[str, Any]:
     spec = {
         'health-path': '/health',
         'max-conns': 50,
@@ -270,20 +288,20 @@
     return {
         'version': f'{version:08x}',
         'resources': [
-            _route('lookups', 'calendar'),
-            _route('bookings', 'desk', kind='non_idempotent'),
-            _route('uploads', 'desk', kind='upload'),
-            _route('keyed', 'slots'),
-            _service('calendar'),
-            _service('desk'),
-            _service('slots', **{'is-sharded': True, 'warm-s': 3.0}),
+            route('lookups', 'calendar'),
+            route('bookings', 'desk', kind='non_idempotent'),
+            route('uploads', 'desk', kind='upload'),
+            route('keyed', 'slots'),
+            service('calendar'),
+            service('desk'),
+            service('slots', **{'is-sharded': True, 'warm-s': 3.0}),
             {'resource-kind': 'limits', 'metadata': {}, 'spec': stated | limits},
         ],
     }
 
 
 @contextlib.asynccontextmanager
-async def started(*listeners: _Listener) -> AsyncIterator[None]:
+async def started(*listeners: Listener) -> AsyncIterator[None]:
     """Run stand-ins for as long as the block lasts."""
     for listener in listeners:
         await listener.start()
