--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -47,6 +48,10 @@
 MISSES = 2
 """Questions in a row without a 200 that take a daemon out of rotation."""
 
+FIRST_PORT, FIRST_EPHEMERAL_PORT = 12_000, 32_768
+"""Ports from which those of daemons are taken; the latter is Linux's usual first one of
+connections that state none."""
+
 KEPT_LINES = 4000
 FAILURES = ('task failed', 'request failed inside the daemon', 'work of the keeper failed')
 """Log events by which a daemon says that it failed itself."""
@@ -61,12 +66,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(('127.0.0.1', 0))
-        return [probe.getsockname()[1] for probe in probes]
+    """Return ports that nobody listens on, and that no connection is given by itself.
+
+    A port of the ephemeral range could be taken by another connection while its daemon is
+    down.
+    """
+    ports: list[int] = []
+    source = random.SystemRandom()
+    while len(ports) < count:
+        port = source.randrange(FIRST_PORT, FIRST_EPHEMERAL_PORT)
+        with contextlib.closing(socket.socket()) as probe, contextlib.suppress(OSError):
+            probe.bind(('127.0.0.1', port))
+            if port not in ports:
+                ports.append(port)
+    return ports
 
 
 class Daemon:
--- a/soak/_servers.py
+++ b/soak/_servers.py
@@ -33,9 +33,10 @@
 range, so that short runs see it."""
 
 LONG_PREFIX = '/x/long/'
-"""Prefix of targets whose work takes about as long as their route allows."""
+"""Prefix of targets whose work is long."""
 
-LONG_WORK_S = 0.9
+LONG_WORK_S = 1.5
+"""Mean time of long work, in seconds: most of it lasts beyond the time of its route."""
 
 MISBEHAVED_SHARE = 0.5
 """Part of the requests that a fault of a server strikes."""
@@ -43,8 +44,6 @@
 SECOND_ANSWER_S = 0.05
 """Longest time by which a second answer comes later, in seconds."""
 
-HIGHEST_KEY = 65535
-
 
 class BackendServerStandin(Listener):
     """One life of a backend server; its truth is known to the soak."""
