Give a server whose load is not known a daemon's share of its room until it answers

Ruled out: the admitted part that the keeper works out (it follows rates, and the crowd waits). Change: a daemon has no more than its share of the room at a server whose last report is older than two service times; further requests wait for its first answer, up to half the target latency.

--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -29,14 +29,15 @@
     from coltsfootstair.http1 import ConnectionPool, IncomingRequest
     from coltsfootstair.keyspace import OwnershipView
     from coltsfootstair.metrics import GatewayMetrics
+    from coltsfootstair.placement import Candidate
     from coltsfootstair.registry import BackendServer, Registry
     from coltsfootstair.routes import Route, RouteTable
 
 __all__ = ['Dispatcher']
 
-OWNER_WAIT_SHARE = 0.5
-"""Part of the target latency for which a request waits for a key that is moving; moves take
-about as long as one request."""
+WAIT_SHARE = 0.5
+"""Part of the target latency for which a request waits for a key that is moving, or for the
+first answer of a server whose load is not known; both take about as long as one request."""
 
 LEAVING_SHARE = 0.15
 """Part of the time in which a leaving server must be left alone, for which the owner of a
@@ -49,6 +50,10 @@
 RETRY_OWNER_S = 0.4
 """When a caller may come back whose key has no owner at present, in seconds."""
 
+ROOM_POLL_S = 0.02
+"""Seconds between two looks at whether the owner of a key has room for another request; a
+part of the shortest usual work."""
+
 SHED_TRIES = 4
 """Times that a request is sent to the only server that may run it while that server turns
 requests away though it has room."""
@@ -166,7 +171,7 @@
     async def _serve(self, request: RequestState) -> Reply:
         while True:
             if request.key is None:
-                choice = self._choose(request)
+                choice = await self._choose(request)
             else:
                 choice = await self._choose_owner(request, request.key)
             if isinstance(choice, Refusal):
@@ -195,60 +200,76 @@
             if attempt.outcome is Outcome.WRONG_SERVER and request.key is not None:
                 await self._ownership.changed_within(OWNER_RECHECK_S)
 
-    def _choose(self, request: RequestState) -> Place | Refusal:
-        now = self._clock.monotonic()
-        usable = self._registry.usable(request.service)
-        if not usable:
-            return Refusal(
-                ResultCode.SERVICE_OUT, Ran.NO, f'{request.service} has no server', 0.5
-            )
-        untried = [server for server in usable if server.name not in request.tried]
-        connections = request.policy.max_connections
-        candidates = [
-            self._fleet.candidate(server, connections) for server in untried or usable
-        ]
-        choice = place(candidates, self._demand(request, now), now, self._random)
-        if isinstance(choice, Refused):
-            return Refusal(
-                ResultCode.OVERLOADED,
-                Ran.NO,
-                f'{request.service}: {choice.reason}',
-                choice.retry_after_s,
-            )
-        return choice
+    async def _choose(self, request: RequestState) -> Place | Refusal:
+        waits_until = self._waits_until(request)
+        while True:
+            now = self._clock.monotonic()
+            usable = self._registry.usable(request.service)
+            if not usable:
+                return Refusal(
+                    ResultCode.SERVICE_OUT, Ran.NO, f'{request.service} has no server', 0.5
+                )
+            untried = [server for server in usable if server.name not in request.tried]
+            connections = request.policy.max_connections
+            candidates = [
+                self._fleet.candidate(server, connections) for server in untried or usable
+            ]
+            choice = place(candidates, self._demand(request, now), now, self._random)
+            if not isinstance(choice, Refused):
+                return choice
+            unknown = any(it.load.is_stale(now) and not it.has_room for it in candidates)
+            if not unknown or now >= waits_until:
+                return Refusal(
+                    ResultCode.OVERLOADED,
+                    Ran.NO,
+                    f'{request.service}: {choice.reason}',
+                    choice.retry_after_s,
+                )
+            await asyncio.sleep(min(waits_until - now, ROOM_POLL_S))
+
+    def _waits_until(self, request: RequestState) -> float:
+        wait_s = WAIT_SHARE * request.route.target_latency_s
+        return self._clock.monotonic() + wait_s
 
     async def _choose_owner(self, request: RequestState, key: int) -> Place | Refusal:
-        waits_until = (
-            self._clock.monotonic() + OWNER_WAIT_SHARE * request.route.target_latency_s
-        )
+        waits_until = self._waits_until(request)
         while True:
-            row = self._ownership.row_of(request.service, key)
-            server = None
-            if row is not None and row.live:
-                server = self._registry.get(row.owner[0])
-                if server is not None and server.life != row.owner:
-                    server = None
-            if server is not None and self._takes_requests(server):
-                break
+            server = self._owner_of(request.service, key)
             left_s = waits_until - self._clock.monotonic()
-            if left_s <= 0 or not await self._ownership.changed_within(left_s):
+            if server is not None:
+                candidate = self._fleet.candidate(server, request.policy.max_connections)
+                if candidate.has_room or left_s <= 0:
+                    break
+                await asyncio.sleep(min(left_s, ROOM_POLL_S))
+            elif left_s <= 0 or not await self._ownership.changed_within(left_s):
                 return Refusal(
                     ResultCode.NO_OWNER,
                     Ran.NO,
                     f'key {key} of {request.service} has no owner at present',
                     RETRY_OWNER_S,
                 )
+        return self._admit(request, key, candidate)
+
+    def _owner_of(self, service: str, key: int) -> BackendServer | None:
+        """Return the server that may be sent requests for a key now."""
+        row = self._ownership.row_of(service, key)
+        if row is None or not row.live:
+            return None
+        server = self._registry.get(row.owner[0])
+        if server is None or server.life != row.owner or not self._takes_requests(server):
+            return None
+        return server
+
+    def _admit(self, request: RequestState, key: int, candidate: Candidate) -> Place | Refusal:
         now = self._clock.monotonic()
-        candidate = self._fleet.candidate(server, request.policy.max_connections)
+        name = candidate.server.name
         if candidate.cold_wait_s > 0:
-            return Refusal(
-                ResultCode.COLD, Ran.NO, f'{server.name} is cold', candidate.cold_wait_s
-            )
-        if not self._admission.admits(server.name):
+            return Refusal(ResultCode.COLD, Ran.NO, f'{name} is cold', candidate.cold_wait_s)
+        if not self._admission.admits(name):
             return Refusal(
                 ResultCode.OVERLOADED,
                 Ran.NO,
-                f'{server.name}, which owns key {key}, is asked for more than it can serve',
+                f'{name}, which owns key {key}, is asked for more than it can serve',
                 RETRY_OWNER_S,
             )
         choice = place([candidate], self._demand(request, now), now, self._random)
@@ -256,7 +277,7 @@
             return Refusal(
                 ResultCode.OVERLOADED,
                 Ran.NO,
-                f'{server.name}, which owns key {key}, has no room',
+                f'{name}, which owns key {key}, has no room',
                 choice.retry_after_s,
             )
         return choice
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from coltsfootstair.peers import LoadFigures, Report
-from coltsfootstair.placement import Candidate, ColdPacer, ServerLoad
+from coltsfootstair.placement import Candidate, ColdPacer, ServerLoad, unreported_share
 from coltsfootstair.retries import WindowBudget
 
 if TYPE_CHECKING:
@@ -107,7 +107,11 @@
         if silent and self._trials.wait_s(server.life, self._clock.monotonic()) <= 0:
             silent = False
         most = max(server.slots, CONNECTION_SHARE * connections / self.daemons)
-        return Candidate(server, self.load(server), wait_s, most, silent)
+        load = self.load(server)
+        daemons = self._daemons()
+        if daemons and load.is_stale(self._clock.monotonic()):
+            most = min(most, unreported_share(server.slots, daemons))
+        return Candidate(server, load, wait_s, most, silent)
 
     def sent(self, server: BackendServer) -> None:
         """Count a request that is being sent to ``server``."""
--- a/src/coltsfootstair/placement/__init__.py
+++ b/src/coltsfootstair/placement/__init__.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 from coltsfootstair.placement._admission import AdmissionGate
-from coltsfootstair.placement._choose import Candidate, Demand, Place, Refused, place
+from coltsfootstair.placement._choose import (
+    Candidate,
+    Demand,
+    Place,
+    Refused,
+    place,
+    unreported_share,
+)
 from coltsfootstair.placement._cold import ColdPacer
 from coltsfootstair.placement._load import LoadReport, ServerLoad
 
@@ -17,4 +24,5 @@
     'Refused',
     'ServerLoad',
     'place',
+    'unreported_share',
 ]
--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -13,7 +13,7 @@
     from collections.abc import Sequence
 
 
-__all__ = ['Candidate', 'Demand', 'Place', 'Refused', 'place']
+__all__ = ['Candidate', 'Demand', 'Place', 'Refused', 'place', 'unreported_share']
 
 AWAY_COST_SHARE = 0.25
 """Part of the target latency by which an answer may take longer within the data centre
@@ -57,6 +57,11 @@
     most_at_once: float = math.inf
     answers_nobody: bool = False
 
+    @property
+    def has_room(self) -> bool:
+        """Whether this daemon may have another request there."""
+        return self.load.in_flight < self.most_at_once
+
 
 class Demand(NamedTuple):
     """What a request needs.
@@ -88,6 +93,16 @@
     reason: str
 
 
+def unreported_share(slots: int, daemons: int) -> int:
+    """Return how many requests a daemon may have at a server whose load it does not know.
+
+    Answers the moment at which a busy key gets another owner, or all daemons start anew:
+    each of them has requests waiting, and sees an idle server. The share is rounded up, as
+    some daemons have none.
+    """
+    return max(1, math.ceil(QUEUE_BOUND * slots / daemons))
+
+
 def place(
     candidates: Sequence[Candidate], demand: Demand, now: float, random_source: random.Random
 ) -> Place | Refused:
@@ -108,7 +123,7 @@
         if candidate.answers_nobody or load.seems_silent(now):
             soonest_s = min(soonest_s, SILENT_RETRY_S)
             continue
-        if load.in_flight >= candidate.most_at_once:
+        if not candidate.has_room:
             soonest_s = min(soonest_s, load.expected_s(now))
             continue
         expected_s = load.expected_s(now)
--- a/src/coltsfootstair/placement/_load.py
+++ b/src/coltsfootstair/placement/_load.py
@@ -27,6 +27,10 @@
 """Time constant in which past failures are forgotten, in seconds, so that a server that has
 recovered is tried again."""
 
+STALE_SERVICE_TIMES = 2.0
+"""Mean service times after which a report tells little of the present load: most of the
+requests that it counted have ended."""
+
 SILENT_REQUESTS = 3
 """Requests without an answer from which a server may be taken for silent."""
 
@@ -164,6 +168,10 @@
             return self.unanswered >= SILENT_REQUESTS and now - self._failed_at < RETRIAL_S
         return now - self.waiting_since > self._patience_s(now)
 
+    def is_stale(self, now: float) -> bool:
+        """Whether the last report is too old to tell what other daemons have sent."""
+        return now - self._reported_at > STALE_SERVICE_TIMES * self.service_s
+
     def failure_share(self, now: float) -> float:
         """Return the recent share of failures, from 0 to 1."""
         if self._failures == 0.0:
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -510,3 +510,22 @@
         return heard
 
     assert play(work())[0] == Beat('d1', 3, True, 9, {'s1': 0.5}, ['s2'], {'servers': 7})
+
+
+def test_requests_wait_for_the_first_answer_of_a_server_whose_load_is_not_known() -> None:
+    """They were refused, or lost behind each other, when all daemons sent them at once."""
+
+    async def slow(request: Received, writer: asyncio.StreamWriter) -> bool:
+        await asyncio.sleep(0.05)
+        writer.write(server.whole(request))
+        return True
+
+    server = ServerStandin('s1', slow)
+
+    async def work() -> list[int]:
+        async with system(('calendar', server)) as running:
+            running.gateway._fleet._daemons = lambda: 9
+            calls = [running.call('lookups', f'/x/{number}') for number in range(4)]
+            return [answered.status for answered in await asyncio.gather(*calls)]
+
+    assert play(work()) == [200] * 4
--- a/tests/placement/test_failing_server.py
+++ b/tests/placement/test_failing_server.py
@@ -16,9 +16,7 @@
 
 def _candidate(number: int) -> Candidate:
     address = Address('10.0.0.1', number)
-    server = BackendServer(
-        f'server-{number}', 1, 's', address, 'a', 4, ServerState.READY, 0.0
-    )
+    server = BackendServer(f'server-{number}', 1, 's', address, 'a', 4, ServerState.READY, 0.0)
     return Candidate(server, ServerLoad(4, SERVICE_S), 0.0)
 
 
