Let a failure cost target latencies, not the failing server's own times

Cause: what failed cost four of the server's own mean times, so that a quick server that failed a fifth of its requests was still preferred to sound ones of usual speed. Test without a bench: such a server against one that is four times slower.

--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -27,7 +27,8 @@
 longer is refused, so that those behind it are answered in time."""
 
 FAILURE_COST = 4.0
-"""How many service times a sure failure counts for."""
+"""How many target latencies a sure failure counts for: its caller has to start anew, if it
+may, and then is late."""
 
 JITTER_SHARE = 0.1
 """Random part of an estimate, so that daemons with the same view do not agree."""
@@ -134,7 +135,7 @@
         ):
             soonest_s = min(soonest_s, expected_s / 2)
             continue
-        cost = expected_s * (1.0 + FAILURE_COST * load.failure_share(now))
+        cost = expected_s + FAILURE_COST * load.failure_share(now) * demand.objective_s
         cost *= 1.0 + JITTER_SHARE * random_source.random()
         if candidate.server.data_centre != demand.data_centre:
             share = AWAY_COST_SHARE + demand.body_bytes / AWAY_COST_BYTES
--- a/tests/placement/test_failing_server.py
+++ b/tests/placement/test_failing_server.py
@@ -59,3 +59,14 @@
     assert load.service_s == SERVICE_S
     assert load.failure_share(1.01) > 0
     assert load.busy_s / load.finished == SERVICE_S
+
+
+def test_a_quick_server_that_fails_a_part_is_left_for_slower_ones() -> None:
+    """Failures counted in its own short times; a booking that fails is lost altogether."""
+    failing, slow = _candidate(0), _candidate(1)
+    failing.load.service_s = SERVICE_S / 4
+    for _ in range(4):
+        failing.load.failed(1.0)
+    choice = place([failing, slow], DEMAND, 1.0, random.Random(1))
+    assert isinstance(choice, Place)
+    assert choice.candidate is slow
