Survive a reload that comes at the start; say what a reload changed; end without a trace

SIGHUP had its handler only once the loop ran. Ruled out: a kill of the soak's own (status -1, not -9). The signal is now ignored from the program's first lines on; a reload takes the grace and the budget of repeats, and logs what changed or which field is not allowed. What the configuration says of services is a module of its own now.

--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -155,28 +155,41 @@
                 self._truth.broken(Promise.STEADY, f'{self.name}: {text[:500]}')
 
     async def watch_readiness(self) -> None:
-        """Ask as the balancer does, until cancelled."""
+        """Ask as the balancer does, over a kept connection, until cancelled."""
         misses = 0
         while True:
-            if await self._is_ready():
-                misses, self.in_rotation = 0, True
-            else:
+            try:
+                async with asyncio.timeout(QUESTION_S):
+                    reader, writer = await asyncio.open_connection(
+                        '127.0.0.1', self.ports.ready
+                    )
+            except (OSError, TimeoutError):
                 misses += 1
-                if misses >= MISSES:
-                    self.in_rotation = False
+            else:
+                misses = await self._ask_until_it_ends(reader, writer, misses)
+            if misses >= MISSES:
+                self.in_rotation = False
             await asyncio.sleep(QUESTION_S)
 
-    async def _is_ready(self) -> bool:
+    async def _ask_until_it_ends(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, misses: int
+    ) -> int:
+        """Ask on one connection; return how many questions in a row got no 200."""
         try:
-            async with asyncio.timeout(QUESTION_S):
-                reader, writer = await asyncio.open_connection('127.0.0.1', self.ports.ready)
-                try:
-                    writer.write(b'GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n')
-                    return b' 200 ' in await reader.readline()
-                finally:
-                    writer.close()
-        except (OSError, TimeoutError):
-            return False
+            while misses < MISSES:
+                writer.write(b'GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n')
+                async with asyncio.timeout(QUESTION_S):
+                    head = await reader.readuntil(b'\r\n\r\n')
+                if b' 200 ' in head.partition(b'\r\n')[0]:
+                    misses, self.in_rotation = 0, True
+                else:
+                    misses += 1
+                await asyncio.sleep(QUESTION_S)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            misses += 1
+        finally:
+            writer.transport.abort()
+        return misses
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, which this object has started."""
--- a/soak/_variants.py
+++ b/soak/_variants.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-import importlib.util
+import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -14,12 +14,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from types import ModuleType
 
 __all__ = ['PROMISE_BY_VARIANT']
 
 ROOT = Path(__file__).parents[1]
-PROGRAM = ROOT / 'platform' / 'daemon.py'
 
 PROMISE_BY_VARIANT = {
     'moves-without-release': Promise.SOLE_OWNER,
@@ -152,18 +150,11 @@
     setattr(owner, name, value)
 
 
-def _program() -> ModuleType:
-    spec = importlib.util.spec_from_file_location('daemon', PROGRAM)
-    assert spec is not None
-    assert spec.loader is not None
-    module = importlib.util.module_from_spec(spec)
-    spec.loader.exec_module(module)
-    return module
-
-
 if __name__ == '__main__':
     for folder in ('src', 'platform'):
         sys.path.insert(0, str(ROOT / folder))
-    program = _program()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     _break(sys.argv[1])
-    sys.exit(program.main())
+    from coltsfootstair_platform import main
+
+    sys.exit(main())
--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -13,6 +13,7 @@
 from coltsfootstair.gateway._dispatcher import Dispatcher
 from coltsfootstair.gateway._fleet import Fleet
 from coltsfootstair.gateway._refusals import render_refusal
+from coltsfootstair.gateway._services import ServicesInForce
 from coltsfootstair.gateway._subscribers import (
     ConfigurationSubscriber,
     EvacuationSubscriber,
@@ -65,13 +66,6 @@
 BODY_MEMORY_SHARE = 0.3
 """Part of the process's memory that bodies under way may fill."""
 
-USUAL_SHARE = 0.3
-"""Part of the strictest target latency that a service is expected to take while nothing is
-known of it: the rest is left for waits."""
-
-DEFAULT_TARGET_S = 0.3
-"""Target latency taken for granted where no route states one, in seconds."""
-
 STRONG_LINK_MBPS = 100.0
 """Bandwidth at which a VM is no weaker as keeper than others, in megabits a second: at ten
 changes a second of some kilobytes each, it serves some hundred daemons."""
@@ -124,6 +118,7 @@
         self._relay = Relay()
         self._registry = Registry(clock)
         self._configuration = ConfigurationSubscriber(ports.decoder)
+        self._services = ServicesInForce(lambda: self._configuration.table)
         self._ownership = OwnershipView()
         self._pool = ConnectionPool(clock, ports.dialect.id_header)
         self._fleet = Fleet(
@@ -131,9 +126,9 @@
             self._registry,
             clock,
             settings.retries,
-            lambda: self._daemons(),
-            self._cold_per_s,
-            self._usual_s,
+            lambda: self._keeper.known_daemons,
+            self._services.cold_per_s,
+            self._services.usual_s,
             lambda: self._keeper.silent_servers,
             random_source,
         )
@@ -216,6 +211,22 @@
         """Begin a graceful end."""
         self._stop.set()
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed settings: the grace and the budget of repeats apply at once.
+
+        What else has changed applies from the next start on.
+        """
+        changed = [
+            field
+            for field in settings._fields
+            if getattr(settings, field) != getattr(self._settings, field)
+        ]
+        logger.info('settings reloaded', changed=changed)
+        self._settings = self._settings._replace(
+            grace_s=settings.grace_s, retries=settings.retries
+        )
+        self._fleet.retries = settings.retries
+
     async def run(self) -> None:
         """Serve until stopped and nothing is left in flight, or the grace is over."""
         loop = asyncio.get_running_loop()
@@ -287,7 +298,8 @@
             'coltsfootstair.backend_servers',
             'Backend servers that may be sent requests, by service',
             lambda: {
-                service: len(self._registry.usable(service)) for service in self._services()
+                service: len(self._registry.usable(service))
+                for service in self._services.names()
             },
             'service',
         )
@@ -303,15 +315,11 @@
         return {
             'configuration_version': table.configuration.version if table else 0,
             'ready': float(self.is_ready),
-            'store_works': float(self._store_works()),
+            'store_works': float(self._health.works),
             'keeper': float(self._keeper.is_leading),
             'daemons': self._keeper.known_daemons,
         }
 
-    def _services(self) -> list[str]:
-        table = self._configuration.table
-        return [] if table is None else sorted(table.configuration.policy_by_service)
-
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
@@ -361,39 +369,6 @@
                     logger.warning('log lines dropped', count=self._dropped_lines() - dropped)
                     dropped = self._dropped_lines()
 
-    def _daemons(self) -> int:
-        return self._keeper.known_daemons
-
-    def _store_works(self) -> bool:
-        return self._health.works
-
-    def _divided_services(self) -> set[str]:
-        table = self._configuration.table
-        if table is None:
-            return set()
-        policies = table.configuration.policy_by_service.values()
-        return {policy.name for policy in policies if policy.divided_by_key}
-
-    def _cold_per_s(self, service: str) -> float:
-        table = self._configuration.table
-        if table is None or service not in table.configuration.policy_by_service:
-            return 0.0
-        return table.configuration.policy_by_service[service].cold_per_s
-
-    def _usual_s(self, service: str) -> float:
-        """Return a service's time as the operators' targets let expect it, in seconds."""
-        table = self._configuration.table
-        targets = (
-            []
-            if table is None
-            else [
-                route.target_latency_s
-                for route in table.configuration.routes
-                if any(share.service == service for share in route.shares)
-            ]
-        )
-        return USUAL_SHARE * min(targets, default=DEFAULT_TARGET_S)
-
     def _keeper_parts(self, random_source: random.Random) -> KeeperParts:
         return KeeperParts(
             self._ports.store,
@@ -402,10 +377,10 @@
             self._ownership,
             self.clock,
             random_source,
-            self._store_works,
-            self._divided_services,
-            self._cold_per_s,
-            self._usual_s,
+            lambda: self._health.works,
+            self._services.divided_by_key,
+            self._services.cold_per_s,
+            self._services.usual_s,
             self._settings.longest_hold_s,
             self._settings.address_reuse_s,
             self._strength(),
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -62,7 +62,7 @@
         self._name = name
         self._registry = registry
         self._clock = clock
-        self._retries = retries
+        self.retries = retries
         self._daemons = daemons
         self._cold_per_s = cold_per_s
         self._usual_s = usual_s
@@ -132,7 +132,7 @@
 
     def may_repeat(self, service: str) -> bool:
         """Spend one repeat of the budget, if there is one."""
-        slack = SLACK_SHARE * self._retries.slack / self.daemons
+        slack = SLACK_SHARE * self.retries.slack / self.daemons
         return self._budget(service).take(self._clock.monotonic(), slack)
 
     def collect(
@@ -162,6 +162,6 @@
     def _budget(self, service: str) -> WindowBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
-            budget = WindowBudget(BUDGET_SHARE * self._retries.ratio, self._retries.window_s)
+            budget = WindowBudget(BUDGET_SHARE * self.retries.ratio, self.retries.window_s)
             self._budget_by_service[service] = budget
         return budget
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -428,6 +428,9 @@
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, IndexError):
             pass  # The peer has left, or sent what is no request; there is no one to answer.
+        except asyncio.CancelledError:
+            # The process ends; asyncio prints the trace of a handler that says so.
+            return
         finally:
             writer.close()
 
--- /dev/null
+++ b/tests/coltsfootstair_platform/test_program.py
@@ -0,0 +1,112 @@
+"""The program that the platform starts: signals and settings while it runs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from coltsfootstair.http1 import serve_status
+from tests.coltsfootstair_platform.standin import StoreStandin, configuration, started
+from tests.gateway.harness import play
+
+ROOT = Path(__file__).parents[2]
+PROGRAM = str(ROOT / 'platform' / 'daemon.py')
+SETTINGS = """
+node-name = "d1"
+ip = "127.0.0.1"
+zone = "north"
+internal-port-range = [0, 0]
+bounds = ["grace-s={grace}"]
+[listen-addrs]
+front = "127.0.0.1:0"
+[limits]
+memory-mb = 300
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def test_a_reload_while_the_program_starts_does_not_end_it(tmp_path: Path) -> None:
+    """A SIGHUP before the loop had its handler killed the process (seed 127 of the soak)."""
+    path = tmp_path / 'node.toml'
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, PROGRAM],
+        env=os.environ | {'COLTSFOOTSTAIR_SETTINGS': str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    # Opening succeeds once the program reads its settings: it is past its imports, and has
+    # not begun to run.
+    with path.open('w') as settings:
+        process.send_signal(signal.SIGHUP)
+        settings.write('no settings')
+    _, errors = process.communicate(timeout=20.0)
+    assert process.returncode == 2
+    assert errors.count('\n') == 1
+
+
+async def _until(process: asyncio.subprocess.Process, event: str) -> dict[str, object]:
+    """Return the first line of the log that tells of ``event``."""
+    assert process.stdout is not None
+    async for line in process.stdout:
+        told = json.loads(line)
+        if told['event'] == event:
+            return dict(told)
+    raise AssertionError(f'the log ended without {event!r}')
+
+
+def test_a_reload_takes_what_is_allowed_and_says_what_is_not(tmp_path: Path) -> None:
+    path = tmp_path / 'node.toml'
+
+    async def work() -> tuple[dict[str, object], dict[str, object], int]:
+        store = StoreStandin()
+        async with started(store):
+            await store.put('config', 'main', configuration())
+            path.write_text(SETTINGS.format(grace=5, store=store.port))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                PROGRAM,
+                env=os.environ | {'COLTSFOOTSTAIR_SETTINGS': str(path)},
+                stdout=asyncio.subprocess.PIPE,
+            )
+            await _until(process, 'ready')
+            path.write_text(SETTINGS.format(grace=3, store=store.port))
+            process.send_signal(signal.SIGHUP)
+            reloaded = await _until(process, 'settings reloaded')
+            path.write_text('no settings')
+            process.send_signal(signal.SIGHUP)
+            refused = await _until(process, 'settings refused')
+            process.terminate()
+            await _until(process, 'stopped')
+            return reloaded, refused, await process.wait()
+
+    reloaded, refused, status = play(work())
+    assert reloaded['changed'] == ['grace_s']
+    assert refused['file'] == str(path)
+    assert status == 0
+
+
+def test_status_connections_that_are_open_at_the_end_leave_no_trace() -> None:
+    """Asyncio printed a trace for each connection of the balancer when a daemon ended."""
+    complaints: list[dict[str, object]] = []
+
+    async def status(_: bytes) -> tuple[int, bytes]:
+        return 200, b''
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: complaints.append(context))
+        server = await serve_status('127.0.0.1', 0, status)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        writer.write(b'GET / HTTP/1.1\r\n\r\n')
+        await reader.readuntil(b'\r\n\r\n')
+        server.close()
+
+    asyncio.run(work())
+    assert complaints == []
