Drop a booking that was not sent yet when its caller leaves

Cause: read while writing the soak: what may not be repeated was let run to its end without its caller, also while it still waited for room or for an owner, and was sent on then. Ruled out for bookings that were sent: they run on, since their outcome is to be known. Test without a bench, seen failing before.

--- a/soak/_variants.py
+++ b/soak/_variants.py
@@ -99,7 +99,7 @@
         case 'works-for-nobody':
             from coltsfootstair.gateway import Gateway
 
-            _replace(Gateway, 'finishes_without_caller', lambda *_: True)
+            _replace(Gateway, 'caller_left', lambda *_: True)
         case 'waits-for-ever':
             from coltsfootstair.gateway import _dispatcher
 
--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -27,7 +27,6 @@
 from coltsfootstair.peers import PeerChannel
 from coltsfootstair.registry import Registry
 from coltsfootstair.results import Ran, Refusal, ResultCode
-from coltsfootstair.routes import RequestKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -184,10 +183,9 @@
         finally:
             self._requests -= 1
 
-    def finishes_without_caller(self, request: IncomingRequest) -> bool:
-        """Whether a request goes on when its caller has left."""
-        route = self._dispatcher.route_of(request)
-        return route is not None and route.kind is not RequestKind.IDEMPOTENT
+    def caller_left(self, request: IncomingRequest) -> bool:
+        """Note that a caller has left; true if its request is to end all the same."""
+        return self._dispatcher.caller_left(request)
 
     def refuse(self, status: int) -> Reply:
         """Return the answer to what is no proper request."""
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -97,6 +97,7 @@
         self._metrics = metrics
         self._log = log
         self._limits: set[asyncio.Timeout] = set()
+        self._under_way: dict[int, RequestState] = {}
         self._leaving_grace_s = LEAVING_SHARE * drain_s
         self._admission = AdmissionGate(admitted_by_server, clock)
 
@@ -118,6 +119,7 @@
         if refusal is not None:
             return self._refused(request, refusal)
         left_s = request.ends_at - self._clock.monotonic()
+        self._under_way[id(incoming)] = request
         try:
             async with asyncio.timeout(left_s) as limit:
                 self._limits.add(limit)
@@ -132,6 +134,20 @@
             self._log.write(request.trace, 'caller left', '')
             self._metrics.ended(request.route.name, 'caller left', now - incoming.received_at)
             raise
+        finally:
+            del self._under_way[id(incoming)]
+
+    def caller_left(self, incoming: IncomingRequest) -> bool:
+        """Note that a request's caller has left; true if the request is to end all the same.
+
+        What may not be repeated and has been sent runs on, so that its outcome is known and
+        logged; it is not sent once more.
+        """
+        request = self._under_way.get(id(incoming))
+        if request is None or request.route.kind is RequestKind.IDEMPOTENT:
+            return False
+        request.abandoned = True
+        return request.may_have_run
 
     def end_all(self) -> None:
         """Give up all requests that are under way; each gets its final answer."""
@@ -295,6 +311,8 @@
 
     def _may_go_on(self, request: RequestState, attempt: Attempt) -> bool:
         """Whether another attempt may follow a failed one."""
+        if request.abandoned:
+            return False
         if attempt.outcome is Outcome.NOT_SENT:
             return request.unconnected < NEVER_SENT_TRIES
         if attempt.outcome is Outcome.SHED_WITH_ROOM and request.key is not None:
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -71,6 +71,7 @@
     """State of one request while it is handled."""
 
     __slots__ = (
+        'abandoned',
         'attempts',
         'ends_at',
         'incoming',
@@ -97,6 +98,7 @@
         self.attempts = 0
         self.unconnected = 0
         self.may_have_run = False
+        self.abandoned = False
         self.ends_at = 0.0
         self.table: RouteTable
         self.route: Route
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -87,8 +87,8 @@
     async def handle(self, request: IncomingRequest) -> Reply:
         """Answer one request; cancelled when its caller has left."""
 
-    def finishes_without_caller(self, request: IncomingRequest) -> bool:
-        """Whether a request goes on when its caller has left."""
+    def caller_left(self, request: IncomingRequest) -> bool:
+        """Note that a caller has left; true if its request is to end all the same."""
 
     def refuse(self, status: int) -> Reply:
         """Return the answer to what is no proper request."""
@@ -158,7 +158,7 @@
             if (
                 turn.task is not None
                 and turn.request is not None
-                and not self._service.finishes_without_caller(turn.request)
+                and not self._service.caller_left(turn.request)
             ):
                 turn.task.cancel()
         self._turns.clear()
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -529,3 +529,32 @@
             return [answered.status for answered in await asyncio.gather(*calls)]
 
     assert play(work()) == [200] * 4
+
+
+def test_a_booking_that_was_not_sent_yet_is_dropped_when_its_caller_leaves() -> None:
+    """It was sent on once there was room, though nobody waited for it any more."""
+
+    async def slow(request: Received, writer: asyncio.StreamWriter) -> bool:
+        await asyncio.sleep(0.1)
+        writer.write(server.whole(request))
+        return True
+
+    server = ServerStandin('s1', slow)
+
+    async def work() -> list[str]:
+        async with system(('desk', server)) as running:
+            running.gateway._fleet._daemons = lambda: 9
+            room = [
+                asyncio.ensure_future(running.call('bookings', f'/x/{number}', b'body'))
+                for number in range(2)
+            ]
+            await asyncio.sleep(0.03)
+            caller = await running.connect()
+            caller.send('bookings', '/x/left', b'body')
+            await asyncio.sleep(0.03)
+            caller.writer.close()
+            assert [(await call).status for call in room] == [200, 200]
+            await asyncio.sleep(0.2)
+            return [received.target for received in server.received]
+
+    assert play(work()) == ['/x/0', '/x/1']
