--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -9,6 +9,7 @@
 import structlog
 
 from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
+from coltsfootstair.keyspace._broadcast import Broadcast, unpack_changes
 from coltsfootstair.keyspace._holds import CLOCK_RATE, TRANSIT_S
 from coltsfootstair.keyspace._lease import (
     ALONE_PAUSE_S,
@@ -20,22 +21,21 @@
     may_take_over,
 )
 from coltsfootstair.keyspace._reports import PEER_MEMORY_S, ReportBook
-from coltsfootstair.keyspace._service import ServiceKeeper
+from coltsfootstair.keyspace._services import ServiceKeepers
 from coltsfootstair.keyspace._suspects import Suspects
 from coltsfootstair.keyspace._view import KIND, LEASE_NAME
-from coltsfootstair.objects import Change, RelayedChanges, StoredObject
 from coltsfootstair.peers import (
     Beat,
     Message,
     ObjectsUpdate,
     Report,
     TableUpdate,
-    encode,
 )
 
 if TYPE_CHECKING:
     from coltsfootstair.http1 import Address
     from coltsfootstair.keyspace._parts import Channel, KeeperParts
+    from coltsfootstair.objects import RelayedChanges, StoredObject
 
 __all__ = ['Keeper']
 
@@ -74,18 +74,10 @@
 """How long a keeper without the store goes on renewing while most daemons report to it that
 they are without it too, in seconds."""
 
-UPDATE_TRANSIT_S = 0.1
-"""How long a change of a table may be under way to a daemon before the whole table is sent,
-in seconds."""
-
 WEAK_DELAY_S = 0.6
 """How much longer the weakest VM waits than a strong one before it takes over, in seconds:
 the keeper sends each change to all daemons."""
 
-LARGEST_UPDATE_BYTES = 16 * 1024
-"""Size up to which changes are passed on in one datagram; beyond it each daemon reads them
-from the store itself."""
-
 HOLD_S = 2.5
 """How long keys are granted for, in seconds: renewed three times over, it bears the change
 of a keeper; a lost owner's keys wait for it to run out."""
@@ -99,11 +91,18 @@
         self.daemons = 0
         self._address = address
         self._parts = parts
-        self._channel: Channel | None = None
         self._lease: KeeperLease | None = None
         self._leading: asyncio.Task[None] | None = None
-        self._service_keepers: dict[str, ServiceKeeper] = {}
         self._reports = ReportBook(parts.clock)
+        self._broadcast = Broadcast(self._reports, address)
+        self._services = ServiceKeepers(
+            parts,
+            self._broadcast,
+            lambda: self.hold_s,
+            lambda: self.is_leading,
+            lambda epoch: self._step_down(f'a table was written under epoch {epoch}'),
+            lambda: self.silent_servers,
+        )
         self._heard_at = parts.clock.monotonic()
         self._storeless_since: float | None = None
         self._alone_until = -math.inf
@@ -116,7 +115,6 @@
         self.admitted_by_server: dict[str, float] = {}
         self.silent_servers: list[str] = []
         self._suspects = Suspects()
-        self._admitted_at = -math.inf
         parts.view.subscribe_lease(self._on_lease)
 
     @property
@@ -151,7 +149,7 @@
 
     def attach(self, channel: Channel) -> None:
         """Use ``channel`` to talk with the other daemons."""
-        self._channel = channel
+        self._broadcast.attach(channel)
 
     async def run(self) -> None:
         """Report, and take over when there is need, until cancelled."""
@@ -232,10 +230,7 @@
             self._step_down('the daemon is stopping')
 
     def _announce_end(self, lease: KeeperLease) -> None:
-        if self._channel is None:
-            return
-        for address in self._reports.addresses(self._address):
-            self._channel.send(Beat('', lease.epoch, True, self.daemons, {}, [], {}), address)
+        self._broadcast.send_to_all(Beat('', lease.epoch, True, self.daemons, {}, [], {}))
 
     def close(self) -> None:
         """End the work of a keeper without a word to anybody."""
@@ -252,7 +247,7 @@
             case ObjectsUpdate():
                 lease = self._parts.view.lease
                 if lease is not None and message.epoch >= lease.epoch:
-                    self._parts.relayed(_changes_of(message))
+                    self._parts.relayed(unpack_changes(message))
             case TableUpdate():
                 self._received_table(message, now)
 
@@ -285,33 +280,18 @@
         self._alone_until = -math.inf
         self._reports.note(report, sender)
         self._take_figures(report, now)
-        if self._channel is not None:
-            works = now - self._confirmed_at <= FRESH_S
-            beat = Beat(
-                self.name,
-                self._lease.epoch,
-                works,
-                len(self._reports.recent()),
-                self._admitted(now),
-                self.silent_servers,
-                self._parts.revisions(),
-            )
-            self._channel.send(beat, sender)
-            for service, keeper in self._service_keepers.items():
-                behind = report.revision_by_service.get(service, 0) < keeper.revision
-                if behind and now - keeper.published_at > UPDATE_TRANSIT_S:
-                    self._send_table(keeper, sender)
-
-    def _admitted(self, now: float) -> dict[str, float]:
-        """Return what overloaded owners can serve, worked out once for all daemons."""
-        if now - self._admitted_at > REPORT_S / 2:
-            self._admitted_at = now
-            self.admitted_by_server = {
-                name: share
-                for keeper in self._service_keepers.values()
-                for name, share in keeper.admitted().items()
-            }
-        return self.admitted_by_server
+        self.admitted_by_server = self._services.admitted(now)
+        beat = Beat(
+            self.name,
+            self._lease.epoch,
+            now - self._confirmed_at <= FRESH_S,
+            len(self._reports.recent()),
+            self.admitted_by_server,
+            self.silent_servers,
+            self._parts.revisions(),
+        )
+        self._broadcast.send(beat, sender)
+        self._services.send_missed(report, sender, now)
 
     def _received_table(self, update: TableUpdate, now: float) -> None:
         lease = self._parts.view.lease
@@ -321,30 +301,8 @@
 
     def publish(self, changes: RelayedChanges) -> None:
         """Pass on what this daemon read, if it is the keeper; much at once is only noted."""
-        if self._lease is None or self._channel is None:
-            return
-        update = ObjectsUpdate(
-            self._lease.epoch,
-            changes.kind,
-            changes.after,
-            changes.revision,
-            [(*change.object, change.deleted) for change in changes.changes],
-        )
-        if len(encode(update)) > LARGEST_UPDATE_BYTES:
-            return
-        for address in self._reports.addresses(self._address):
-            self._channel.send(update, address)
-
-    def _announce(self, update: TableUpdate) -> None:
-        """Send what changed in a table; a daemon that misses it gets the table later."""
-        if self._channel is not None:
-            for address in self._reports.addresses(self._address):
-                self._channel.send(update, address)
-
-    def _send_table(self, keeper: ServiceKeeper, address: Address) -> None:
-        update = keeper.update() if self._lease is not None else None
-        if update is not None and self._channel is not None:
-            self._channel.send(update, address)
+        if self._lease is not None:
+            self._broadcast.publish(changes, self._lease.epoch)
 
     def _note_silent(self, names: list[str]) -> None:
         if names != self.silent_servers:
@@ -354,17 +312,7 @@
     def _take_figures(self, report: Report, now: float) -> None:
         self._suspects.reported(report, now)
         self._note_silent(self._suspects.names(now))
-        for service, requests_by_key in report.requests_by_key.items():
-            keeper = self._service_keepers.get(service)
-            if keeper is not None:
-                keeper.demand.requested(requests_by_key, now)
-        for server_name, figures in report.load_by_server.items():
-            server = self._parts.registry.get(server_name)
-            if server is None:
-                continue
-            keeper = self._service_keepers.get(server.service)
-            if keeper is not None:
-                keeper.demand.answered(server_name, figures)
+        self._services.take_figures(report, now)
 
     def _is_majority(self, daemons: int) -> bool:
         """Whether ``daemons`` are most of those that were counted last."""
@@ -381,12 +329,12 @@
         if self._lease is not None:
             self._reports.note(report, self._address)
             self._take_figures(report, now)
-            self._admitted(now)
+            self.admitted_by_server = self._services.admitted(now)
             self.daemons = max(1, len(self._reports.recent()))
             if now - self._took_over_at > COUNT_S:
                 self._most_daemons = max(self._most_daemons, self.daemons)
-        elif self._channel is not None and lease.holder != self.name:
-            self._channel.send(report, lease.address)
+        elif lease.holder != self.name:
+            self._broadcast.send(report, lease.address)
 
     def _election_state(self) -> ElectionState:
         return ElectionState(
@@ -454,9 +402,7 @@
         if self._leading is not None:
             self._leading.cancel()
             self._leading = None
-        for keeper in self._service_keepers.values():
-            keeper.close()
-        self._service_keepers = {}
+        self._services.close()
 
     async def _run_as_keeper(self, lease: KeeperLease, *, given_back: bool) -> None:
         now = self._parts.clock.monotonic()
@@ -467,7 +413,7 @@
         if lease.epoch == 1:
             unknown_until = now
         while True:
-            self._match_services(unknown_until)
+            self._services.match(lease.epoch, unknown_until)
             read_at = self._parts.clock.monotonic()
             try:
                 async with asyncio.timeout(CONFIRM_TIMEOUT_S):
@@ -490,7 +436,7 @@
                     now = self._parts.clock.monotonic()
                     ends_at = now + PEER_MEMORY_S + ISOLATED_S + hold_ends_s
                     unknown_until = min(unknown_until, ends_at)
-                self._match_services(unknown_until)
+                self._services.match(lease.epoch, unknown_until)
 
     async def _note_daemons(self, item: StoredObject) -> None:
         """Write how many daemons there are, for those that start while nobody is heard."""
@@ -505,39 +451,3 @@
                 logger.info('number of daemons not written', reason=str(error))
                 return
             self._parts.view.take(written)
-
-    def _match_services(self, unknown_until: float) -> None:
-        for keeper in self._service_keepers.values():
-            keeper.bound_unknown_holds(unknown_until)
-        if self._lease is None:
-            return
-        epoch = self._lease.epoch
-        for service in sorted(self._parts.services() - self._service_keepers.keys()):
-            keeper = ServiceKeeper(
-                service,
-                epoch,
-                self._parts,
-                unknown_until,
-                lambda: self.hold_s,
-                self.is_leading_now,
-                self._deposed,
-                self._announce,
-                lambda: self.silent_servers,
-            )
-            self._service_keepers[service] = keeper
-            keeper.start()
-
-    def _deposed(self, epoch: int) -> None:
-        self._step_down(f'a table was written under epoch {epoch}')
-
-    def is_leading_now(self) -> bool:
-        """Whether this daemon is keeper."""
-        return self._lease is not None
-
-
-def _changes_of(update: ObjectsUpdate) -> RelayedChanges:
-    changes = [
-        Change(StoredObject(name, revision, value), deleted)
-        for name, revision, value, deleted in update.changes
-    ]
-    return RelayedChanges(update.kind, update.after, update.revision, changes)
--- /dev/null
+++ b/src/coltsfootstair/keyspace/_services.py
@@ -0,0 +1,116 @@
+"""The tables of all services while this daemon is the keeper."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from coltsfootstair.keyspace._service import ServiceKeeper
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coltsfootstair.http1 import Address
+    from coltsfootstair.keyspace._broadcast import Broadcast
+    from coltsfootstair.keyspace._parts import KeeperParts
+    from coltsfootstair.peers import Report
+
+__all__ = ['ServiceKeepers']
+
+UPDATE_TRANSIT_S = 0.1
+"""How long a change of a table may be under way to a daemon before the whole table is sent,
+in seconds."""
+
+ADMITTED_S = 0.15
+"""Seconds for which what overloaded owners can serve is not worked out anew; half of the time
+between a daemon's reports."""
+
+
+class ServiceKeepers:
+    """One ``ServiceKeeper`` for each service that is divided by key.
+
+    :param hold_s: returns how long keys may be granted for now; ``None`` if not at all
+    :param is_leading: returns whether this daemon is still the keeper
+    :param deposed: called with the epoch of another keeper that wrote a table
+    :param silent_servers: returns the servers that answer no daemon at present
+    """
+
+    def __init__(
+        self,
+        parts: KeeperParts,
+        broadcast: Broadcast,
+        hold_s: Callable[[], float | None],
+        is_leading: Callable[[], bool],
+        deposed: Callable[[int], None],
+        silent_servers: Callable[[], list[str]],
+    ) -> None:
+        self._parts = parts
+        self._broadcast = broadcast
+        self._hold_s = hold_s
+        self._is_leading = is_leading
+        self._deposed = deposed
+        self._silent_servers = silent_servers
+        self._keeper_by_service: dict[str, ServiceKeeper] = {}
+        self._admitted_at = -math.inf
+        self._admitted_by_server: dict[str, float] = {}
+
+    def match(self, epoch: int, unknown_until: float) -> None:
+        """Start to keep the services that the configuration has come to divide by key.
+
+        :param unknown_until: until when holds may last that another keeper granted
+        """
+        for keeper in self._keeper_by_service.values():
+            keeper.bound_unknown_holds(unknown_until)
+        for service in sorted(self._parts.services() - self._keeper_by_service.keys()):
+            keeper = ServiceKeeper(
+                service,
+                epoch,
+                self._parts,
+                unknown_until,
+                self._hold_s,
+                self._is_leading,
+                self._deposed,
+                self._broadcast.send_to_all,
+                self._silent_servers,
+            )
+            self._keeper_by_service[service] = keeper
+            keeper.start()
+
+    def close(self) -> None:
+        """End the work on all tables."""
+        for keeper in self._keeper_by_service.values():
+            keeper.close()
+        self._keeper_by_service = {}
+
+    def take_figures(self, report: Report, now: float) -> None:
+        """Take what a daemon reports of requests and answers."""
+        for service, requests_by_key in report.requests_by_key.items():
+            keeper = self._keeper_by_service.get(service)
+            if keeper is not None:
+                keeper.demand.requested(requests_by_key, now)
+        for server_name, figures in report.load_by_server.items():
+            server = self._parts.registry.get(server_name)
+            keeper = self._keeper_by_service.get(server.service) if server else None
+            if keeper is not None:
+                keeper.demand.answered(server_name, figures)
+
+    def admitted(self, now: float) -> dict[str, float]:
+        """Return what overloaded owners can serve, worked out once for all daemons."""
+        if now - self._admitted_at > ADMITTED_S:
+            self._admitted_at = now
+            self._admitted_by_server = {
+                name: share
+                for keeper in self._keeper_by_service.values()
+                for name, share in keeper.admitted().items()
+            }
+        return self._admitted_by_server
+
+    def send_missed(self, report: Report, address: Address, now: float) -> None:
+        """Send a daemon the tables of which it missed a change."""
+        for service, keeper in self._keeper_by_service.items():
+            behind = report.revision_by_service.get(service, 0) < keeper.revision
+            if not behind or now - keeper.published_at <= UPDATE_TRANSIT_S:
+                continue
+            update = keeper.update()
+            if update is not None:
+                self._broadcast.send(update, address)
