--- a/bench/_news_slopes.py
+++ b/bench/_update_slopes.py
@@ -8,17 +8,17 @@
 
 from bench._fit import measured
 from bench._gauge import cpu_us, memory_bytes
-from coltsfootstair.inner import NewsAnswer, NewsRequest, encode
+from coltsfootstair.inner import UpdatesAnswer, UpdatesRequest, encode
 from coltsfootstair.leases import LeaseRecord, encode_record, record_key
-from coltsfootstair.news import Neighbours, is_watcher, peers_to_ask
 from coltsfootstair.store import Replica, Versioned, VirtualMachine
+from coltsfootstair.updates import Neighbours, is_watcher, peers_to_ask
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from bench._fit import Slope
 
-__all__ = ['news_slopes']
+__all__ = ['update_slopes']
 
 DAEMONS = (575, 1150, 2300, 4600)
 OBJECTS = (2000, 4000, 8000, 16000)
@@ -28,7 +28,7 @@
 ASKS = 20
 
 
-def news_slopes() -> Iterator[Slope]:
+def update_slopes() -> Iterator[Slope]:
     """Measure the rounds of one daemon, and the answers of one watcher."""
     yield measured(
         'vm_list_bytes',
@@ -54,9 +54,9 @@
         repeats=1,
     )
     yield measured(
-        'news_round_us',
+        'update_round_us',
         'us per daemon',
-        f'choosing whom to ask for news, {DATA_CENTRES} data centres, mean of {ROUNDS}',
+        f'choosing whom to ask for updates, {DATA_CENTRES} data centres, mean of {ROUNDS}',
         DAEMONS,
         _rounds,
     )
@@ -68,16 +68,16 @@
         _watching,
     )
     yield measured(
-        'news_quiet_us',
+        'update_quiet_us',
         'us per object',
-        f'looking for news for one asker while there is none, mean of {ASKS}',
+        f'looking for updates for one asker while there is none, mean of {ASKS}',
         OBJECTS,
-        _ask_without_news,
+        _ask_without_updates,
     )
     yield measured(
-        'news_bytes',
+        'update_bytes',
         'bytes per question',
-        'a question for news and an answer without any',
+        'a question for updates and an answer without any',
         COUNTS,
         _quiet_bytes,
         repeats=1,
@@ -131,7 +131,7 @@
     return cpu_us(work) / ROUNDS
 
 
-def _ask_without_news(objects: int) -> float:
+def _ask_without_updates(objects: int) -> float:
     value = encode_record(LeaseRecord('daemon-0017', 'a' * 32, 'daemon-4011', 'b' * 32, 12))
     replica = Replica()
     replica.apply([Versioned(record_key(f'{n:06}'), n + 1, value) for n in range(objects)])
@@ -144,6 +144,6 @@
 
 
 def _quiet_bytes(count: int) -> float:
-    question = encode(NewsRequest(70_000, 1_000_000, 500, False))
-    answer = encode(NewsAnswer(70_000, [], 1_000_000, 500, 300, True))
+    question = encode(UpdatesRequest(70_000, 1_000_000, 500, False))
+    answer = encode(UpdatesAnswer(70_000, [], 1_000_000, 500, 300, True))
     return float(count * (len(question) + len(answer)))
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -18,12 +18,12 @@
 from bench._lease_slopes import lease_slopes
 from bench._loss_slopes import loss_slopes
 from bench._message_slopes import message_slopes
-from bench._news_slopes import news_slopes
 from bench._peer_slopes import peer_slopes
 from bench._report import write_report
 from bench._request_slopes import request_slopes, start_system
 from bench._state_slopes import state_slopes
 from bench._store_slopes import store_slopes
+from bench._update_slopes import update_slopes
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -37,7 +37,7 @@
     'state',
     'leases',
     'peers',
-    'news',
+    'updates',
     'grants',
     'control',
     'loss',
@@ -71,7 +71,7 @@
         'state': state_slopes,
         'leases': lease_slopes,
         'peers': peer_slopes,
-        'news': news_slopes,
+        'updates': update_slopes,
         'grants': grant_slopes,
         'control': control_slopes,
         'loss': loss_slopes,
--- a/src/coltsfootstair/clock/_clock.py
+++ b/src/coltsfootstair/clock/_clock.py
@@ -32,7 +32,7 @@
 
 
 class ManualClock:
-    """A clock that moves only when told to, for tests."""
+    """A clock that moves only when asked to, for tests."""
 
     def __init__(self, start_s: float = 1000.0) -> None:
         self._seconds = start_s
--- a/src/coltsfootstair/coordinator/_messages.py
+++ b/src/coltsfootstair/coordinator/_messages.py
@@ -47,7 +47,7 @@
 class ExchangeEnded(NamedTuple):
     """A dispatched request no longer occupies its slot.
 
-    :param refusal: what its caller was told in place of a whole answer, if anything
+    :param refusal: what its caller got in place of a whole answer, if anything
     """
 
     backend_server: str
--- a/src/coltsfootstair/coordinator/_operations.py
+++ b/src/coltsfootstair/coordinator/_operations.py
@@ -138,12 +138,12 @@
         self._handle(Granted(exchange.head.operation_id))
 
     def refused(self, exchange: Exchange, refusal: Refusal) -> None:
-        """Take in that admission has refused the request; its caller has been told."""
+        """Take in that admission has refused the request; its caller has its answer."""
         self._exchange_by_id.pop(exchange.head.request_id, None)
         self._handle(RefusedUnsent(exchange.head.operation_id, refusal))
 
     def ended(self, event: ExchangeEnded) -> None:
-        """Take in the end of a request that was sent; its caller has been told."""
+        """Take in the end of a request that was sent; its caller has its answer."""
         exchange = self._exchange_by_id.pop(event.request_id, None)
         if exchange is None:
             return
--- a/src/coltsfootstair/coordinator/_runner.py
+++ b/src/coltsfootstair/coordinator/_runner.py
@@ -40,7 +40,7 @@
 
 
 class _End(NamedTuple):
-    """How an exchange ended, and what its caller was told in place of an answer.
+    """How an exchange ended, and what its caller got in place of an answer.
 
     :param lost: whether the server may still work on the request
     """
--- a/src/coltsfootstair/coordinator/_standby_link.py
+++ b/src/coltsfootstair/coordinator/_standby_link.py
@@ -61,7 +61,7 @@
         self._stream = None
 
     def carry_out(self, effect: Effect) -> None:
-        """Tell the standby what the memory of operations has it told."""
+        """Send the standby what the memory of operations has for it."""
         match effect:
             case NoteAtStandby(snapshot, epoch):
                 self._post(NoteOperation(self._name, epoch, snapshot, confirm=True))
--- a/src/coltsfootstair/coordinator/_task.py
+++ b/src/coltsfootstair/coordinator/_task.py
@@ -337,7 +337,7 @@
         if coordinated is not None:
             coordinated.keeper.handed(message)
             return
-        # The row may come before word of the lease that it belongs to.
+        # The row may come before the update of the lease that it belongs to.
         early = self._early_rows_by_server.setdefault(message.backend_server, [])
         if len(early) < EARLY_ROWS_MAX:
             early.append(message)
--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -15,24 +15,24 @@
 from coltsfootstair.coordinator import Coordinator, Exchange
 from coltsfootstair.daemon._event_notes import OwnershipNotes, StateNotes
 from coltsfootstair.daemon._inbound import Inbound
-from coltsfootstair.daemon._news import NewsService
 from coltsfootstair.daemon._notes import DocumentHistory, RefusalNotes
 from coltsfootstair.daemon._operators import OperatorsAdapter
 from coltsfootstair.daemon._ownership import OwnershipParts, OwnershipTask
 from coltsfootstair.daemon._peers import PeerDirectory, PeerLink
 from coltsfootstair.daemon._reports import STATUS, TIMELINE, ReportDesk
+from coltsfootstair.daemon._updates import UpdateService
 from coltsfootstair.document import ServiceKind
 from coltsfootstair.entry import CallerServer, PendingAnswers, Relay, RelayParts
 from coltsfootstair.inner import Hello, Hub, ReportAnswer, ReportRequest
 from coltsfootstair.inner._messages import PROTOCOL_VERSION
 from coltsfootstair.leases import Candidate
 from coltsfootstair.metrics import DaemonMetrics
-from coltsfootstair.news import Knowledge, StoreFeed
 from coltsfootstair.operators import DaemonState, OperatorsApp, OperatorsServer
 from coltsfootstair.retries import UploadBudget
 from coltsfootstair.routing import Router
 from coltsfootstair.store import HttpStore, Replica, StoreIdentity
 from coltsfootstair.timeline import EventName, Timeline
+from coltsfootstair.updates import Knowledge, StoreFeed
 
 if TYPE_CHECKING:
     from coltsfootstair.backend import BackendServerPort
@@ -91,10 +91,10 @@
         identity = StoreIdentity(settings.name, settings.data_centre, self.hub.address)
         self.store = HttpStore(settings.store_url, identity)
         self.peers = PeerDirectory(self.store, clock)
-        self.news = NewsService(
+        self.updates = UpdateService(
             settings, clock, self.hub, self.inbound, self.peers, self.knowledge
         )
-        self.store_feed = StoreFeed(self.store, self.knowledge, clock, self.news.is_watcher)
+        self.store_feed = StoreFeed(self.store, self.knowledge, clock, self.updates.is_watcher)
         self.ownership = OwnershipTask(
             OwnershipParts(
                 Candidate(settings.name, self.incarnation, settings.data_centre),
@@ -157,7 +157,7 @@
         self.hub.start()
         self.coordinator.start()
         self.store_feed.start()
-        self.news.start()
+        self.updates.start()
         if not self.store_feed.wait_first(FIRST_READ_TIMEOUT_S):
             logger.warning('store unreachable at start', url=self.settings.store_url)
         self.peers.poll()
@@ -203,7 +203,7 @@
         self.ownership.stop()
         self.peers.stop()
         self.state_notes.stop()
-        self.news.stop()
+        self.updates.stop()
         self.store_feed.stop()
         self.reports.stop()
         self.coordinator.stop()
--- a/src/coltsfootstair/daemon/_lease_keeper.py
+++ b/src/coltsfootstair/daemon/_lease_keeper.py
@@ -65,8 +65,8 @@
     """What a lease keeper works with.
 
     :param post: has a callable run on the ownership task
-    :param gained: told of each lease that may be acted on, with its epoch
-    :param lost: told of each lease that may not be acted on any more
+    :param gained: called with each lease that may be acted on, and its epoch
+    :param lost: called with each lease that may not be acted on any more
     """
 
     me: Candidate
--- a/src/coltsfootstair/daemon/_ownership.py
+++ b/src/coltsfootstair/daemon/_ownership.py
@@ -25,7 +25,7 @@
 from coltsfootstair.daemon._server_keeper import ServerKeeper, ServerParts
 from coltsfootstair.document import BackendServer
 from coltsfootstair.inner import Hub
-from coltsfootstair.inner._heartbeats import Heartbeat, HeartbeatReply, LoadTold
+from coltsfootstair.inner._heartbeats import Heartbeat, HeartbeatReply, LoadReported
 from coltsfootstair.leases import LEASE_PREFIX, Candidate, is_coordinator, rights_until
 from coltsfootstair.leases import _messages as lm
 from coltsfootstair.routing import Router
@@ -76,7 +76,7 @@
         self._standing_by: set[str] = set()
         self._ended_by_server: dict[str, ServerKeeper] = {}
         self._counts = LoadCounts(parts.clock)
-        self._told_at = parts.clock.monotonic()
+        self._reported_at = parts.clock.monotonic()
         self._leases = LeaseKeeper(
             LeaseParts(
                 parts.me,
@@ -110,7 +110,7 @@
         parts.peers.subscribe(self._vms_read)
         parts.inbound.add_handler(Heartbeat, self._received)
         parts.inbound.add_handler(HeartbeatReply, self._received)
-        parts.inbound.add_handler(LoadTold, self._received)
+        parts.inbound.add_handler(LoadReported, self._received)
         parts.coordinator.listen(self._idle, self._counts.count)
         self._vms_read(parts.clock.monotonic(), parts.peers.vm_by_name())
         self._thread.start()
@@ -279,7 +279,7 @@
                 self._leases.take_heartbeat(stream, message)
             case HeartbeatReply():
                 self._leases.take_reply(message)
-            case LoadTold():
+            case LoadReported():
                 self._planning.take_load(message)
 
     def _idle(self, granted: RowsGranted, rows: frozenset[int]) -> None:
@@ -292,14 +292,14 @@
 
     def _tell_load(self) -> None:
         now = self._parts.clock.monotonic()
-        if now - self._told_at < TELL_EVERY_S:
+        if now - self._reported_at < TELL_EVERY_S:
             return
-        self._told_at = now
+        self._reported_at = now
         peers = self._leases.peers()
-        for told in self._counts.told():
-            planner = self._planning.planner_of(told.service, peers)
+        for load in self._counts.reported():
+            planner = self._planning.planner_of(load.service, peers)
             stream = self._parts.hub.open_stream(planner)
             if planner == self._parts.me.name:
-                self._planning.take_load(told)
+                self._planning.take_load(load)
             elif stream is not None:
-                stream.send(cast('Message', told))
+                stream.send(cast('Message', load))
--- a/src/coltsfootstair/daemon/_planning.py
+++ b/src/coltsfootstair/daemon/_planning.py
@@ -12,7 +12,7 @@
 
 from coltsfootstair.clock import Clock
 from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
-from coltsfootstair.inner._heartbeats import LoadTold
+from coltsfootstair.inner._heartbeats import LoadReported
 from coltsfootstair.ownership import (
     SHARDS_PER_TABLE,
     FrequentKeys,
@@ -67,7 +67,7 @@
             keys = self._keys_by_service.setdefault(service, FrequentKeys(now))
             keys.count(key, now)
 
-    def told(self) -> list[LoadTold]:
+    def reported(self) -> list[LoadReported]:
         """Return what was counted since the last call, by service."""
         now = self._clock.monotonic()
         with self._lock:
@@ -75,7 +75,7 @@
             rows_by_service, self._rows_by_service = self._rows_by_service, {}
             self._since = now
             return [
-                LoadTold(
+                LoadReported(
                     service,
                     [(row, count / seconds) for row, count in rows.items()],
                     list(self._keys_by_service[service].rate_by_key(now).items()),
@@ -123,12 +123,12 @@
         """Return the daemon that plans a service's table; racing ones do no harm."""
         return ranked_names(f'planner/{service}', [*peers.alive_by_name, self._parts.name])[0]
 
-    def take_load(self, told: LoadTold) -> None:
+    def take_load(self, load: LoadReported) -> None:
         """Take in what a coordinator measured."""
-        rates = self._rate_by_row.setdefault(told.service, {})
-        for row, rate in told.rows:
+        rates = self._rate_by_row.setdefault(load.service, {})
+        for row, rate in load.rows:
             rates[row] = rates.get(row, rate) * (1 - SMOOTHING) + rate * SMOOTHING
-        self._rate_by_key.setdefault(told.service, {}).update(told.keys)
+        self._rate_by_key.setdefault(load.service, {}).update(load.keys)
 
     def tick(
         self,
--- a/src/coltsfootstair/daemon/_news.py
+++ b/src/coltsfootstair/daemon/_updates.py
@@ -1,25 +1,25 @@
-"""Connects the news tasks to the hub and the VM list."""
+"""Connects the updates tasks to the hub and the VM list."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from coltsfootstair.inner import Hello, NewsAnswer, NewsRequest, VmsTold
-from coltsfootstair.news import Neighbours, NewsTeller, PeerFeed, is_watcher
+from coltsfootstair.inner import Hello, UpdatesAnswer, UpdatesRequest, VmListing
+from coltsfootstair.updates import Neighbours, PeerFeed, UpdatePublisher, is_watcher
 
 if TYPE_CHECKING:
     from coltsfootstair.clock import Clock
     from coltsfootstair.daemon._inbound import Inbound
     from coltsfootstair.daemon._peers import PeerDirectory
     from coltsfootstair.inner import Hub, Message, Stream
-    from coltsfootstair.news import Knowledge
     from coltsfootstair.settings import DaemonSettings
+    from coltsfootstair.updates import Knowledge
 
-__all__ = ['NewsService']
+__all__ = ['UpdateService']
 
 
-class NewsService:
-    """Asks peers for news, and tells those that ask."""
+class UpdateService:
+    """Asks peers for updates, and tells those that ask."""
 
     def __init__(
         self,
@@ -34,7 +34,7 @@
         self._hub = hub
         self._peers = peers
         self._data_centre_by_peer: dict[str, str] = {}
-        self._teller = NewsTeller(knowledge, clock, peers.vm_by_name)
+        self._publisher = UpdatePublisher(knowledge, clock, peers.vm_by_name)
         self._feed = PeerFeed(
             knowledge,
             clock,
@@ -44,19 +44,19 @@
             lambda: bool(peers.vm_by_name()),
         )
         inbound.add_handler(Hello, self._greeted)
-        inbound.add_handler(NewsRequest, self._requested)
-        inbound.add_handler(NewsAnswer, self._answered)
-        inbound.add_handler(VmsTold, self._told)
+        inbound.add_handler(UpdatesRequest, self._requested)
+        inbound.add_handler(UpdatesAnswer, self._answered)
+        inbound.add_handler(VmListing, self._reported)
 
     def start(self) -> None:
         """Begin to ask and to answer."""
-        self._teller.start()
+        self._publisher.start()
         self._feed.start()
 
     def stop(self) -> None:
         """End the tasks."""
         self._feed.stop()
-        self._teller.stop()
+        self._publisher.stop()
 
     def is_watcher(self) -> bool:
         """Return whether this daemon watches the store for its data centre."""
@@ -90,13 +90,13 @@
             self._data_centre_by_peer[message.name] = message.data_centre
 
     def _requested(self, stream: Stream, message: Message) -> None:
-        if isinstance(message, NewsRequest):
-            self._teller.requested(stream, message)
+        if isinstance(message, UpdatesRequest):
+            self._publisher.requested(stream, message)
 
     def _answered(self, stream: Stream, message: Message) -> None:
-        if isinstance(message, NewsAnswer):
+        if isinstance(message, UpdatesAnswer):
             self._feed.answered(stream.peer, message)
 
-    def _told(self, _stream: Stream, message: Message) -> None:
-        if isinstance(message, VmsTold):
+    def _reported(self, _stream: Stream, message: Message) -> None:
+        if isinstance(message, VmListing):
             self._peers.adopt(message.rows)
--- a/src/coltsfootstair/entry/_relay.py
+++ b/src/coltsfootstair/entry/_relay.py
@@ -52,7 +52,7 @@
             self._budget.requested()
             refusal = self._reserve(request)
         if refusal is not None:
-            return self._as_told(request, refusal)
+            return self._as_update(request, refusal)
         try:
             return self._serve(request)
         finally:
@@ -85,7 +85,7 @@
             pause = pause_s(attempts, self._parts.random.random())
             in_time = self._parts.clock.monotonic() + pause < deadline
             if not in_time or not self._may_repeat(known, outcome):
-                return self._as_told(request, outcome, in_doubt=in_doubt)
+                return self._as_update(request, outcome, in_doubt=in_doubt)
             self._pause(pause)
 
     def _attempt(
@@ -133,7 +133,7 @@
         return repeat is Repeat.ROUTE_AGAIN
 
     @staticmethod
-    def _as_told(
+    def _as_update(
         request: CallerRequest, refusal: Refusal, *, in_doubt: bool = False
     ) -> Refusal:
         """Return the refusal as it is true of all attempts together."""
--- a/src/coltsfootstair/gateway/_settings.py
+++ b/src/coltsfootstair/gateway/_settings.py
@@ -1,4 +1,4 @@
-"""What a daemon is told at its start."""
+"""The settings of a daemon."""
 
 from __future__ import annotations
 
--- a/src/coltsfootstair/inner/__init__.py
+++ b/src/coltsfootstair/inner/__init__.py
@@ -18,13 +18,6 @@
     Refused,
     RequestHead,
 )
-from coltsfootstair.inner._news import (
-    NewsAnswer,
-    NewsRequest,
-    ReportAnswer,
-    ReportRequest,
-    VmsTold,
-)
 from coltsfootstair.inner._notes import (
     NoteConfirmed,
     NoteDropped,
@@ -35,6 +28,13 @@
     RowDropped,
     RowHanded,
 )
+from coltsfootstair.inner._updates import (
+    ReportAnswer,
+    ReportRequest,
+    UpdatesAnswer,
+    UpdatesRequest,
+    VmListing,
+)
 
 __all__ = [
     'MAX_FRAME_BYTES',
@@ -51,8 +51,6 @@
     'Hub',
     'HubListener',
     'Message',
-    'NewsAnswer',
-    'NewsRequest',
     'NoteConfirmed',
     'NoteDropped',
     'NoteOperation',
@@ -66,6 +64,8 @@
     'RowDropped',
     'RowHanded',
     'Stream',
-    'VmsTold',
+    'UpdatesAnswer',
+    'UpdatesRequest',
+    'VmListing',
     'encode',
 ]
--- a/src/coltsfootstair/inner/_heartbeats.py
+++ b/src/coltsfootstair/inner/_heartbeats.py
@@ -6,7 +6,7 @@
 
 from coltsfootstair.inner._messages import register
 
-__all__ = ['Heartbeat', 'HeartbeatReply', 'LoadTold']
+__all__ = ['Heartbeat', 'HeartbeatReply', 'LoadReported']
 
 
 class Heartbeat(NamedTuple):
@@ -40,7 +40,7 @@
     confirmed: list[tuple[str, int]]
 
 
-class LoadTold(NamedTuple):
+class LoadReported(NamedTuple):
     """What a coordinator measured, for the daemon that plans the service's table.
 
     :param rows: row and requests a second
@@ -54,4 +54,4 @@
 
 register(20, Heartbeat)
 register(21, HeartbeatReply)
-register(22, LoadTold)
+register(22, LoadReported)
--- a/src/coltsfootstair/inner/_hub.py
+++ b/src/coltsfootstair/inner/_hub.py
@@ -12,7 +12,7 @@
 
 from coltsfootstair.errors import ProtocolError
 from coltsfootstair.inner._codec import Decoder, UnpackerPool, encode
-from coltsfootstair.inner._messages import PROTOCOL_VERSION, Hello, StampTold
+from coltsfootstair.inner._messages import PROTOCOL_VERSION, Hello, StampReported
 from coltsfootstair.timeline import HybridTime
 
 if TYPE_CHECKING:
@@ -38,7 +38,7 @@
 
 
 class HubListener(Protocol):
-    """Is told what happens on the inner streams, on the hub's own thread."""
+    """Receives the events of the inner streams, on the hub's own thread."""
 
     def received(self, stream: Stream, message: Message) -> None:
         """Take a message; must not block."""
@@ -59,7 +59,7 @@
         self._lock = threading.Lock()
         self._outgoing: collections.deque[memoryview] = collections.deque()
         self._greeted = False
-        self._told = 0
+        self._reported = 0
 
     def fileno(self) -> int:
         """Return the socket's descriptor, for the selector."""
@@ -75,9 +75,9 @@
         with self._lock:
             if not self.open:
                 return False
-            if stamp > self._told:
-                self._told = stamp
-                frame = encode(StampTold(stamp)) + frame
+            if stamp > self._reported:
+                self._reported = stamp
+                frame = encode(StampReported(stamp)) + frame
             idle = not self._outgoing
             self._outgoing.append(memoryview(frame))
             if idle:
@@ -88,7 +88,7 @@
         return True
 
     def close(self) -> None:
-        """Close the stream; the listener is told by the hub."""
+        """Close the stream; the hub calls the listener."""
         self._hub.drop(self)
 
     def _flush(self) -> None:
@@ -293,7 +293,7 @@
 
     def _deliver(self, stream: Stream, message: Message) -> None:
         if stream.greeted:
-            if isinstance(message, StampTold):
+            if isinstance(message, StampReported):
                 self._take_stamp(message)
             else:
                 self._listener.received(stream, message)
@@ -306,9 +306,9 @@
             self._stream_by_peer[stream.peer] = stream
         self._listener.received(stream, message)
 
-    def _take_stamp(self, told: StampTold) -> None:
+    def _take_stamp(self, report: StampReported) -> None:
         if self._event_clock is not None:
-            self._event_clock.receive(HybridTime.unpacked(told.stamp))
+            self._event_clock.receive(HybridTime.unpacked(report.stamp))
 
     def _accept(self) -> None:
         try:
--- a/src/coltsfootstair/inner/_messages.py
+++ b/src/coltsfootstair/inner/_messages.py
@@ -22,7 +22,7 @@
     'Message',
     'Refused',
     'RequestHead',
-    'StampTold',
+    'StampReported',
     'register',
 ]
 
@@ -38,7 +38,7 @@
     incarnation: str
 
 
-class StampTold(NamedTuple):
+class StampReported(NamedTuple):
     """Comes before a message when events have been noted since the last one sent.
 
     :param stamp: the sender's latest hybrid time, packed
@@ -164,4 +164,4 @@
 register(6, AnswerHead)
 register(7, AnswerChunk)
 register(8, Refused)
-register(9, StampTold)
+register(9, StampReported)
--- a/src/coltsfootstair/inner/_news.py
+++ b/src/coltsfootstair/inner/_updates.py
@@ -7,15 +7,15 @@
 from coltsfootstair.inner._messages import register
 
 __all__ = [
-    'NewsAnswer',
-    'NewsRequest',
     'ReportAnswer',
     'ReportRequest',
-    'VmsTold',
+    'UpdatesAnswer',
+    'UpdatesRequest',
+    'VmListing',
 ]
 
 
-class NewsRequest(NamedTuple):
+class UpdatesRequest(NamedTuple):
     """Asks for the objects that changed past a revision of the store.
 
     :param number: matches the answer to the request
@@ -30,13 +30,13 @@
     vms_wanted: bool
 
 
-class NewsAnswer(NamedTuple):
+class UpdatesAnswer(NamedTuple):
     """Objects that changed, in one or more portions.
 
     :param objects: key, version and value of each; an empty value means deleted
-    :param revision: the revision up to which the teller knows all; -1 if it knows none
+    :param revision: the revision up to which the publisher knows all; -1 if it knows none
     :param held_ms: how long the request had been here when this was written
-    :param age_ms: how long ago, by then, the teller knew the revision to be the newest;
+    :param age_ms: how long ago, by then, the publisher knew the revision to be the newest;
         -1 if it never did
     :param last: whether this is the last portion
     """
@@ -49,7 +49,7 @@
     last: bool
 
 
-class VmsTold(NamedTuple):
+class VmListing(NamedTuple):
     """The platform's list of VMs: name, data centre, inner address, leaving."""
 
     rows: list[tuple[str, str, str, bool]]
@@ -73,8 +73,8 @@
     last: bool
 
 
-register(40, NewsRequest)
-register(41, NewsAnswer)
-register(42, VmsTold)
+register(40, UpdatesRequest)
+register(41, UpdatesAnswer)
+register(42, VmListing)
 register(43, ReportRequest)
 register(44, ReportAnswer)
--- a/src/coltsfootstair/leases/_state.py
+++ b/src/coltsfootstair/leases/_state.py
@@ -75,7 +75,7 @@
     :param called_store_at: when the store was last called
     :param reading: whether a read is under way
     :param act_after: before this the rights of an earlier coordinator may last
-    :param acting_epoch: the epoch under which it was last told to act, or 0
+    :param acting_epoch: the epoch under which it last had the right to act, or 0
     :param successor: to whom the lease is being handed over
     :param stopped: whether nothing acts under the lease any more, so it can be handed over
     """
--- a/src/coltsfootstair/load/_samples.py
+++ b/src/coltsfootstair/load/_samples.py
@@ -37,7 +37,7 @@
     :param sent_at: monotonic seconds at which it was due
     :param latency_s: seconds from then to the end of its answer
     :param result: the result code, or ``NO_RESULT``
-    :param ran: the word of a refusal on whether it ran; empty without one
+    :param ran: what a refusal says of whether it ran; empty without one
     :param daemon: the address it was sent to
     """
 
--- a/src/coltsfootstair/load/_workers.py
+++ b/src/coltsfootstair/load/_workers.py
@@ -145,7 +145,7 @@
         self._load = load
 
     def run(self, started_at: float) -> None:
-        """Upload until told to stop; an upload that has begun is finished."""
+        """Upload until stopped; an upload that has begun is finished."""
         for number in itertools.count():
             if self._stopping.wait(CREW_PAUSE_S * self._sender.source.random()):
                 break
--- a/src/coltsfootstair/operations/_ids.py
+++ b/src/coltsfootstair/operations/_ids.py
@@ -30,7 +30,7 @@
 
 
 def is_own_id(operation_id: str) -> bool:
-    """Tell whether a daemon made the id; backend servers are not told such ids."""
+    """Tell whether a daemon made the id; backend servers are not sent such ids."""
     return operation_id.startswith(OWN_PREFIX)
 
 
--- a/src/coltsfootstair/operators/__init__.py
+++ b/src/coltsfootstair/operators/__init__.py
@@ -5,7 +5,7 @@
 from coltsfootstair.operators._app import OperatorsApp
 from coltsfootstair.operators._client import DaemonUnreachableError, OperatorsClient
 from coltsfootstair.operators._config import DOCUMENT_KEY, DocumentStore, fault_lines
-from coltsfootstair.operators._gate import MAX_AGE_S, News, VersionGate
+from coltsfootstair.operators._gate import MAX_AGE_S, KnownVersion, VersionGate
 from coltsfootstair.operators._ports import DaemonPort
 from coltsfootstair.operators._server import OperatorsServer
 from coltsfootstair.operators._types import (
@@ -38,7 +38,7 @@
     'Dangerous',
     'DocumentStore',
     'Faulty',
-    'News',
+    'KnownVersion',
     'OperatorsApp',
     'OperatorsClient',
     'OperatorsServer',
--- a/src/coltsfootstair/operators/_gate.py
+++ b/src/coltsfootstair/operators/_gate.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-__all__ = ['MAX_AGE_S', 'News', 'VersionGate']
+__all__ = ['MAX_AGE_S', 'KnownVersion', 'VersionGate']
 
 MAX_AGE_S = 2.5
 """How long a version may be used after it was last known to be the newest, in seconds."""
@@ -13,13 +13,13 @@
 _NEVER = float('-inf')
 
 
-class News(NamedTuple):
+class KnownVersion(NamedTuple):
     """What the store or a peer said about the newest version.
 
-    :param text: the document, or an empty string if only its version was told
+    :param text: the document, or an empty string if only its version is known
     :param asked_at: monotonic seconds of this daemon at which it asked
-    :param age_s: how long before its answer the teller knew this itself; 0 for the store;
-        infinite if the teller can't reach the store either
+    :param age_s: how long before its answer the publisher knew this itself; 0 for the store;
+        infinite if the publisher can't reach the store either
     """
 
     version: int
@@ -33,7 +33,7 @@
 
     New work may be given while the version in force is *current*. Two things show that it
     is: the store's word within ``MAX_AGE_S``, at first or second hand; or, while the store
-    is down, the word of daemons in most data centres that they have heard of nothing newer.
+    is down, answers of daemons in most data centres that they know of nothing newer.
     """
 
     def __init__(self) -> None:
@@ -42,17 +42,17 @@
         self._known_newest: tuple[int, float] = (0, _NEVER)
         self._heard_by_centre: dict[str, tuple[int, float]] = {}
 
-    def store_said(self, news: News) -> bool:
+    def store_said(self, updates: KnownVersion) -> bool:
         """Take the store's answer; true if another version is in force now."""
-        self._confirm(news)
-        return self._replace(news)
+        self._confirm(updates)
+        return self._replace(updates)
 
-    def peer_said(self, data_centre: str, news: News) -> bool:
+    def peer_said(self, data_centre: str, updates: KnownVersion) -> bool:
         """Take a peer's answer; true if another version is in force now."""
-        self._confirm(news)
+        self._confirm(updates)
         _, heard_at = self._heard_by_centre.get(data_centre, (0, _NEVER))
-        self._heard_by_centre[data_centre] = (news.version, max(heard_at, news.asked_at))
-        return self._replace(news)
+        self._heard_by_centre[data_centre] = (updates.version, max(heard_at, updates.asked_at))
+        return self._replace(updates)
 
     def age_s(self, now: float) -> float:
         """Return the seconds since the version in force was known to be the newest."""
@@ -81,12 +81,12 @@
         version, heard_at = self._heard_by_centre.get(data_centre, (0, _NEVER))
         return 0 < version <= self.version and now - heard_at <= MAX_AGE_S
 
-    def _replace(self, news: News) -> bool:
-        if news.version <= self.version or not news.text:
+    def _replace(self, updates: KnownVersion) -> bool:
+        if updates.version <= self.version or not updates.text:
             return False
-        self.version, self.text = news.version, news.text
+        self.version, self.text = updates.version, updates.text
         return True
 
-    def _confirm(self, news: News) -> None:
-        confirmed = (news.version, news.asked_at - news.age_s)
+    def _confirm(self, updates: KnownVersion) -> None:
+        confirmed = (updates.version, updates.asked_at - updates.age_s)
         self._known_newest = max(self._known_newest, confirmed)
--- a/src/coltsfootstair/ownership/_grants.py
+++ b/src/coltsfootstair/ownership/_grants.py
@@ -74,7 +74,7 @@
 def new_book(now: float) -> GrantBook:
     """Return the book of a coordinator whose rights begin at ``now``.
 
-    Earlier coordinators reckoned their orders from clock readings older than that.
+    Earlier coordinators computed their orders from clock readings older than that.
     """
     return GrantBook(inherited_until=now + _LONGEST_GRANT_S)
 
--- a/src/coltsfootstair/ownership/_moves.py
+++ b/src/coltsfootstair/ownership/_moves.py
@@ -187,7 +187,7 @@
 
 
 def _ask_server(owned: OwnedRows, now: float) -> tuple[OwnedRows, list[RowsEffect]]:
-    """Renew the grants, or probe while there is no clock reading to reckon them from."""
+    """Renew the grants, or probe while there is no clock reading to compute them from."""
     if owned.asking or now >= owned.rights_until:
         return owned, []
     accepted = owned.book.accepted
--- a/src/coltsfootstair/ownership/_owned.py
+++ b/src/coltsfootstair/ownership/_owned.py
@@ -105,7 +105,7 @@
     :param answered_at: when the server was last heard from
     :param asked_at: when the server was last sent a probe or an order
     :param refused: whether the last call could not connect
-    :param ticked_at: when time was last told to have passed
+    :param ticked_at: when the last tick came
     :param asking: whether a probe or an order is under way
     """
 
--- a/src/coltsfootstair/ownership/_table.py
+++ b/src/coltsfootstair/ownership/_table.py
@@ -173,7 +173,7 @@
         self._hot_by_key: dict[str, int] = {}
 
     def update(self, shard: Shard, version: int) -> bool:
-        """Take in a shard at a version of the store; return whether it was news."""
+        """Take in a shard at a version of the store; return whether it was new."""
         if version <= self._known(shard.number).version:
             return False
         hot = {k: n for k, n in self._hot_by_key.items() if shard_of(n) != shard.number}
--- a/src/coltsfootstair/registry/_view.py
+++ b/src/coltsfootstair/registry/_view.py
@@ -25,7 +25,8 @@
 
 
 COLD_TOLERANCE_S = 0.5
-"""How far a cold server's figure may be from what is expected, in seconds, to be no news."""
+"""How far a cold server's figure may be from what is expected, in seconds, to say
+nothing new."""
 
 
 class Registry:
--- a/src/coltsfootstair/routing/_router.py
+++ b/src/coltsfootstair/routing/_router.py
@@ -34,7 +34,7 @@
 RETRY_SOON_S = 0.2
 """When a caller may come back while a key has no owner, in seconds."""
 
-STALE_DETAIL = 'no recent word of the document from the store or other data centres'
+STALE_DETAIL = 'no recent update of the document from the store or other data centres'
 
 CHOICES = 2
 """Backend servers that are compared when any of them may take a request."""
--- a/src/coltsfootstair/settings/_settings.py
+++ b/src/coltsfootstair/settings/_settings.py
@@ -17,7 +17,7 @@
 
 
 class DaemonSettings(NamedTuple):
-    """What one daemon is told of itself.
+    """The settings of one daemon.
 
     :param callers: ``IP:PORT`` on which callers are served
     :param operators: ``IP:PORT`` of the console and the operators' interface
--- a/src/coltsfootstair/standin/_faults.py
+++ b/src/coltsfootstair/standin/_faults.py
@@ -1,4 +1,4 @@
-"""Faults that a stand-in can be told to show."""
+"""Faults that a stand-in can be made to show."""
 
 from __future__ import annotations
 
--- a/src/coltsfootstair/store/_replica.py
+++ b/src/coltsfootstair/store/_replica.py
@@ -19,12 +19,12 @@
 
     It is a hint: whatever must be certain is a conditional update or a read of the
     store itself. A deleted object stays as an empty value at the deletion's version,
-    so that an older word of it is still refused.
+    so that an older version of it is still refused.
     """
 
     def __init__(self) -> None:
         self._object_by_key: dict[str, Versioned] = {}
-        # Two lists in step, by version: those who ask for news must not cost a look at
+        # Two lists in step, by version: those who ask for updates must not cost a look at
         # each object.
         self._versions: list[int] = []
         self._keys: list[str] = []
--- a/src/coltsfootstair/news/_knowledge.py
+++ b/src/coltsfootstair/updates/_knowledge.py
@@ -6,19 +6,19 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, NamedTuple
 
-from coltsfootstair.operators import DOCUMENT_KEY, News, VersionGate
+from coltsfootstair.operators import DOCUMENT_KEY, KnownVersion, VersionGate
 from coltsfootstair.store import Replica, Versioned
 
 if TYPE_CHECKING:
     from coltsfootstair.clock import Clock
 
-__all__ = ['Knowledge', 'Told']
+__all__ = ['Knowledge', 'PeerUpdate']
 
 UNKNOWN = -1
 """The revision of a daemon that has not read the store, nor heard from one that has."""
 
 
-class Told(NamedTuple):
+class PeerUpdate(NamedTuple):
     """What a peer has answered, whole.
 
     :param revision: the revision up to which the peer knows all
@@ -62,19 +62,19 @@
         self._replica.apply(objects)
         with self._lock:
             changed = self._advance(revision, asked_at)
-            self._gate.store_said(self._news(asked_at, 0.0))
+            self._gate.store_said(self._updates(asked_at, 0.0))
         self._tell(changed)
 
-    def peer_said(self, told: Told) -> None:
+    def peer_said(self, update: PeerUpdate) -> None:
         """Take a peer's answer."""
-        if told.revision == UNKNOWN:
+        if update.revision == UNKNOWN:
             return
-        self._replica.apply(told.objects)
-        known_at = float('-inf') if told.known_at is None else told.known_at
+        self._replica.apply(update.objects)
+        known_at = float('-inf') if update.known_at is None else update.known_at
         with self._lock:
-            changed = self._advance(told.revision, known_at)
-            news = self._news(told.asked_at, told.asked_at - known_at)
-            self._gate.peer_said(told.data_centre, news)
+            changed = self._advance(update.revision, known_at)
+            updates = self._updates(update.asked_at, update.asked_at - known_at)
+            self._gate.peer_said(update.data_centre, updates)
         self._tell(changed)
 
     def since(self, after: int) -> tuple[list[Versioned], int]:
@@ -101,10 +101,10 @@
         self._known_at = max(self._known_at, known_at)
         return changed
 
-    def _news(self, asked_at: float, age_s: float) -> News:
+    def _updates(self, asked_at: float, age_s: float) -> KnownVersion:
         # Whatever was the newest at that moment has been applied to the replica by now.
         document = self._replica.get(DOCUMENT_KEY)
-        return News(document.version, document.value.decode(), asked_at, age_s)
+        return KnownVersion(document.version, document.value.decode(), asked_at, age_s)
 
     def _tell(self, changed: bool) -> None:
         if not changed:
--- a/src/coltsfootstair/news/_peer_feed.py
+++ b/src/coltsfootstair/updates/_peer_feed.py
@@ -1,4 +1,4 @@
-"""The task that asks peers for news."""
+"""The task that asks peers for updates."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-from coltsfootstair.inner import Message, NewsAnswer, NewsRequest
-from coltsfootstair.news._knowledge import Knowledge, Told
-from coltsfootstair.news._sources import Neighbours, peers_to_ask
+from coltsfootstair.inner import Message, UpdatesAnswer, UpdatesRequest
 from coltsfootstair.store import Versioned
+from coltsfootstair.updates._knowledge import Knowledge, PeerUpdate
+from coltsfootstair.updates._sources import Neighbours, peers_to_ask
 
 if TYPE_CHECKING:
     from coltsfootstair.clock import Clock
@@ -27,7 +27,7 @@
 MS_PER_S = 1000
 
 
-class NewsStream(Protocol):
+class UpdateStream(Protocol):
     """A stream to a peer."""
 
     def send(self, message: Message) -> bool:
@@ -37,10 +37,10 @@
 class PeerStreams(Protocol):
     """The ways to the peers."""
 
-    def open_stream(self, peer: str) -> NewsStream | None:
+    def open_stream(self, peer: str) -> UpdateStream | None:
         """Return the open stream to ``peer`` if there is one; never blocks."""
 
-    def connect(self, peer: str) -> NewsStream | None:
+    def connect(self, peer: str) -> UpdateStream | None:
         """Return a stream to ``peer``; may block for a while."""
 
 
@@ -51,7 +51,7 @@
 
 
 class PeerFeed:
-    """Keeps asking a few peers, so that news comes without reading the store.
+    """Keeps asking a few peers, so that updates comes without reading the store.
 
     :param neighbours: what is known of the other daemons
     :param data_centre_of: the data centre of a peer, or an empty string
@@ -79,7 +79,7 @@
         self._connecting: set[str] = set()
         self._number = 0
         self._round = 0
-        self._executor = ThreadPoolExecutor(CONNECT_THREADS, 'news-connect')
+        self._executor = ThreadPoolExecutor(CONNECT_THREADS, 'updates-connect')
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name='peer-feed', daemon=True)
 
@@ -92,7 +92,7 @@
         self._stopping.set()
         self._executor.shutdown(wait=False, cancel_futures=True)
 
-    def answered(self, peer: str, answer: NewsAnswer) -> None:
+    def answered(self, peer: str, answer: UpdatesAnswer) -> None:
         """Take a portion of an answer, on the hub's thread."""
         with self._lock:
             asked = self._asked_by_number.get(answer.number)
@@ -106,7 +106,7 @@
         written_after = asked.at + answer.held_ms / MS_PER_S
         known_at = None if answer.age_ms < 0 else written_after - answer.age_ms / MS_PER_S
         self._knowledge.peer_said(
-            Told(
+            PeerUpdate(
                 self._data_centre_of(peer),
                 asked.objects,
                 answer.revision,
@@ -160,12 +160,12 @@
         finally:
             self._connecting.discard(peer)
 
-    def _send(self, peer: str, stream: NewsStream) -> None:
+    def _send(self, peer: str, stream: UpdateStream) -> None:
         with self._lock:
             self._number += 1
             number = self._number
             self._asked_by_number[number] = _Asked(peer, self._clock.monotonic(), [])
         after = self._knowledge.revision
-        if not stream.send(NewsRequest(number, after, WAIT_MS, not self._vms_known())):
+        if not stream.send(UpdatesRequest(number, after, WAIT_MS, not self._vms_known())):
             with self._lock:
                 self._asked_by_number.pop(number, None)
--- a/src/coltsfootstair/news/_teller.py
+++ b/src/coltsfootstair/updates/_publisher.py
@@ -1,4 +1,4 @@
-"""The task that answers peers who ask for news."""
+"""The task that answers peers who ask for updates."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-from coltsfootstair.inner import Message, NewsAnswer, NewsRequest, VmsTold
+from coltsfootstair.inner import Message, UpdatesAnswer, UpdatesRequest, VmListing
 
 if TYPE_CHECKING:
     from coltsfootstair.clock import Clock
-    from coltsfootstair.news._knowledge import Knowledge
     from coltsfootstair.store import Versioned, VirtualMachine
+    from coltsfootstair.updates._knowledge import Knowledge
 
-__all__ = ['NewsTeller']
+__all__ = ['UpdatePublisher']
 
 PORTION_BYTES = 256 * 1024
 MAX_WAIT_MS = 1000
@@ -29,13 +29,13 @@
 
 class _Parked(NamedTuple):
     asker: Asker
-    request: NewsRequest
+    request: UpdatesRequest
     came_at: float
     answer_at: float
 
 
-class NewsTeller:
-    """Answers at once if there is news, and otherwise when there is, or time is up."""
+class UpdatePublisher:
+    """Answers at once if there is updates, and otherwise when there is, or time is up."""
 
     def __init__(
         self,
@@ -49,7 +49,7 @@
         self._parked: list[_Parked] = []
         self._wake = threading.Condition()
         self._stopping = False
-        self._thread = threading.Thread(target=self._run, name='news-teller', daemon=True)
+        self._thread = threading.Thread(target=self._run, name='update-publisher', daemon=True)
         knowledge.subscribe(self._changed)
 
     def start(self) -> None:
@@ -62,7 +62,7 @@
             self._stopping = True
             self._wake.notify()
 
-    def requested(self, asker: Asker, request: NewsRequest) -> None:
+    def requested(self, asker: Asker, request: UpdatesRequest) -> None:
         """Take a request; does not block."""
         now = self._clock.monotonic()
         wait_s = min(request.wait_ms, MAX_WAIT_MS) / MS_PER_S
@@ -113,7 +113,7 @@
                 (vm.name, vm.data_centre, vm.inner, vm.leaving)
                 for vm in self._vm_by_name().values()
             ]
-            parked.asker.send(VmsTold(rows))
+            parked.asker.send(VmListing(rows))
         objects, revision = self._knowledge.since(parked.request.after)
         portions = list(_portions(objects)) or [[]]
         for number, portion in enumerate(portions, start=1):
@@ -122,10 +122,10 @@
 
     def _portion(
         self, parked: _Parked, objects: list[Versioned], revision: int, *, last: bool
-    ) -> NewsAnswer:
+    ) -> UpdatesAnswer:
         age_s = self._knowledge.age_s()
         held_s = self._clock.monotonic() - parked.came_at
-        return NewsAnswer(
+        return UpdatesAnswer(
             parked.request.number,
             [(item.key, item.version, item.value) for item in objects],
             revision,
--- a/src/coltsfootstair/news/_sources.py
+++ b/src/coltsfootstair/updates/_sources.py
@@ -1,4 +1,4 @@
-"""Decides which daemons watch the store, and which peers a daemon asks for news."""
+"""Decides which daemons watch the store, and which peers a daemon asks for updates."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 STRANGERS_ASKED = 4
 """Peers that are asked while the list of VMs is not known."""
 
-_SUBJECT = 'news'
+_SUBJECT = 'updates'
 
 
 class Neighbours(NamedTuple):
@@ -64,9 +64,9 @@
 def peers_to_ask(
     neighbours: Neighbours, age_s: float, round_number: int, failing: Collection[str]
 ) -> list[str]:
-    """Return the peers to ask for news in this round.
+    """Return the peers to ask for updates in this round.
 
-    :param age_s: how old the news is that this daemon has
+    :param age_s: how old the updates is that this daemon has
     :param round_number: rises by one each round
     :param failing: peers that did not answer lately
     """
--- a/src/coltsfootstair/news/_store_feed.py
+++ b/src/coltsfootstair/updates/_store_feed.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from coltsfootstair.clock import Clock
-    from coltsfootstair.news._knowledge import Knowledge
+    from coltsfootstair.updates._knowledge import Knowledge
 
 __all__ = ['StoreFeed']
 
@@ -24,7 +24,7 @@
 
 RETRY_S = 0.25
 PEERS_FAIL_AGE_S = 2.0
-"""From this age of its news on, in seconds, a daemon reads the store itself."""
+"""From this age of its updates on, in seconds, a daemon reads the store itself."""
 
 
 class StoreFeed:
--- a/tests/coltsfootstair_platform/test_program.py
+++ b/tests/coltsfootstair_platform/test_program.py
@@ -55,9 +55,9 @@
     """Return the first line of the log that tells of ``event``."""
     assert process.stdout is not None
     async for line in process.stdout:
-        told = json.loads(line)
-        if told['event'] == event:
-            return dict(told)
+        entry = json.loads(line)
+        if entry['event'] == event:
+            return dict(entry)
     raise AssertionError(f'the log ended without {event!r}')
 
 
--- a/tests/operators/test_gate.py
+++ b/tests/operators/test_gate.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from coltsfootstair.operators import MAX_AGE_S, News, VersionGate
+from coltsfootstair.operators import MAX_AGE_S, KnownVersion, VersionGate
 
 DAEMONS = 3
 
@@ -30,8 +30,8 @@
 class TakesTheLast(VersionGate):
     """A broken variant: whatever is heard last is in force."""
 
-    def _replace(self, news: News) -> bool:
-        self.version, self.text = news.version, news.text
+    def _replace(self, updates: KnownVersion) -> bool:
+        self.version, self.text = updates.version, updates.text
         return True
 
 
@@ -40,14 +40,14 @@
 
     now = 0.0
 
-    def _confirm(self, news: News) -> None:
-        super()._confirm(news._replace(asked_at=self.now, age_s=0.0))
+    def _confirm(self, updates: KnownVersion) -> None:
+        super()._confirm(updates._replace(asked_at=self.now, age_s=0.0))
 
 
 class Answer(NamedTuple):
     daemon: int
     peer: int | None
-    news: News
+    updates: KnownVersion
 
 
 def check(make: type[VersionGate], steps: list[tuple[str, int, int]]) -> None:
@@ -63,20 +63,22 @@
                 accepted_at.append(now)
             case 'ask store':
                 version = len(accepted_at) - 1
-                under_way.append(Answer(first, None, News(version, f'v{version}', now)))
+                under_way.append(
+                    Answer(first, None, KnownVersion(version, f'v{version}', now))
+                )
             case 'ask peer':
                 peer = gates[second]
-                news = News(peer.version, peer.text, now, peer.age_s(now))
-                under_way.append(Answer(first, second, news))
+                updates = KnownVersion(peer.version, peer.text, now, peer.age_s(now))
+                under_way.append(Answer(first, second, updates))
             case 'deliver' if first < len(under_way):
                 answer = under_way[first] if second else under_way.pop(first)
                 gate = gates[answer.daemon]
                 if isinstance(gate, CountsFromTheAnswer):
                     gate.now = now
                 if answer.peer is None:
-                    gate.store_said(answer.news)
+                    gate.store_said(answer.updates)
                 else:
-                    gate.peer_said(f'd{answer.peer}', answer.news)
+                    gate.peer_said(f'd{answer.peer}', answer.updates)
             case 'wait':
                 now += first / 10
         for gate, version in zip(gates, before, strict=True):
@@ -140,9 +142,9 @@
     heard: list[str], others: list[str], expected: bool
 ) -> None:
     gate = VersionGate()
-    gate.store_said(News(5, 'v5', 0.0))
+    gate.store_said(KnownVersion(5, 'v5', 0.0))
     for data_centre in heard:
-        gate.peer_said(data_centre, News(5, '', 100.0, DOWN))
+        gate.peer_said(data_centre, KnownVersion(5, '', 100.0, DOWN))
     assert gate.is_current(101.0, 'a', others) is expected
     assert gate.is_current(104.0, 'a', others) is not bool(others)
 
@@ -150,9 +152,9 @@
 def test_a_version_known_by_number_only_stops_new_work() -> None:
     gate = VersionGate()
     assert not gate.is_current(0.0, 'a', [])
-    gate.store_said(News(5, 'v5', 0.0))
+    gate.store_said(KnownVersion(5, 'v5', 0.0))
     assert gate.is_current(1.0, 'a', [])
-    gate.peer_said('b', News(6, '', 1.0, 0.2))
+    gate.peer_said('b', KnownVersion(6, '', 1.0, 0.2))
     assert not gate.is_current(1.0, 'a', ['b'])
-    assert gate.peer_said('b', News(6, 'v6', 1.0, 0.2))
+    assert gate.peer_said('b', KnownVersion(6, 'v6', 1.0, 0.2))
     assert gate.is_current(1.0, 'a', ['b'])
--- a/tests/placement/test_failing_server.py
+++ b/tests/placement/test_failing_server.py
@@ -44,10 +44,7 @@
 
 
 def test_a_server_that_fails_at_once_gets_less_than_its_share() -> None:
-    """Errors that came in a few milliseconds made a failing server look quick and idle.
-
-    Its mean time sank from 240 to 60 ms, and 25 bookings of the recorded day ended there.
-    """
+    """Errors that came in a few milliseconds made a failing server look quick and idle."""
     for seed in range(5):
         assert _share_of_failing(seed) < 1 / 4
 
--- a/tests/registry/test_view.py
+++ b/tests/registry/test_view.py
@@ -93,7 +93,7 @@
     assert registry.left_for_s('s1') == 0.5
 
 
-def test_a_cold_server_that_counts_down_is_no_news() -> None:
+def test_a_cold_server_that_counts_down_says_nothing_new() -> None:
     """353 entries that only counted down were passed on to each of 80 daemons."""
     clock = ManualClock()
     registry = Registry(clock)
--- a/tests/store/test_replica.py
+++ b/tests/store/test_replica.py
@@ -1,4 +1,4 @@
-"""Property test: the replica never goes back, in whatever order news comes."""
+"""Property test: the replica never goes back, in whatever order updates comes."""
 
 from __future__ import annotations
 
@@ -26,10 +26,10 @@
         return True
 
 
-def _goes_back(replica: Replica, news: list[Versioned]) -> bool:
+def _goes_back(replica: Replica, updates: list[Versioned]) -> bool:
     seen: list[Versioned] = []
     replica.subscribe(seen.append)
-    for item in news:
+    for item in updates:
         replica.apply([item])
     by_key: dict[str, list[int]] = {}
     for item in seen:
@@ -38,16 +38,16 @@
 
 
 @given(NEWS)
-def test_versions_never_go_back(news: list[Versioned]) -> None:
-    assert not _goes_back(Replica(), news)
+def test_versions_never_go_back(updates: list[Versioned]) -> None:
+    assert not _goes_back(Replica(), updates)
 
 
 @given(NEWS)
-def test_newest_word_wins(news: list[Versioned]) -> None:
+def test_newest_word_wins(updates: list[Versioned]) -> None:
     replica = Replica()
-    replica.apply(news)
+    replica.apply(updates)
     newest: dict[str, Versioned] = {}
-    for item in news:
+    for item in updates:
         if item.version > newest.get(item.key, Versioned('', 0, b'')).version:
             newest[item.key] = item
     assert replica.version_by_key() == {key: item.version for key, item in newest.items()}
@@ -59,18 +59,18 @@
 
 
 def test_the_property_catches_a_replica_that_goes_back() -> None:
-    news = [Versioned('config', 2, b'2'), Versioned('config', 1, b'1')]
-    assert _goes_back(LastWordReplica(), news)
+    updates = [Versioned('config', 2, b'2'), Versioned('config', 1, b'1')]
+    assert _goes_back(LastWordReplica(), updates)
 
 
 @given(NEWS, st.integers(0, 20))
-def test_news_past_a_version_is_each_newer_object_once_in_order(
-    news: list[Versioned], version: int
+def test_updates_past_a_version_is_each_newer_object_once_in_order(
+    updates: list[Versioned], version: int
 ) -> None:
     replica = Replica()
-    for start in range(0, len(news), 4):
-        replica.apply(news[start : start + 4])
-    newest = {item.key: replica.get(item.key) for item in news}
+    for start in range(0, len(updates), 4):
+        replica.apply(updates[start : start + 4])
+    newest = {item.key: replica.get(item.key) for item in updates}
     expected = [item for item in newest.values() if item.version > version]
     found = replica.newer_than(version)
     assert sorted(found) == sorted(expected)
--- a/tests/news/test_news.py
+++ b/tests/updates/test_updates.py
@@ -7,19 +7,25 @@
 from hypothesis import strategies as st
 
 from coltsfootstair.clock import ManualClock
-from coltsfootstair.inner import MAX_FRAME_BYTES, Message, NewsAnswer, NewsRequest, VmsTold
+from coltsfootstair.inner import (
+    MAX_FRAME_BYTES,
+    Message,
+    UpdatesAnswer,
+    UpdatesRequest,
+    VmListing,
+)
 from coltsfootstair.inner import encode as encode_frame
-from coltsfootstair.news import (
+from coltsfootstair.store import Replica, Versioned
+from coltsfootstair.updates import (
     Knowledge,
     Neighbours,
-    NewsTeller,
     PeerFeed,
-    Told,
+    PeerUpdate,
+    UpdatePublisher,
     is_watcher,
     peers_to_ask,
     watchers_of,
 )
-from coltsfootstair.store import Replica, Versioned
 
 PLACES = {f'{place}{number}': place for place in 'abc' for number in range(5)}
 DAEMONS = 3
@@ -82,14 +88,14 @@
 
 
 class Node:
-    """One daemon's knowledge, its teller and its feed, without threads."""
+    """One daemon's knowledge, its publisher and its feed, without threads."""
 
     def __init__(self, clock: ManualClock, name: str) -> None:
         self.name = name
         self.replica = Replica()
         self.knowledge = Knowledge(self.replica, clock, name)
         self.outbox = Outbox()
-        self.teller = NewsTeller(self.knowledge, clock, dict)
+        self.publisher = UpdatePublisher(self.knowledge, clock, dict)
         here = neighbours(name, [], {})
         self.feed = PeerFeed(
             self.knowledge, clock, self, lambda: here, lambda peer: peer, lambda: True
@@ -100,18 +106,18 @@
 
     connect = open_stream
 
-    def ask(self, peer: str) -> NewsRequest:
+    def ask(self, peer: str) -> UpdatesRequest:
         """Ask ``peer``, and return the request that is on its way."""
         self.feed.ask(peer)
         request = self.outbox.sent.pop()
-        assert isinstance(request, NewsRequest)
+        assert isinstance(request, UpdatesRequest)
         return request
 
-    def answers(self, request: NewsRequest) -> list[Message]:
+    def answers(self, request: UpdatesRequest) -> list[Message]:
         """Answer a request at once."""
         asker = Outbox()
-        self.teller.requested(asker, request._replace(wait_ms=0))
-        self.teller.answer_due()
+        self.publisher.requested(asker, request._replace(wait_ms=0))
+        self.publisher.answer_due()
         return asker.sent
 
 
@@ -140,7 +146,7 @@
                 if not second:
                     del under_way[first]
                 for answer in answers:
-                    assert isinstance(answer, NewsAnswer)
+                    assert isinstance(answer, UpdatesAnswer)
                     node.feed.answered(peer, answer)
             case 'wait':
                 clock.advance(first / 10)
@@ -164,30 +170,32 @@
     check([*late, ('deliver', 0, 0)])
     said = Knowledge.peer_said
 
-    def as_of_now(self: Knowledge, told: Told) -> None:
-        said(self, told._replace(known_at=self._clock.monotonic()))
+    def as_of_now(self: Knowledge, update: PeerUpdate) -> None:
+        said(self, update._replace(known_at=self._clock.monotonic()))
 
     monkeypatch.setattr(Knowledge, 'peer_said', as_of_now)
     with pytest.raises(AssertionError):
         check([*late, ('deliver', 0, 0)])
 
 
-def test_an_answer_waits_for_news_and_is_sent_in_portions_that_fit() -> None:
+def test_an_answer_waits_for_updates_and_is_sent_in_portions_that_fit() -> None:
     clock = ManualClock()
     node = Node(clock, 'a')
     asker = Outbox()
     node.knowledge.store_said([], 0, clock.monotonic())
-    node.teller.requested(asker, NewsRequest(1, 0, 500, True))
-    assert node.teller.answer_due() == 0
+    node.publisher.requested(asker, UpdatesRequest(1, 0, 500, True))
+    assert node.publisher.answer_due() == 0
     clock.advance(0.2)
     big = [Versioned(f'k{number}', number + 1, bytes(200_000)) for number in range(5)]
     node.knowledge.store_said(big, 5, clock.monotonic())
-    assert node.teller.answer_due() == 1
+    assert node.publisher.answer_due() == 1
     vms, *answers = asker.sent
-    assert isinstance(vms, VmsTold)
+    assert isinstance(vms, VmListing)
     assert all(len(encode_frame(answer)) < MAX_FRAME_BYTES for answer in answers)
-    assert [one.last for one in answers if isinstance(one, NewsAnswer)] == [False] * 4 + [True]
-    assert {one.held_ms for one in answers if isinstance(one, NewsAnswer)} == {200}
+    assert [one.last for one in answers if isinstance(one, UpdatesAnswer)] == [False] * 4 + [
+        True
+    ]
+    assert {one.held_ms for one in answers if isinstance(one, UpdatesAnswer)} == {200}
 
 
 def test_with_the_store_down_the_word_of_most_data_centres_is_enough() -> None:
@@ -200,8 +208,8 @@
     clock.advance(9.0)
     assert not knowledge.may_give_new_work()
     for place in 'ab':
-        knowledge.peer_said(Told(place, [], 1, None, clock.monotonic()))
+        knowledge.peer_said(PeerUpdate(place, [], 1, None, clock.monotonic()))
     assert knowledge.may_give_new_work()
-    knowledge.peer_said(Told('c', [], -1, None, clock.monotonic()))
+    knowledge.peer_said(PeerUpdate('c', [], -1, None, clock.monotonic()))
     clock.advance(9.0)
     assert not knowledge.may_give_new_work()
