Let a reload change the ratio of repeats as well as their slack; refuse at cold owners at once

Found on reading the change: budgets that were made before a reload kept their ratio, and a request for a key of a cold server waited for room before it was refused. Test seen failing before (no such call).

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -210,9 +210,10 @@
         self._stop.set()
 
     def reload(self, settings: GatewaySettings) -> None:
-        """Take changed settings: the grace and the budget of repeats apply at once.
+        """Take changed settings.
 
-        What else has changed applies from the next start on.
+        The grace, and the ratio and slack of repeats, apply at once; what else has changed
+        applies from the next start on.
         """
         changed = [
             field
@@ -223,7 +224,7 @@
         self._settings = self._settings._replace(
             grace_s=settings.grace_s, retries=settings.retries
         )
-        self._fleet.retries = settings.retries
+        self._fleet.reload(settings.retries)
 
     async def run(self) -> None:
         """Serve until stopped and nothing is left in flight, or the grace is over."""
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -51,8 +51,8 @@
 """When a caller may come back whose key has no owner at present, in seconds."""
 
 ROOM_POLL_S = 0.02
-"""Seconds between two looks at whether the owner of a key has room for another request; a
-part of the shortest usual work."""
+"""Seconds between two looks at whether a server has room for another request; a part of the
+shortest usual work."""
 
 SHED_TRIES = 4
 """Times that a request is sent to the only server that may run it while that server turns
@@ -254,7 +254,7 @@
             left_s = waits_until - self._clock.monotonic()
             if server is not None:
                 candidate = self._fleet.candidate(server, request.policy.max_connections)
-                if candidate.has_room or left_s <= 0:
+                if candidate.has_room or candidate.cold_wait_s > 0 or left_s <= 0:
                     break
                 await asyncio.sleep(min(left_s, ROOM_POLL_S))
             elif left_s <= 0 or not await self._ownership.changed_within(left_s):
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -62,7 +62,7 @@
         self._name = name
         self._registry = registry
         self._clock = clock
-        self.retries = retries
+        self._retries = retries
         self._daemons = daemons
         self._cold_per_s = cold_per_s
         self._usual_s = usual_s
@@ -79,6 +79,12 @@
         """How many daemons share a limit."""
         return self._daemons() or DAEMONS_BEFORE_KNOWN
 
+    def reload(self, retries: RetrySettings) -> None:
+        """Take a changed budget of repeats; its window stays until the next start."""
+        self._retries = retries._replace(window_s=self._retries.window_s)
+        for budget in self._budget_by_service.values():
+            budget.ratio = BUDGET_SHARE * retries.ratio
+
     def load(self, server: BackendServer) -> ServerLoad:
         """Return what is known of a backend server's load."""
         load = self._load_by_life.get(server.life)
@@ -132,7 +138,7 @@
 
     def may_repeat(self, service: str) -> bool:
         """Spend one repeat of the budget, if there is one."""
-        slack = SLACK_SHARE * self.retries.slack / self.daemons
+        slack = SLACK_SHARE * self._retries.slack / self.daemons
         return self._budget(service).take(self._clock.monotonic(), slack)
 
     def collect(
@@ -162,6 +168,6 @@
     def _budget(self, service: str) -> WindowBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
-            budget = WindowBudget(BUDGET_SHARE * self.retries.ratio, self.retries.window_s)
+            budget = WindowBudget(BUDGET_SHARE * self._retries.ratio, self._retries.window_s)
             self._budget_by_service[service] = budget
         return budget
--- a/src/coltsfootstair/retries/_window.py
+++ b/src/coltsfootstair/retries/_window.py
@@ -16,10 +16,10 @@
     :param ratio: repeats for each request
     """
 
-    __slots__ = ('_parts', '_ratio', '_repeats', '_requests', '_step_s')
+    __slots__ = ('_parts', '_repeats', '_requests', '_step_s', 'ratio')
 
     def __init__(self, ratio: float, window_s: float) -> None:
-        self._ratio = ratio
+        self.ratio = ratio
         self._step_s = window_s / STEPS
         self._parts: deque[list[int]] = deque()
         self._requests = 0
@@ -36,7 +36,7 @@
         :param slack: repeats in a window beyond the ratio
         """
         part = self._part(now)
-        if self._repeats + 1 > self._ratio * self._requests + slack:
+        if self._repeats + 1 > self.ratio * self._requests + slack:
             return False
         part[2] += 1
         self._repeats += 1
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -67,3 +67,12 @@
 
 def test_nothing_is_shared_out_while_the_number_of_daemons_is_not_known() -> None:
     assert _send_what_may_be(_fleet(ManualClock(), daemons=0)) == SLOTS
+
+
+def test_a_reload_changes_the_budget_of_repeats_at_once() -> None:
+    fleet = _fleet(ManualClock(), daemons=1)
+    for _ in range(100):
+        fleet.requested('slots', None)
+    assert fleet.may_repeat('slots')
+    fleet.reload(RetrySettings(ratio=0.0, slack=0.0))
+    assert not fleet.may_repeat('slots')
