--- /dev/null
+++ b/tests/soak/test_proxy.py
@@ -0,0 +1,120 @@
+"""What a spoiled link does to connections."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from soak._proxy import LinkState, Proxy
+
+from tests.coltsfootstair_platform.standin import ServerStandin, started
+from tests.gateway.harness import Caller, play
+
+
+@asynccontextmanager
+async def _link(server: ServerStandin) -> AsyncIterator[Proxy]:
+    async with started(server):
+        proxy = Proxy(server.port, random.Random(1))
+        await proxy.start()
+        try:
+            yield proxy
+        finally:
+            proxy.stop()
+
+
+async def _connect(proxy: Proxy) -> Caller:
+    return Caller(*await asyncio.open_connection('127.0.0.1', proxy.port))
+
+
+async def _is_answered(caller: Caller, within_s: float = 0.3) -> bool:
+    try:
+        async with asyncio.timeout(within_s):
+            return (await caller.answer()).status == 200
+    except (TimeoutError, OSError, asyncio.IncompleteReadError):
+        return False
+
+
+def test_a_whole_link_forwards_both_ways() -> None:
+    async def work() -> bool:
+        async with _link(ServerStandin('s1')) as proxy:
+            caller = await _connect(proxy)
+            caller.send('lookups')
+            return await _is_answered(caller)
+
+    assert play(work())
+
+
+def test_a_silent_link_delivers_once_it_is_whole_again() -> None:
+    server = ServerStandin('s1')
+
+    async def work() -> tuple[bool, int, bool]:
+        async with _link(server) as proxy:
+            caller = await _connect(proxy)
+            proxy.change(LinkState.SILENT)
+            caller.send('lookups')
+            early = await _is_answered(caller)
+            received = len(server.received)
+            proxy.change(LinkState.WHOLE)
+            return early, received, await _is_answered(caller)
+
+    assert play(work()) == (False, 0, True)
+
+
+def test_bytes_held_back_are_lost_if_their_sender_closes() -> None:
+    server = ServerStandin('s1')
+
+    async def work() -> int:
+        async with _link(server) as proxy:
+            caller = await _connect(proxy)
+            proxy.change(LinkState.SILENT)
+            caller.send('lookups')
+            await asyncio.sleep(0.1)
+            caller.writer.transport.abort()
+            await asyncio.sleep(0.1)
+            proxy.change(LinkState.WHOLE)
+            await asyncio.sleep(0.1)
+            return len(server.received)
+
+    assert play(work()) == 0
+
+
+def test_a_one_way_link_holds_answers_only() -> None:
+    server = ServerStandin('s1')
+
+    async def work() -> tuple[bool, int]:
+        async with _link(server) as proxy:
+            caller = await _connect(proxy)
+            proxy.change(LinkState.ONE_WAY)
+            caller.send('lookups')
+            return await _is_answered(caller), len(server.received)
+
+    assert play(work()) == (False, 1)
+
+
+@pytest.mark.parametrize('state', [LinkState.RESET, LinkState.BUSY])
+def test_new_connections_are_turned_away(state: LinkState) -> None:
+    server = ServerStandin('s1')
+
+    async def work() -> tuple[bool, int]:
+        async with _link(server) as proxy:
+            proxy.change(state)
+            caller = await _connect(proxy)
+            caller.send('lookups')
+            return await _is_answered(caller), len(server.received)
+
+    assert play(work()) == (False, 0)
+
+
+def test_a_reset_ends_open_connections() -> None:
+    async def work() -> bool:
+        async with _link(ServerStandin('s1')) as proxy:
+            caller = await _connect(proxy)
+            caller.send('lookups')
+            assert await _is_answered(caller)
+            proxy.change(LinkState.RESET)
+            return await caller.ended()
+
+    assert play(work())
