Let a standby that was just named wait before it replaces a silent coordinator

Nobody was lost: the coordinator was starved for 0.3 s, its standby took over and named another one, was starved itself, and the third took over before it had been sent the memory of operations. Ids that carry no time are then refused for 300 s. A standby waits for 1 s after it was named, unless the coordinator has ended for certain. Test without processes, seen failing with a wait of 0.

--- a/src/coltsfootstair/leases/_decide.py
+++ b/src/coltsfootstair/leases/_decide.py
@@ -28,6 +28,7 @@
 from coltsfootstair.leases._record import LeaseRecord
 from coltsfootstair.leases._state import (
     HEARTBEAT_S,
+    STANDBY_COPY_S,
     STANDBY_LOST_S,
     STORE_FRESH_S,
     STORE_RETRY_S,
@@ -181,7 +182,7 @@
         return _settle_pending(lease, now)
     if is_coordinator(lease):
         return _keep(lease, now)
-    if _should_replace(lease):
+    if _should_replace(lease, now):
         return _replace_coordinator(lease, now)
     return lease, []
 
@@ -239,15 +240,18 @@
     return _write(lease, new, 0.0, now)
 
 
-def _should_replace(lease: Lease) -> bool:
+def _should_replace(lease: Lease, now: float) -> bool:
     record = lease.record
     if lease.peers.leaving:
         return False
     if record is None:
         return best_claimant(lease)
-    if is_standby(lease):
-        return is_lost(lease.peers, record.coordinator, record.incarnation)
     gone = is_gone(lease.peers, record.coordinator, record.incarnation)
+    if is_standby(lease):
+        copied = now - lease.standby_since >= STANDBY_COPY_S
+        return gone or (
+            copied and is_lost(lease.peers, record.coordinator, record.incarnation)
+        )
     if record.standby:
         gone = gone and is_gone(lease.peers, record.standby, record.standby_incarnation)
     return gone and best_claimant(lease)
--- a/src/coltsfootstair/leases/_state.py
+++ b/src/coltsfootstair/leases/_state.py
@@ -12,6 +12,7 @@
 __all__ = [
     'HEARTBEAT_S',
     'LEASE_S',
+    'STANDBY_COPY_S',
     'STANDBY_LOST_S',
     'STORE_FRESH_S',
     'STORE_RETRY_S',
@@ -40,6 +41,11 @@
 STANDBY_LOST_S = 1.0
 """Silence after which a coordinator names another standby, in seconds."""
 
+STANDBY_COPY_S = 1.0
+"""How long a standby that was just named waits before it replaces a silent coordinator, in
+seconds: it has not been sent yet what it needs to know. As long as a coordinator waits before
+it names another standby."""
+
 STORE_RETRY_S = 0.1
 """Pause between two calls to the store about one record, in seconds."""
 
