--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -20,7 +20,13 @@
     ServerSubscriber,
 )
 from coltsfootstair.gateway._trace import RequestLog
-from coltsfootstair.http1 import CallerConnection, CallerLimits, ConnectionPool, serve_status
+from coltsfootstair.http1 import (
+    Address,
+    CallerConnection,
+    CallerLimits,
+    ConnectionPool,
+    serve_status,
+)
 from coltsfootstair.keyspace import Keeper, KeeperDependencies, OwnershipView
 from coltsfootstair.metrics import GatewayMetrics
 from coltsfootstair.objects import Follower, Relay, StoreHealth
@@ -99,6 +105,8 @@
     """Gateway daemon: serves callers in ``run`` until ``stop`` is called.
 
     :param get_dropped_line_count: returns the number of log lines dropped so far
+    :ivar callers_address: where callers are served; once the daemon runs, with the port that
+        the system chose if the settings have port 0
     """
 
     def __init__(
@@ -114,6 +122,7 @@
         self._get_dropped_line_count = get_dropped_line_count
         self._settings = settings
         self._ports = ports
+        self.callers_address = settings.callers
         self._stop_requested = asyncio.Event()
         self._connections: set[CallerConnection] = set()
         self._requests_in_progress = 0
@@ -249,6 +258,7 @@
                 backlog=LISTEN_BACKLOG,
             )
         ]
+        self.callers_address = Address(*listeners[0].sockets[0].getsockname()[:2])
         if settings.ready is not None:
             listeners.append(
                 await serve_status(
@@ -276,7 +286,9 @@
         for task in tasks:
             task.add_done_callback(_log_failure)
         gc.freeze()
-        logger.info('ready', callers=str(settings.callers), data_centre=settings.data_centre)
+        logger.info(
+            'ready', callers=str(self.callers_address), data_centre=settings.data_centre
+        )
         await self._stop_requested.wait()
         await self._finish_requests(listeners[0])
         for task in tasks:
@@ -329,6 +341,7 @@
             'ready': float(self.is_ready),
             'store_works': float(self._health.is_reachable),
             'keeper': float(self._keeper.is_keeper),
+            'store_era': self._ports.store.era,
             'daemons': self._keeper.known_daemon_count,
         }
 
@@ -414,6 +427,7 @@
             self._collect_revisions,
             self._apply_relayed,
             self._fleet.collect_report,
+            self._settings.is_first_start,
         )
 
     def _compute_keeper_capacity(self) -> float:
--- a/src/coltsfootstair/gateway/_settings.py
+++ b/src/coltsfootstair/gateway/_settings.py
@@ -41,6 +41,8 @@
     :param grace_s: time from SIGTERM within which the process must end, in seconds
     :param drain_s: how long a draining backend server may still be sent requests, in seconds
     :param longest_hold_s: maximum grant duration, in seconds
+    :param is_first_start: whether the whole system starts for the first time, so that no grant
+        to a backend server can be in force
     :param address_reuse_s: minimum time before the platform gives the address of an ended
         backend server to another one, in seconds
     """
@@ -59,4 +61,5 @@
     drain_s: float = 2.0
     longest_hold_s: float = 10.0
     address_reuse_s: float = 2.0
+    is_first_start: bool = False
     retries: RetrySettings = RetrySettings()
--- a/src/coltsfootstair/gateway/_subscribers.py
+++ b/src/coltsfootstair/gateway/_subscribers.py
@@ -7,6 +7,7 @@
 import structlog
 
 from coltsfootstair.errors import BadInputError
+from coltsfootstair.objects import era_of
 from coltsfootstair.routes import RouteTable
 
 if TYPE_CHECKING:
@@ -31,13 +32,20 @@
 
 
 class ConfigurationSubscriber:
-    """Keeps the newest valid configuration in force; an older version is never applied."""
+    """Keeps the newest valid configuration in force; an older version is never applied.
+
+    The version in force is applied again if it was written in a later era of the store, since
+    operators write again what the store has lost.
+    """
 
     def __init__(self, decoder: ObjectDecoder) -> None:
         self._decoder = decoder
+        self._era = 0
         self.route_table: RouteTable | None = None
 
-    def apply_listing(self, listing: Listing, *, after_outage: bool) -> None:
+    def apply_listing(
+        self, listing: Listing, *, after_outage: bool, is_restored: bool
+    ) -> None:
         """Apply the configuration of a listing, if it is newer."""
         for item in listing.objects:
             self._apply(item)
@@ -59,8 +67,12 @@
         known_version = (
             self.route_table.configuration.version if self.route_table is not None else -1
         )
-        if configuration.version <= known_version:
+        era = era_of(item.revision)
+        if configuration.version < known_version or (
+            configuration.version == known_version and era <= self._era
+        ):
             return
+        self._era = era
         self.route_table = RouteTable(configuration)
         logger.info(
             'configuration in force',
@@ -77,7 +89,9 @@
         self._decoder = decoder
         self._registry = registry
 
-    def apply_listing(self, listing: Listing, *, after_outage: bool) -> None:
+    def apply_listing(
+        self, listing: Listing, *, after_outage: bool, is_restored: bool
+    ) -> None:
         """Apply a listing; in place of an invalid entry, the last valid one stays in use."""
         servers = []
         for item in listing.objects:
@@ -88,7 +102,9 @@
                 known = self._registry.get(item.name)
                 if known is not None:
                     servers.append(known)
-        self._registry.apply_listing(servers, after_outage=after_outage)
+        self._registry.apply_listing(
+            servers, after_outage=after_outage, is_restored=is_restored
+        )
 
     def apply_change(self, change: Change, *, after_outage: bool) -> bool:
         """Apply a changed entry; return whether it is worth relaying to other daemons."""
@@ -115,12 +131,22 @@
         self._registry = registry
         self._data_centres: set[str] = set()
 
-    def apply_listing(self, listing: Listing, *, after_outage: bool) -> None:
-        """Apply the evacuations of a listing."""
+    def apply_listing(
+        self, listing: Listing, *, after_outage: bool, is_restored: bool
+    ) -> None:
+        """Apply the evacuations of a listing.
+
+        Those that a restored store lacks stay in force until operators have had time to write
+        them again.
+        """
+        missing = self._data_centres
         self._data_centres = {
             self._decoder.decode_evacuation(item) for item in listing.objects
         }
         self._registry.set_evacuated_data_centres(frozenset(self._data_centres))
+        if is_restored:
+            for data_centre in missing - self._data_centres:
+                self._registry.evacuate_for_now(data_centre)
 
     def apply_change(self, change: Change, *, after_outage: bool) -> bool:
         """Apply the start or the end of an evacuation."""
--- a/src/coltsfootstair/keyspace/_dependencies.py
+++ b/src/coltsfootstair/keyspace/_dependencies.py
@@ -49,6 +49,8 @@
     :param get_revision_by_kind: returns up to which revision this daemon has read each kind
         of objects
     :param on_relayed_changes: called with changed objects that the keeper sent
+    :param is_first_start: whether the whole system starts for the first time, so that no grant
+        of an earlier keeper can be in force
     :param collect_report: returns this daemon's report with its figures since the last call.
         It is called with the epoch of the keeper, whether this daemon can reach the store, the
         seconds since the last call, and the revision of the known table by service
@@ -71,3 +73,4 @@
     get_revision_by_kind: Callable[[], dict[str, int]]
     on_relayed_changes: Callable[[RelayedChanges], None]
     collect_report: Callable[[int, bool, float, dict[str, int]], Report]
+    is_first_start: bool = False
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -12,12 +12,15 @@
 from coltsfootstair.keyspace._broadcast import Broadcaster, read_objects_update
 from coltsfootstair.keyspace._grant_expiry import CLOCK_DRIFT_FACTOR, MAX_LATE_ARRIVAL_S
 from coltsfootstair.keyspace._lease import (
+    EARLIER_ERA_REASON,
     ISOLATED_TAKEOVER_PAUSE_S,
     KEEPER_TIMEOUT_S,
     ElectionState,
     KeeperLease,
+    compute_epoch,
     decode_lease,
     encode_lease,
+    era_of_epoch,
     find_takeover_reason,
 )
 from coltsfootstair.keyspace._reports import MAX_REPORT_AGE_S, LatestReports
@@ -35,6 +38,7 @@
 if TYPE_CHECKING:
     from coltsfootstair.http1 import Address
     from coltsfootstair.keyspace._dependencies import Channel, KeeperDependencies
+    from coltsfootstair.keyspace._table import KeyTable
     from coltsfootstair.objects import RelayedChanges, StoredObject
 
 __all__ = ['Keeper']
@@ -80,6 +84,14 @@
 """How much longer a VM without spare capacity waits before a takeover than one with full
 capacity, in seconds: the keeper needs capacity to send each change to all daemons."""
 
+ERA_TAKEOVER_DELAY_S = 0.8
+"""How much longer other daemons wait than the former keeper before they take over in a new era
+of the store, in seconds. The former keeper knows the tables that the store may have lost."""
+
+MEMORY_CHECK_TIMEOUT_S = 1.0
+"""How long a former keeper that took over in a new era of the store waits for the reports of a
+majority, in seconds. They show whether another daemon was keeper after it."""
+
 GRANT_DURATION_S = 2.5
 """Grant duration, in seconds. A grant is renewed about three times before it expires, so that
 it outlasts a change of the keeper; requests for the keys of an ended owner wait until the
@@ -120,6 +132,9 @@
         self._majority_base_count = 0
         self._took_over_at = -math.inf
         self._lease_confirmed_at = -math.inf
+        # Epoch and tables of this daemon as keeper in the previous era of the store.
+        self._former_epoch = 0
+        self._former_tables: dict[str, KeyTable] = {}
         self._stopping = False
         self._wake_event = asyncio.Event()
         # Whether a heartbeat has come since the known lease last changed.
@@ -173,6 +188,7 @@
         while True:
             await self._wait_until_report_due()
             now = self._dependencies.clock.monotonic()
+            self._check_era()
             self._update_relay(now)
             self._submit_report(now - last_report_at)
             last_report_at = now
@@ -188,6 +204,19 @@
                 if reason is not None:
                     await self._try_to_take_over(reason)
 
+    def _check_era(self) -> None:
+        """Step down if the lease is of an earlier era of the store; remember the tables."""
+        lease = self._own_lease
+        era = self._dependencies.store.era
+        if lease is None or era_of_epoch(lease.epoch) >= era:
+            return
+        may_remember = (
+            era_of_epoch(lease.epoch) == era - 1 and self.grant_duration_s is not None
+        )
+        self._former_epoch = lease.epoch
+        self._former_tables = self._services.copy_tables() if may_remember else {}
+        self._step_down(f'era {era} of the store has begun')
+
     def _update_relay(self, now: float) -> None:
         keeper_alive = (
             now - self._keeper_alive_at <= KEEPER_TIMEOUT_S and self._has_heartbeat_under_lease
@@ -230,8 +259,7 @@
                 'keeper lease and tables not read from the store', reason=str(error)
             )
             return False
-        for item in listing.objects:
-            self._dependencies.ownership_view.apply_object(item)
+        self._dependencies.ownership_view.apply_listing(listing)
         return True
 
     async def stop(self) -> None:
@@ -396,6 +424,7 @@
             self._keeper_store_unreachable_since,
             self._dependencies.is_store_reachable(),
             self._takeover_blocked_until,
+            self._dependencies.store.era,
         )
 
     def _on_lease_changed(self) -> None:
@@ -417,6 +446,8 @@
             MAX_TAKEOVER_JITTER_S * self._dependencies.random_source.random()
             + MAX_CAPACITY_DELAY_S * missing_capacity
         )
+        if reason == EARLIER_ERA_REASON and not self._former_tables:
+            delay_s += ERA_TAKEOVER_DELAY_S
         await asyncio.sleep(delay_s)
         view = self._dependencies.ownership_view
         if view.lease_revision != seen_revision:
@@ -424,7 +455,8 @@
         now = self._dependencies.clock.monotonic()
         if find_takeover_reason(self._get_election_state(), now) is None:
             return
-        epoch = 1 if view.lease is None else view.lease.epoch + 1
+        previous_epoch = 0 if view.lease is None else view.lease.epoch
+        epoch = compute_epoch(self._dependencies.store.era, previous_epoch)
         lease = KeeperLease(self.name, self._address, epoch, self.known_daemon_count)
         try:
             if view.lease is None:
@@ -450,11 +482,11 @@
             )
             return
         logger.info('became keeper', reason=reason, epoch=epoch)
-        was_released = view.lease is not None and not view.lease.holder
+        previous_lease = view.lease
         view.apply_object(item)
-        self._become_keeper(lease, was_released=was_released)
+        self._become_keeper(lease, previous_lease)
 
-    def _become_keeper(self, lease: KeeperLease, *, was_released: bool) -> None:
+    def _become_keeper(self, lease: KeeperLease, previous_lease: KeeperLease | None) -> None:
         now = self._dependencies.clock.monotonic()
         self._own_lease = lease
         self._lease_confirmed_at = now
@@ -462,9 +494,7 @@
         self._takeover_blocked_until = now + ISOLATED_TAKEOVER_PAUSE_S
         self._latest_reports.clear()
         self._unresponsive_detector = UnresponsiveDetector()
-        self._keeper_task = asyncio.create_task(
-            self._run_as_keeper(lease, was_released=was_released)
-        )
+        self._keeper_task = asyncio.create_task(self._run_as_keeper(lease, previous_lease))
 
     def _step_down(self, reason: str) -> None:
         lease, self._own_lease = self._own_lease, None
@@ -476,11 +506,40 @@
             self._keeper_task = None
         self._services.close()
 
-    async def _run_as_keeper(self, lease: KeeperLease, *, was_released: bool) -> None:
+    async def _check_memory(self, lease: KeeperLease) -> dict[str, KeyTable]:
+        """Return the tables of this daemon's time as keeper in the previous era of the store.
+
+        None if a majority of the daemons doesn't report soon, or if one of them knows a keeper
+        after this one: the tables may have changed since.
+        """
+        tables, self._former_tables = self._former_tables, {}
+        if not tables or era_of_epoch(lease.epoch) != era_of_epoch(self._former_epoch) + 1:
+            return {}
+        try:
+            async with asyncio.timeout(MEMORY_CHECK_TIMEOUT_S):
+                while not self._is_majority(len(self._latest_reports.list_recent())):
+                    await asyncio.sleep(REPORT_INTERVAL_S / 3)
+        except TimeoutError:
+            logger.info('tables not remembered: no majority reports', epoch=lease.epoch)
+            return {}
+        later_epochs = [
+            report.epoch
+            for report in self._latest_reports.list_recent()
+            if self._former_epoch < report.epoch < lease.epoch
+        ]
+        if later_epochs:
+            logger.info('tables not remembered: a later keeper is known', epochs=later_epochs)
+            return {}
+        logger.info('tables remembered', services=sorted(tables), epoch=lease.epoch)
+        return tables
+
+    async def _run_as_keeper(
+        self, lease: KeeperLease, previous_lease: KeeperLease | None
+    ) -> None:
         """Confirm the lease and start the work for new services while this is the keeper.
 
-        :param was_released: whether the previous keeper released the lease and so sends no
-            further grants
+        :param previous_lease: the lease before; if it was released in this era, the previous
+            keeper sends no further grants
         """
         now = self._dependencies.clock.monotonic()
         max_grant_lifetime_s = (
@@ -490,12 +549,17 @@
         inherited_expiry = (
             now + MAX_OUTAGE_RENEWAL_S + LEASE_CHECK_INTERVAL_S + max_grant_lifetime_s
         )
-        if was_released:
+        # The same for keepers of earlier eras, whose tables and lease may be lost.
+        earlier_era_expiry = inherited_expiry
+        if previous_lease is not None and not previous_lease.holder:
             inherited_expiry = now + max_grant_lifetime_s
-        if lease.epoch == 1:
-            inherited_expiry = now
+        if previous_lease is None and self._dependencies.is_first_start:
+            inherited_expiry = earlier_era_expiry = now
+        tables = await self._check_memory(lease)
         while True:
-            self._services.start_new_services(lease.epoch, inherited_expiry)
+            self._services.start_new_services(
+                lease.epoch, inherited_expiry, earlier_era_expiry, tables
+            )
             read_at = self._dependencies.clock.monotonic()
             try:
                 async with asyncio.timeout(LEASE_CHECK_TIMEOUT_S):
@@ -504,13 +568,19 @@
                 logger.warning('lease not confirmed', epoch=lease.epoch, reason=repr(error))
                 await asyncio.sleep(LEASE_RETRY_DELAY_S)
                 continue
-            if item is not None and decode_lease(item.value).epoch != lease.epoch:
+            self._check_era()
+            if self._own_lease is not lease:
+                return
+            if item is None:
+                self._step_down('the lease is gone from the store')
+                return
+            stored = decode_lease(item.value)
+            if (stored.holder, stored.epoch) != (lease.holder, lease.epoch):
                 self._dependencies.ownership_view.apply_object(item)
                 self._step_down('the stored lease names another keeper')
                 return
             self._lease_confirmed_at = read_at
-            if item is not None:
-                await self._store_daemon_count(item)
+            await self._store_daemon_count(item)
             # Looks for new services four times between two reads of the lease.
             for _ in range(4):
                 await asyncio.sleep(LEASE_CHECK_INTERVAL_S / 4)
@@ -525,7 +595,10 @@
                         + max_grant_lifetime_s
                     )
                     inherited_expiry = min(inherited_expiry, expiry)
-                self._services.start_new_services(lease.epoch, inherited_expiry)
+                    earlier_era_expiry = min(earlier_era_expiry, expiry)
+                self._services.start_new_services(
+                    lease.epoch, inherited_expiry, earlier_era_expiry, tables
+                )
 
     async def _store_daemon_count(self, item: StoredObject) -> None:
         """Store the number of daemons, for daemons that start while there is no keeper.
--- a/src/coltsfootstair/keyspace/_lease.py
+++ b/src/coltsfootstair/keyspace/_lease.py
@@ -10,12 +10,16 @@
 from coltsfootstair.http1 import Address
 
 __all__ = [
+    'EARLIER_ERA_REASON',
     'KEEPER_TIMEOUT_S',
     'ElectionState',
     'KeeperLease',
+    'compute_epoch',
     'decode_lease',
     'encode_lease',
+    'era_of_epoch',
     'find_takeover_reason',
+    'first_fence_of_era',
 ]
 
 KEEPER_TIMEOUT_S = 0.9
@@ -31,12 +35,43 @@
 again, in seconds: it is probably the daemon that is cut off from the network."""
 
 
+_EPOCH_BITS = 32
+"""Bits of an epoch that count the keepers within one era of the store."""
+
+_FENCE_BITS = 40
+"""Bits of a fencing token that count the tokens within one era of the store."""
+
+
+def compute_epoch(era: int, previous_epoch: int) -> int:
+    """Return the epoch of the next keeper, above all epochs of earlier eras.
+
+    :param previous_epoch: epoch of the last known keeper; 0 if there is none
+    """
+    return max(previous_epoch, era << _EPOCH_BITS) + 1
+
+
+def era_of_epoch(epoch: int) -> int:
+    """Return the era of the store in which a keeper took over under ``epoch``."""
+    return epoch >> _EPOCH_BITS
+
+
+def first_fence_of_era(era: int) -> int:
+    """Return a fencing token that is above all that keepers of earlier eras can have used.
+
+    It needs neither a table nor the memory of a daemon, which may both be lost.
+    """
+    return era << _FENCE_BITS
+
+
+EARLIER_ERA_REASON = 'the lease is of an earlier era of the store'
+
+
 class KeeperLease(NamedTuple):
     """The keeper lease as stored.
 
     :param holder: name of the keeper; empty after it has released the lease
     :param address: where the keeper listens for reports
-    :param epoch: increases by one with each takeover
+    :param epoch: increases with each takeover; its upper bits are the era of the store
     :param daemon_count: number of daemons when the lease was written; 0 if not known
     """
 
@@ -55,6 +90,8 @@
     :param keeper_store_unreachable_since: since when the keeper reports that it cannot reach
         the store; ``None`` if it can
     :param store_reachable: whether this daemon can reach the store
+    :param era: era of the store; a lease of an earlier one makes nobody keeper, since another
+        daemon may have taken over before the store came back from an older copy
     :param blocked_until: time before which this daemon must not take over from a keeper that
         holds the lease
     """
@@ -64,6 +101,7 @@
     keeper_store_unreachable_since: float | None
     store_reachable: bool
     blocked_until: float
+    era: int = 0
 
 
 def find_takeover_reason(state: ElectionState, now: float) -> str | None:
@@ -72,6 +110,8 @@
         return None
     if state.lease is None:
         return 'there has been no keeper yet'
+    if era_of_epoch(state.lease.epoch) < state.era:
+        return EARLIER_ERA_REASON
     if not state.lease.holder:
         return 'the keeper has released its lease'
     if now < state.blocked_until:
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -14,6 +14,7 @@
     StoreUnavailableError,
 )
 from coltsfootstair.keyspace._demand import KeyDemand
+from coltsfootstair.keyspace._lease import era_of_epoch, first_fence_of_era
 from coltsfootstair.keyspace._owner_grants import CALL_RETRY_DELAY_S, OwnerGrants
 from coltsfootstair.keyspace._planner import FENCE_STEP, OwnerCandidate, plan_table
 from coltsfootstair.keyspace._table import (
@@ -24,6 +25,7 @@
     encode_table,
 )
 from coltsfootstair.keyspace._view import OWNERSHIP_KIND, TABLE_PREFIX
+from coltsfootstair.objects import era_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -73,6 +75,9 @@
 
     :param epoch: epoch of this keeper
     :param inherited_expiry: latest expiry of grants of previous keepers, in monotonic seconds
+    :param earlier_era_expiry: the same for keepers of earlier eras of the store, of whose
+        grants the stored table may not tell
+    :param remembered_table: the table of the previous era, if it is known to be the latest
     :param get_grant_duration_s: returns the duration of a grant made now, in seconds;
         ``None`` if no grant may be made
     :param is_keeper: returns whether this daemon is still the keeper
@@ -87,6 +92,8 @@
         epoch: int,
         dependencies: KeeperDependencies,
         inherited_expiry: float,
+        earlier_era_expiry: float,
+        remembered_table: KeyTable | None,
         get_grant_duration_s: Callable[[], float | None],
         is_keeper: Callable[[], bool],
         on_superseded: Callable[[int], None],
@@ -98,6 +105,10 @@
         self._dependencies = dependencies
         self._get_grant_duration_s = get_grant_duration_s
         self._epoch = epoch
+        self._earlier_era_expiry = earlier_era_expiry
+        self._remembered_table = remembered_table
+        self._is_table_remembered = False
+        self._fences_after_refusal: set[int] = set()
         self._is_keeper = is_keeper
         self._on_superseded = on_superseded
         self._send_to_all = send_to_all
@@ -127,9 +138,15 @@
         """Start the tasks that read and plan the table and renew the grants."""
         self._start_task(self._run())
 
-    def lower_inherited_expiry(self, expiry: float) -> None:
-        """Lower the latest expiry of grants of previous keepers to ``expiry``."""
+    @property
+    def table(self) -> KeyTable:
+        """The table as known here; it may contain grants that are not written yet."""
+        return self._table
+
+    def lower_inherited_expiry(self, expiry: float, earlier_era_expiry: float) -> None:
+        """Lower the latest expiry of grants of previous keepers."""
         self._owner_grants.lower_inherited_expiry(expiry)
+        self._earlier_era_expiry = min(self._earlier_era_expiry, earlier_era_expiry)
 
     def stop_work(self) -> None:
         """Start no further plans, grant calls or renewals of grants."""
@@ -210,13 +227,20 @@
         name = TABLE_PREFIX + self.service
         item = await self._dependencies.store.get(OWNERSHIP_KIND, name)
         if item is None:
-            empty = encode_table(KeyTable([], 0, self._epoch))
-            item = await self._dependencies.store.create(OWNERSHIP_KIND, name, empty)
+            recovered = await self._recover_table(KeyTable([], 0))
+            item = await self._dependencies.store.create(
+                OWNERSHIP_KIND, name, encode_table(recovered)
+            )
+        if era_of(item.revision) != era_of_epoch(self._epoch):
+            # The keeper steps down with the table that it has in memory.
+            raise StoreUnavailableError(f'{name}: another era of the store has begun')
         table = decode_table(item.value)
         if table.epoch > self._epoch:
             self._on_superseded(table.epoch)
             return
         if table.epoch < self._epoch:
+            if era_of_epoch(table.epoch) < era_of_epoch(self._epoch):
+                table = await self._recover_table(table)
             table = KeyTable(table.ranges, table.highest_fence, self._epoch)
             item = await self._dependencies.store.replace(
                 OWNERSHIP_KIND, name, encode_table(table), expected_revision=item.revision
@@ -234,6 +258,33 @@
             fence=table.highest_fence,
         )
 
+    async def _recover_table(self, stored: KeyTable) -> KeyTable:
+        """Return the table to go on with in an era of the store that has none yet.
+
+        The stored one may lack the last moves. If the latest table is not remembered either,
+        all grants of earlier eras are waited out, and all key ranges are granted anew.
+        """
+        fence = max(first_fence_of_era(era_of_epoch(self._epoch)), stored.highest_fence)
+        remembered, self._remembered_table = self._remembered_table, None
+        if remembered is not None:
+            self._is_table_remembered = True
+            fence = max(fence, remembered.highest_fence)
+            return KeyTable(remembered.ranges, fence, self._epoch)
+        await self._wait_for_earlier_eras()
+        ranges = []
+        for key_range in stored.ranges:
+            fence += FENCE_STEP
+            ranges.append(
+                key_range._replace(fence=fence, is_granted=False, previous_owners=())
+            )
+        return KeyTable(ranges, fence, self._epoch)
+
+    async def _wait_for_earlier_eras(self) -> None:
+        """Wait until no grant of a keeper of an earlier era can be in force."""
+        clock = self._dependencies.clock
+        while (left_s := self._earlier_era_expiry - clock.monotonic()) > 0:
+            await asyncio.sleep(min(left_s, PLANNING_INTERVAL_S))
+
     async def _plan_write_and_grant(self) -> None:
         candidates = self._find_owner_candidates()
         if self._get_grant_duration_s() is None:
@@ -339,6 +390,7 @@
         for key_range in self._table.ranges:
             if key_range.fence in refused:
                 fence += FENCE_STEP
+                self._fences_after_refusal.add(fence)
                 key_range = key_range._replace(fence=fence, is_granted=False)
             ranges.append(key_range)
         return KeyTable(ranges, fence, self._epoch)
@@ -463,6 +515,9 @@
         handover = None
         for incarnation in key_range.previous_owners:
             handover = await self._owner_grants.reclaim(incarnation, key_range) or handover
+        if self._is_table_remembered and key_range.fence in self._fences_after_refusal:
+            # Another keeper moved these keys before the era began, so someone may hold them.
+            await self._wait_for_earlier_eras()
         while not await self._owner_grants.grant(key_range, handover):
             await asyncio.sleep(CALL_RETRY_DELAY_S)
         self._table = KeyTable(
--- a/src/coltsfootstair/keyspace/_services.py
+++ b/src/coltsfootstair/keyspace/_services.py
@@ -13,6 +13,7 @@
     from coltsfootstair.http1 import Address
     from coltsfootstair.keyspace._broadcast import Broadcaster
     from coltsfootstair.keyspace._dependencies import KeeperDependencies
+    from coltsfootstair.keyspace._table import KeyTable
     from coltsfootstair.peers import Report
 
 __all__ = ['ServiceKeepers']
@@ -55,7 +56,21 @@
         self._admitted_shares_computed_at = -math.inf
         self._admitted_share_by_server: dict[str, float] = {}
 
-    def start_new_services(self, epoch: int, inherited_expiry: float) -> None:
+    def copy_tables(self) -> dict[str, KeyTable]:
+        """Return the tables as known here, by service."""
+        return {
+            name: service_keeper.table
+            for name, service_keeper in self._service_keeper_by_name.items()
+            if service_keeper.table.ranges
+        }
+
+    def start_new_services(
+        self,
+        epoch: int,
+        inherited_expiry: float,
+        earlier_era_expiry: float,
+        remembered_tables: dict[str, KeyTable],
+    ) -> None:
         """Start the work for services that are divided by key and have none yet.
 
         Also lowers the inherited expiry of the services whose work has already started.
@@ -63,9 +78,11 @@
         :param epoch: epoch of this keeper
         :param inherited_expiry: latest expiry of grants of previous keepers, in monotonic
             seconds
+        :param earlier_era_expiry: the same for keepers of earlier eras of the store
+        :param remembered_tables: tables of the previous era that are known to be the latest
         """
         for service_keeper in self._service_keeper_by_name.values():
-            service_keeper.lower_inherited_expiry(inherited_expiry)
+            service_keeper.lower_inherited_expiry(inherited_expiry, earlier_era_expiry)
         for service in sorted(
             self._dependencies.get_services_divided_by_key()
             - self._service_keeper_by_name.keys()
@@ -75,6 +92,8 @@
                 epoch,
                 self._dependencies,
                 inherited_expiry,
+                earlier_era_expiry,
+                remembered_tables.get(service),
                 self._get_grant_duration_s,
                 self._is_keeper,
                 self._on_superseded,
--- a/src/coltsfootstair/keyspace/_view.py
+++ b/src/coltsfootstair/keyspace/_view.py
@@ -10,13 +10,14 @@
 from coltsfootstair.errors import ProtocolError
 from coltsfootstair.keyspace._lease import decode_lease
 from coltsfootstair.keyspace._table import decode_table, read_table_update
+from coltsfootstair.objects import era_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from coltsfootstair.keyspace._lease import KeeperLease
     from coltsfootstair.keyspace._table import KeyRange, KeyTable
-    from coltsfootstair.objects import StoredObject
+    from coltsfootstair.objects import Listing, StoredObject
     from coltsfootstair.peers import TableUpdate
 
 __all__ = ['LEASE_NAME', 'OWNERSHIP_KIND', 'TABLE_PREFIX', 'OwnershipView']
@@ -103,6 +104,18 @@
         self._table_by_service[update.service] = table
         self._wake_waiters()
 
+    def apply_listing(self, listing: Listing) -> None:
+        """Apply all objects of the kind.
+
+        A lease of an earlier era that is not listed was lost with that era.
+        """
+        for item in listing.objects:
+            self.apply_object(item)
+        is_lease_listed = any(item.name == LEASE_NAME for item in listing.objects)
+        if not is_lease_listed and era_of(self.lease_revision) < era_of(listing.revision):
+            self.lease, self.lease_revision = None, 0
+            self._revision_by_name.pop(LEASE_NAME, None)
+
     def apply_object(self, item: StoredObject) -> None:
         """Apply an object of the store unless the same or a later revision of it is known."""
         if item.revision <= self._revision_by_name.get(item.name, 0):
--- a/src/coltsfootstair/objects/__init__.py
+++ b/src/coltsfootstair/objects/__init__.py
@@ -9,8 +9,12 @@
     Listing,
     ObjectStore,
     RelayedChanges,
+    Revision,
     StoredObject,
     WatchAnswer,
+    compose_revision,
+    era_of,
+    number_of,
 )
 
 __all__ = [
@@ -20,7 +24,11 @@
     'ObjectStore',
     'Relay',
     'RelayedChanges',
+    'Revision',
     'StoreHealth',
     'StoredObject',
     'WatchAnswer',
+    'compose_revision',
+    'era_of',
+    'number_of',
 ]
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -8,7 +8,7 @@
 import structlog
 
 from coltsfootstair.errors import RevisionTooOldError, StoreUnavailableError
-from coltsfootstair.objects._types import Change, RelayedChanges
+from coltsfootstair.objects._types import Change, RelayedChanges, era_of
 
 if TYPE_CHECKING:
     import random
@@ -83,10 +83,14 @@
 class Subscriber(Protocol):
     """Applies the objects of a kind and their changes."""
 
-    def apply_listing(self, listing: Listing, *, after_outage: bool) -> None:
+    def apply_listing(
+        self, listing: Listing, *, after_outage: bool, is_restored: bool
+    ) -> None:
         """Replace what is known by the objects of a complete listing.
 
         :param after_outage: whether missing objects may be an effect of a store outage
+        :param is_restored: whether the store has come back from an older copy of itself, so
+            that objects may be listed in an earlier state than the one known
         """
 
     def apply_change(self, change: Change, *, after_outage: bool) -> bool:
@@ -131,6 +135,7 @@
         self._outage_ended_at: float | None = None
         self._must_catch_up = False
         self._may_list_stale = True
+        self._listed_era: int | None = None
         self._publish: Callable[[RelayedChanges], None] | None = None
 
     @property
@@ -186,8 +191,15 @@
             may_be_stale, self._may_list_stale = self._may_list_stale, False
             listing = await self._store.list(self._kind, may_be_stale=may_be_stale)
             self._on_call_answered()
+            era = era_of(listing.revision)
+            is_restored = self._listed_era is not None and era > self._listed_era
+            if is_restored:
+                self._outage_ended_at = self._clock.monotonic()
+            self._listed_era = era
             self._revision = listing.revision
-            self._subscriber.apply_listing(listing, after_outage=self._may_be_outage_effect())
+            self._subscriber.apply_listing(
+                listing, after_outage=self._may_be_outage_effect(), is_restored=is_restored
+            )
             return
         if self._relay.is_active and not self._consecutive_failure_count:
             self._must_catch_up = True
--- a/src/coltsfootstair/objects/_types.py
+++ b/src/coltsfootstair/objects/_types.py
@@ -4,7 +4,43 @@
 
 from typing import Any, NamedTuple, Protocol
 
-__all__ = ['Change', 'Listing', 'ObjectStore', 'RelayedChanges', 'StoredObject', 'WatchAnswer']
+__all__ = [
+    'Change',
+    'Listing',
+    'ObjectStore',
+    'RelayedChanges',
+    'Revision',
+    'StoredObject',
+    'WatchAnswer',
+    'compose_revision',
+    'era_of',
+    'number_of',
+]
+
+Revision = int
+"""Era of the store and revision within it as one number, so that each state of a later era
+comes after all states of earlier ones; see ``compose_revision``. 0 comes before all."""
+
+_NUMBER_BITS = 40
+
+
+def compose_revision(era: int, number: int) -> Revision:
+    """Return the revision ``number`` of the store's ``era``.
+
+    The era rises each time the store comes back from an older copy, whose numbers are given
+    out again.
+    """
+    return era << _NUMBER_BITS | number
+
+
+def era_of(revision: Revision) -> int:
+    """Return the era of the store to which ``revision`` belongs."""
+    return revision >> _NUMBER_BITS
+
+
+def number_of(revision: Revision) -> int:
+    """Return the store's own number of ``revision`` within its era."""
+    return revision & ((1 << _NUMBER_BITS) - 1)
 
 
 class StoredObject(NamedTuple):
@@ -14,7 +50,7 @@
     """
 
     name: str
-    revision: int
+    revision: Revision
     value: Any
 
 
@@ -22,7 +58,7 @@
     """All objects of a kind, and the store's revision at the time of the read."""
 
     objects: list[StoredObject]
-    revision: int
+    revision: Revision
 
 
 class Change(NamedTuple):
@@ -44,15 +80,15 @@
     """
 
     changes: list[Change]
-    revision: int
+    revision: Revision
 
 
 class RelayedChanges(NamedTuple):
     """Changes of ``kind`` after ``after_revision``, up to and including ``revision``."""
 
     kind: str
-    after_revision: int
-    revision: int
+    after_revision: Revision
+    revision: Revision
     changes: list[Change]
 
 
@@ -61,8 +97,16 @@
 
     Every call raises ``StoreUnavailableError`` if no answer arrives in time; a change may
     then have taken effect, or may still take effect later.
+
+    The store may come back from an older copy of itself. What was written since is then lost,
+    and a new era begins. An answer of an earlier era counts as none.
+
     """
 
+    @property
+    def era(self) -> int:
+        """Latest era of which an answer has come."""
+
     async def list(self, kind: str, *, may_be_stale: bool = False) -> Listing:
         """Read all objects of ``kind``.
 
@@ -80,18 +124,20 @@
         """
 
     async def replace(
-        self, kind: str, name: str, value: Any, *, expected_revision: int
+        self, kind: str, name: str, value: Any, *, expected_revision: Revision
     ) -> StoredObject:
         """Replace an object that is at ``expected_revision``.
 
-        :raises StoreConflictError: the object is at another revision or was deleted
+        :raises StoreConflictError: the object is at another revision, possibly of another
+            era, or was deleted
         """
 
-    async def watch(self, kind: str, after_revision: int, wait_s: float) -> WatchAnswer:
+    async def watch(self, kind: str, after_revision: Revision, wait_s: float) -> WatchAnswer:
         """Wait for changes after ``after_revision``.
 
         The answer has no changes if none occurs within ``wait_s``.
 
         :param wait_s: how long to wait for a change, in seconds
-        :raises RevisionTooOldError: the store no longer has the changes after that revision
+        :raises RevisionTooOldError: the store no longer has the changes after that revision,
+            or the revision is of an earlier era
         """
--- a/src/coltsfootstair/registry/_view.py
+++ b/src/coltsfootstair/registry/_view.py
@@ -23,6 +23,10 @@
 """How long an entry that is missing after a store outage stays in use, in seconds. The
 platform's limit is two seconds; the other half second is for noticing the entry's return."""
 
+GONE_MEMORY_S = 60.0
+"""How long an ended incarnation is remembered, in seconds, so that its entry is not used again
+when the store comes back from an older copy; many times the age of such a copy."""
+
 COLD_COUNTDOWN_TOLERANCE_S = 0.5
 """Maximum difference between the remaining cold time that a server reports and the expected
 one, in seconds, at which the report counts as unchanged."""
@@ -45,6 +49,8 @@
         self._removal_at_by_name: dict[str, float] = {}
         self._unusable_since_by_name: dict[str, float] = {}
         self._index_is_stale = False
+        self._gone_at_by_incarnation: dict[tuple[str, int], float] = {}
+        self._evacuated_until_by_data_centre: dict[str, float] = {}
 
     def get(self, name: str) -> BackendServer | None:
         """Return the current entry of a backend server, also of a draining one."""
@@ -62,7 +68,13 @@
         return (
             server is not None
             and server.state is ServerState.READY
-            and server.data_centre not in self._evacuated_data_centres
+            and not self._is_evacuated(server.data_centre)
+        )
+
+    def _is_evacuated(self, data_centre: str) -> bool:
+        return (
+            data_centre in self._evacuated_data_centres
+            or data_centre in self._evacuated_until_by_data_centre
         )
 
     def unusable_for_s(self, name: str) -> float:
@@ -138,15 +150,26 @@
         if previous is None:
             return
         self._cold_until_by_incarnation.pop(previous.incarnation, None)
+        self._gone_at_by_incarnation[previous.incarnation] = self._clock.monotonic()
         logger.info('backend server gone', server=name, service=previous.service)
         self._index_is_stale = True
 
-    def apply_listing(self, servers: Iterable[BackendServer], *, after_outage: bool) -> None:
+    def apply_listing(
+        self,
+        servers: Iterable[BackendServer],
+        *,
+        after_outage: bool,
+        is_restored: bool = False,
+    ) -> None:
         """Replace all entries by those of a complete listing.
 
         :param after_outage: whether entries that are missing from it may still return, since
             a store outage may have kept their servers from renewing them
+        :param is_restored: whether the store has come back from an older copy of itself.
+            Servers that were draining or gone before stay so until they write an entry.
         """
+        if is_restored:
+            servers = [server for server in servers if not self._is_outdated(server)]
         by_name = {server.name: server for server in servers}
         for name in [name for name in self._server_by_name if name not in by_name]:
             if after_outage:
@@ -157,6 +180,19 @@
         for server in by_name.values():
             self.apply_entry(server)
 
+    def _is_outdated(self, restored: BackendServer) -> bool:
+        """Whether an entry of a restored store is older than what is known of its server."""
+        if restored.incarnation in self._gone_at_by_incarnation:
+            return True
+        known = self._server_by_name.get(restored.name)
+        if known is None:
+            return False
+        return known.started_at_ms > restored.started_at_ms or (
+            known.incarnation == restored.incarnation
+            and known.state is ServerState.DRAINING
+            and restored.state is not ServerState.DRAINING
+        )
+
     def defer_removal(self, name: str) -> None:
         """Remove an entry after ``RETURN_GRACE_S``, unless it is written again by then.
 
@@ -172,6 +208,14 @@
         for name, removal_at in list(self._removal_at_by_name.items()):
             if now >= removal_at:
                 self.remove(name)
+        for incarnation, gone_at in list(self._gone_at_by_incarnation.items()):
+            if now - gone_at < GONE_MEMORY_S:
+                break  # The others ended later.
+            del self._gone_at_by_incarnation[incarnation]
+        for data_centre, until in list(self._evacuated_until_by_data_centre.items()):
+            if now >= until:
+                del self._evacuated_until_by_data_centre[data_centre]
+                self._on_evacuations_changed()
 
     def set_evacuated_data_centres(self, data_centres: frozenset[str]) -> None:
         """Set the data centres whose servers get no new requests."""
@@ -179,6 +223,15 @@
             return
         logger.info('evacuations changed', data_centres=sorted(data_centres))
         self._evacuated_data_centres = data_centres
+        self._on_evacuations_changed()
+
+    def evacuate_for_now(self, data_centre: str) -> None:
+        """Send the servers of a data centre no new requests for ``RETURN_GRACE_S``."""
+        until = self._clock.monotonic() + RETURN_GRACE_S
+        self._evacuated_until_by_data_centre[data_centre] = until
+        self._on_evacuations_changed()
+
+    def _on_evacuations_changed(self) -> None:
         for name in self._server_by_name:
             self._update_usability(name)
 
--- a/tests/coltsfootstair_platform/standin.py
+++ b/tests/coltsfootstair_platform/standin.py
@@ -98,19 +98,36 @@
 class StoreStandin(Listener):
     """Holds objects by kind and name, with one revision counter for all.
 
-    Set ``down`` to answer every call with 503.
+    Set ``down`` to answer every call with 503. ``take_copy`` and ``restore`` bring it back
+    from an older copy of itself; set ``answered_era`` to answer with another era than its own.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.down = False
         self.calls = 0
+        self.era = 1
+        self.answered_era: int | None = None
+        self._copy: tuple[int, str] = (1, '{}')
         self._revision = 1
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[str, int, dict[str, Any], bool]] = []
         self._oldest_watchable_revision = 0
         self._changed = asyncio.Condition()
 
+    def take_copy(self) -> None:
+        """Keep a copy of all objects for ``restore``."""
+        self._copy = (self._revision, json.dumps(self._objects))
+
+    async def restore(self) -> None:
+        """Come back from the copy, in a new era: later revisions are given out again."""
+        self.era += 1
+        self._revision, objects = self._copy
+        self._objects = json.loads(objects)
+        self.discard_history()
+        async with self._changed:
+            self._changed.notify_all()
+
     async def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object, as operators and backend servers do."""
         self._revision += 1
@@ -142,13 +159,14 @@
     ) -> bool:
         self.calls += 1
         if self.down:
-            writer.write(encode_answer(503))
+            writer.write(encode_answer(503, Store_Era=str(self.era)))
             return True
         url = urllib.parse.urlsplit(request.target)
         parts = [urllib.parse.unquote(part) for part in url.path.split('/')[3:]]
         query = dict(urllib.parse.parse_qsl(url.query))
         status, body = await self._answer(request, parts, query)
-        writer.write(encode_answer(status, json.dumps(body).encode()))
+        era = self.era if self.answered_era is None else self.answered_era
+        writer.write(encode_answer(status, json.dumps(body).encode(), Store_Era=str(era)))
         return True
 
     async def _answer(
@@ -157,7 +175,7 @@
         kind = parts[0]
         by_name = self._objects.setdefault(kind, {})
         if request.method == 'GET' and 'watch' in query:
-            if int(query['watch']) < self._oldest_watchable_revision:
+            if not self._oldest_watchable_revision <= int(query['watch']) <= self._revision:
                 return 410, None
             return 200, await self._watch(
                 kind, int(query['watch']), int(query.get('wait-ms', '0')) / 1000
--- /dev/null
+++ b/tests/coltsfootstair_platform/test_store.py
@@ -0,0 +1,109 @@
+"""Tests of the store client while the store comes back from older copies of itself."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from coltsfootstair.clock import SystemClock
+from coltsfootstair.errors import (
+    RevisionTooOldError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from coltsfootstair.http1 import Address
+from coltsfootstair.objects import era_of, number_of
+from coltsfootstair_platform import HttpObjectStore
+from tests.coltsfootstair_platform.standin import StoreStandin
+
+
+def _run(scenario: Callable[[StoreStandin, HttpObjectStore], Awaitable[None]]) -> None:
+    async def run() -> None:
+        standin = StoreStandin()
+        await standin.start()
+        store = HttpObjectStore(Address('127.0.0.1', standin.port), SystemClock())
+        try:
+            async with asyncio.timeout(10.0):
+                await scenario(standin, store)
+        finally:
+            standin.stop()
+
+    asyncio.run(run())
+
+
+def test_revisions_of_a_later_era_come_after_all_earlier_ones() -> None:
+    async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
+        standin.take_copy()
+        for number in range(5):
+            await standin.put('kind', f'o{number}', {})
+        before = (await store.list('kind')).revision
+        await standin.restore()
+        after = await store.list('kind')
+        assert after.revision > before
+        assert number_of(after.revision) < number_of(before)
+        assert (era_of(before), era_of(after.revision), store.era) == (1, 2, 2)
+        assert after.objects == []
+
+    _run(scenario)
+
+
+def test_a_write_based_on_an_earlier_era_conflicts_although_its_number_exists_again() -> None:
+    async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
+        item = await store.create('kind', 'lease', {'holder': 'a'})
+        standin.take_copy()
+        await standin.restore()
+        # The client does not know of the new era yet: the object is there under its number.
+        with pytest.raises(StoreConflictError, match='revision of era 1, now 2'):
+            await store.replace(
+                'kind', 'lease', {'holder': 'b'}, expected_revision=item.revision
+            )
+        current = await store.get('kind', 'lease')
+        assert current is not None
+        with pytest.raises(StoreConflictError):
+            await store.replace(
+                'kind', 'lease', {'holder': 'c'}, expected_revision=item.revision
+            )
+        assert await store.get('kind', 'lease') == current
+
+    _run(scenario)
+
+
+def test_a_watch_from_an_earlier_era_asks_for_a_new_list() -> None:
+    async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
+        standin.take_copy()
+        await standin.put('kind', 'o1', {})
+        revision = (await store.list('kind')).revision
+        watch = asyncio.create_task(store.watch('kind', revision, 5.0))
+        await asyncio.sleep(0.05)
+        await standin.restore()
+        await standin.put('kind', 'o2', {})
+        await standin.put('kind', 'o3', {})
+        with pytest.raises(RevisionTooOldError):
+            await watch
+
+    _run(scenario)
+
+
+def test_a_late_answer_of_an_earlier_era_is_dropped() -> None:
+    async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
+        await standin.restore()
+        await store.list('kind')
+        standin.answered_era = 1
+        with pytest.raises(StoreUnavailableError, match='earlier era 1'):
+            await store.list('kind')
+        assert store.era == 2
+
+    _run(scenario)
+
+
+def test_a_refusal_tells_the_era_too() -> None:
+    async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
+        standin.down = True
+        standin.era = 7
+        with pytest.raises(StoreUnavailableError):
+            await store.list('kind')
+        assert store.era == 7
+
+    _run(scenario)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -110,8 +110,8 @@
         return Caller(*await asyncio.open_connection(self.address.host, self.address.port))
 
 
-def _find_free_port() -> int:
-    with socket.socket() as probe:
+def _find_free_udp_port() -> int:
+    with socket.socket(type=socket.SOCK_DGRAM) as probe:
         probe.bind(('127.0.0.1', 0))
         port: int = probe.getsockname()[1]
         return port
@@ -136,11 +136,12 @@
         settings = GatewaySettings(
             'd1',
             'north',
-            Address('127.0.0.1', _find_free_port()),
+            Address('127.0.0.1', 0),
             None,
-            Address('127.0.0.1', _find_free_port()),
+            Address('127.0.0.1', _find_free_udp_port()),
             StoreSettings(store_address),
             grace_s=grace_s,
+            is_first_start=True,
             retries=RetrySettings(slack=500.0),  # The retry budget never limits these tests.
         )
         ports = PlatformPorts(
@@ -158,7 +159,7 @@
                     await asyncio.sleep(0.01)
                 # Until the servers' entries are listed.
                 await asyncio.sleep(0.05)
-            yield RunningGateway(gateway, store, settings.callers)
+            yield RunningGateway(gateway, store, gateway.callers_address)
         finally:
             gateway.stop()
             task.cancel()
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -16,7 +16,15 @@
     StaleFenceError,
     WrongServerError,
 )
-from coltsfootstair.objects import Listing, Relay, StoredObject, WatchAnswer
+from coltsfootstair.objects import (
+    Listing,
+    Relay,
+    StoredObject,
+    WatchAnswer,
+    compose_revision,
+    era_of,
+    number_of,
+)
 from coltsfootstair.peers import Message, Report
 from coltsfootstair.registry import BackendServer, Registry, ServerState
 from tests.virtual_time import LoopClock
@@ -33,6 +41,10 @@
         self._world = world
         self._daemon = daemon
 
+    @property
+    def era(self) -> int:
+        return self._world.seen_era_by_daemon.get(self._daemon, 0)
+
     async def _simulate_call(self) -> None:
         # A call takes 4 ms; if the store is unreachable, it times out after 300 ms more.
         await asyncio.sleep(0.004)
@@ -42,10 +54,12 @@
         ):
             await asyncio.sleep(0.3)
             raise StoreUnavailableError('the store is unreachable')
+        self._world.seen_era_by_daemon[self._daemon] = self._world.era
 
     async def list(self, kind: str, *, may_be_stale: bool = False) -> Listing:
         await self._simulate_call()
-        return Listing(list(self._world.objects.values()), self._world.revision)
+        revision = compose_revision(self._world.era, self._world.revision)
+        return Listing(list(self._world.objects.values()), revision)
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         await self._simulate_call()
@@ -60,13 +74,19 @@
         return await self._change(name, value, expected_revision)
 
     async def _change(self, name: str, value: Any, expected_revision: int) -> StoredObject:
+        if expected_revision and era_of(expected_revision) != self.era:
+            raise StoreConflictError(name)
         await self._simulate_call()
         found = self._world.objects.get(name)
-        if (found.revision if found else 0) != expected_revision:
+        # The store compares its own numbers, which it gives out again in each era.
+        if number_of(found.revision if found else 0) != number_of(expected_revision):
             raise StoreConflictError(name)
         self._world.revision += 1
-        item = StoredObject(name, self._world.revision, value)
+        revision = compose_revision(self._world.era, self._world.revision)
+        item = StoredObject(name, revision, value)
         self._world.objects[name] = item
+        if expected_revision and era_of(expected_revision) != self.era:
+            raise StoreConflictError(name)
         if self._world.random.random() < self._world.lost_answer_share:
             # The write was made, but its answer is lost: the call times out after 0.5 s.
             await asyncio.sleep(0.5)
@@ -244,6 +264,7 @@
             get_revision_by_kind=dict,
             on_relayed_changes=lambda _changes: None,
             collect_report=self._collect_report,
+            is_first_start=world.is_first_start,
         )
         self._random = world.random
         self.keeper = Keeper(name, Address(name, 1), dependencies)
@@ -279,6 +300,10 @@
         self.clock = LoopClock()
         self.objects: dict[str, StoredObject] = {}
         self.revision = 1
+        self.era = 0
+        self.is_first_start = True
+        self.seen_era_by_daemon: dict[str, int] = {}
+        self._copy: tuple[int, dict[str, StoredObject]] = (1, {})
         self.daemons_without_store: set[str] = set()
         self.ended_daemons: set[str] = set()
         self.cut_links: set[tuple[str, str]] = set()
@@ -297,6 +322,33 @@
     def now(self) -> float:
         return self.clock.monotonic()
 
+    def copy_store(self) -> None:
+        """Take the copy from which ``restore_store`` brings the store back."""
+        self._copy = (self.revision, dict(self.objects))
+
+    def restore_store(self) -> None:
+        """Bring the store back from its copy, in a new era."""
+        self.era += 1
+        self.revision, objects = self._copy
+        self.objects = {
+            name: item._replace(revision=compose_revision(self.era, number_of(item.revision)))
+            for name, item in objects.items()
+        }
+
+    async def run_drill(self, away_s: float, *, restart_all: bool = False) -> None:
+        """Take the store away for ``away_s`` seconds, and bring it back from its copy.
+
+        :param restart_all: whether all daemons restart meanwhile
+        """
+        self.daemons_without_store.update(self._daemon_names)
+        await asyncio.sleep(away_s / 2)
+        if restart_all:
+            for name in self._daemon_names:
+                self.restart_daemon(name)
+        await asyncio.sleep(away_s / 2)
+        self.restore_store()
+        self.daemons_without_store.clear()
+
     def start_server(self, address: Address) -> ModelServer:
         self._last_start_ms += 1
         server = BackendServer(
@@ -324,6 +376,7 @@
             self.daemon_by_name[daemon].keeper.on_message(message, sender)
 
     def restart_daemon(self, name: str) -> None:
+        self.is_first_start = False
         self.ended_daemons.add(name)
         old = self.daemon_by_name[name]
         old.task.cancel()
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -18,12 +18,15 @@
     StoredObject,
     StoreHealth,
     WatchAnswer,
+    compose_revision,
 )
 
 
 class ScriptedStore:
     """Answers lists and watches from a script; gives no answers once the script has ended."""
 
+    era = 0
+
     def __init__(self, *script: Any) -> None:
         self.script = list(script)
         self.calls: list[str] = []
@@ -66,9 +69,12 @@
     def __init__(self) -> None:
         self.events: list[tuple[str, bool]] = []
 
-    def apply_listing(self, listing: Listing, *, after_outage: bool) -> None:
+    def apply_listing(
+        self, listing: Listing, *, after_outage: bool, is_restored: bool
+    ) -> None:
         names = ' '.join(item.name for item in listing.objects)
-        self.events.append((f'listed {names}', after_outage))
+        verb = 'restored' if is_restored else 'listed'
+        self.events.append((f'{verb} {names}', after_outage))
 
     def apply_change(self, change: Change, *, after_outage: bool) -> bool:
         verb = 'deleted' if change.deleted else 'changed'
@@ -249,3 +255,19 @@
         return subscriber.events
 
     assert run(scenario()) == [('listed ', False)]
+
+
+def test_a_listing_of_a_later_era_is_passed_on_as_restored() -> None:
+    store = ScriptedStore(
+        Listing([_object('a', compose_revision(1, 3))], compose_revision(1, 5)),
+        RevisionTooOldError('another era'),
+        Listing([], compose_revision(2, 4)),
+        RevisionTooOldError('too old'),
+        Listing([], compose_revision(2, 40)),
+    )
+    subscriber = _run_follower(store)
+    assert subscriber.events == [
+        ('listed a', False),
+        ('restored ', True),
+        ('listed ', True),
+    ]
--- a/tests/registry/test_view.py
+++ b/tests/registry/test_view.py
@@ -136,3 +136,36 @@
     assert len(registry.find_usable('lookups')) == 500
     assert len(registry.find_usable('lookups')) == 500
     assert len(rebuilds) == 1
+
+
+def test_a_restored_entry_of_a_server_that_is_draining_or_gone_is_not_used() -> None:
+    """The store came back from a copy in which both were ready."""
+    registry = Registry(ManualClock())
+    registry.apply_entry(SERVER)
+    registry.apply_entry(OTHER)
+    registry.apply_entry(SERVER._replace(state=ServerState.DRAINING))
+    registry.remove('s2')
+    registry.apply_listing([SERVER, OTHER], after_outage=True, is_restored=True)
+    assert _names(registry) == []
+    # Its server writes its entry again, or another incarnation does.
+    registry.apply_entry(OTHER)
+    assert _names(registry) == ['s2']
+    registry.apply_listing(
+        [SERVER._replace(started_at_ms=8), OTHER], after_outage=True, is_restored=True
+    )
+    assert _names(registry) == ['s1', 's2']
+
+
+def test_an_evacuation_that_a_restored_store_lacks_lasts_until_it_may_be_written_again() -> (
+    None
+):
+    clock = ManualClock()
+    registry = Registry(clock)
+    registry.apply_entry(SERVER)
+    registry.set_evacuated_data_centres(frozenset({'north'}))
+    registry.set_evacuated_data_centres(frozenset())
+    registry.evacuate_for_now('north')
+    assert _names(registry) == []
+    clock.advance(RETURN_GRACE_S)
+    registry.remove_expired()
+    assert _names(registry) == ['s1']
