End watches within the history, and keep keys of owners that answer grants

Cause: watches of 30 s ended after the store's history of 20 s, so that all daemons listed all objects again; and an owner with requests that it could not queue, and never answers, counted as unresponsive and lost all its keys at once although it answered grant calls.

Change: a watch ends after six tenths of the history that the settings state; an owner that answers grant calls keeps its keys for 2 s of unresponsiveness.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -457,6 +457,7 @@
                 self._health,
                 self._relay,
                 watch_pause_s,
+                self._settings.store.history_s,
             )
             for kind, subscriber, watch_pause_s in (
                 (
--- a/src/coltsfootstair/gateway/_settings.py
+++ b/src/coltsfootstair/gateway/_settings.py
@@ -23,9 +23,13 @@
 
 
 class StoreSettings(NamedTuple):
-    """Settings of the platform's store."""
+    """Settings of the platform's store.
+
+    :param history_s: how long the store keeps changes for watches, in seconds
+    """
 
     address: Address
+    history_s: float = 20.0
 
 
 class GatewaySettings(NamedTuple):
--- a/src/coltsfootstair/keyspace/_owner_grants.py
+++ b/src/coltsfootstair/keyspace/_owner_grants.py
@@ -98,6 +98,10 @@
             del self._failing_since_by_incarnation[incarnation]
         return failing_s <= MAX_FAILING_TIME_S
 
+    def are_calls_failing(self, incarnation: Incarnation) -> bool:
+        """Whether the last grant call to ``incarnation`` was not answered."""
+        return incarnation in self._failing_since_by_incarnation
+
     def pop_refused_fences(self) -> set[int]:
         """Return and clear the fencing tokens that owners refused as too low."""
         refused, self._refused_fences = self._refused_fences, set()
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -34,6 +34,7 @@
     from coltsfootstair.keyspace._table import Incarnation
     from coltsfootstair.objects import StoredObject
     from coltsfootstair.peers import TableUpdate
+    from coltsfootstair.registry import BackendServer
 
 __all__ = ['ServiceKeeper']
 
@@ -56,6 +57,11 @@
 """Seconds after a change of an owner's keys until its figures reflect the change: the move, a
 report and some answers must come first."""
 
+MAX_UNRESPONSIVE_OWNER_S = 2.0
+"""How long an owner that answers grant calls may be unresponsive to requests before its keys
+go to others, in seconds. An overloaded server may never answer requests that it cannot queue;
+to move all its keys at once would overload others."""
+
 ADMISSION_HEADROOM_RATIO = 1.4
 """Multiple of an owner's capacity that is admitted. The capacity is an estimate, and the
 daemons refuse the excess by their own view of the owner's queue."""
@@ -128,6 +134,7 @@
         self._incarnations_being_renewed: set[Incarnation] = set()
         self._renewed_at_by_incarnation: dict[Incarnation, float] = {}
         self._moved_at_by_incarnation: dict[Incarnation, float] = {}
+        self._unresponsive_since_by_name: dict[str, float] = {}
         self._first_server_seen_at = math.inf
         self._last_server_seen_at = math.inf
         self._seen_candidate_count = 0
@@ -325,8 +332,7 @@
             owns_keys = any(
                 key_range.owner == server.incarnation for key_range in self._table.ranges
             )
-            is_unresponsive = server.name in self._get_unresponsive_servers()
-            if is_unresponsive or not self._owner_grants.may_own(
+            if self._is_unresponsive(server, now) or not self._owner_grants.may_own(
                 server.incarnation, owns_keys=owns_keys
             ):
                 continue
@@ -352,6 +358,17 @@
             )
         return candidates
 
+    def _is_unresponsive(self, server: BackendServer, now: float) -> bool:
+        """Whether a server is unresponsive, also to grant calls or for long."""
+        if server.name not in self._get_unresponsive_servers():
+            self._unresponsive_since_by_name.pop(server.name, None)
+            return False
+        since = self._unresponsive_since_by_name.setdefault(server.name, now)
+        return (
+            self._owner_grants.are_calls_failing(server.incarnation)
+            or now - since >= MAX_UNRESPONSIVE_OWNER_S
+        )
+
     async def _plan_and_write_moves(self, candidates: list[OwnerCandidate]) -> None:
         now = self._dependencies.clock.monotonic()
         current = self._replace_refused_fences()
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -22,8 +22,12 @@
 
 logger = structlog.get_logger()
 
-WATCH_TIMEOUT_S = 30.0
-"""How long a watch waits for a change, in seconds; the maximum of the platform's store."""
+MAX_WATCH_TIMEOUT_S = 30.0
+"""Longest wait of a watch for a change, in seconds; the maximum of the platform's store."""
+
+WATCH_HISTORY_SHARE = 0.6
+"""Share of the store's history after which a watch without changes ends. It returns a newer
+revision; after one that is older than the history, all objects must be listed again."""
 
 FIRST_RETRY_DELAY_S = 0.1
 """Maximum delay after the first failed call, in seconds; doubles with each further one. The
@@ -107,6 +111,7 @@
     the relay is active, changes come from the keeper, and the follower reads only those
     changes from the store that did not arrive.
 
+    :param history_s: how long the store keeps changes, in seconds
     :param watch_pause_s: pause between the answer to a watch and the next watch, in seconds,
         so that changes in quick succession need only one call
     """
@@ -121,6 +126,7 @@
         health: StoreHealth,
         relay: Relay,
         watch_pause_s: float,
+        history_s: float,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -130,6 +136,7 @@
         self._health = health
         self._relay = relay
         self._watch_pause_s = watch_pause_s
+        self._watch_timeout_s = min(MAX_WATCH_TIMEOUT_S, WATCH_HISTORY_SHARE * history_s)
         self._revision: int | None = None
         self._consecutive_failure_count = 0
         self._outage_ended_at: float | None = None
@@ -209,7 +216,9 @@
         # With a wait of 0 the store answers at once, so that the end of an outage and missed
         # changes are noticed without delay.
         wait_s = (
-            0.0 if self._consecutive_failure_count or self._must_catch_up else WATCH_TIMEOUT_S
+            0.0
+            if self._consecutive_failure_count or self._must_catch_up
+            else self._watch_timeout_s
         )
         self._must_catch_up = False
         previous_revision = self._revision
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -86,12 +86,22 @@
     return StoredObject(name, revision, {})
 
 
-def _run_follower(store: ScriptedStore, duration_s: float = 5.0) -> RecordingSubscriber:
+def _run_follower(
+    store: ScriptedStore, duration_s: float = 5.0, history_s: float = 50.0
+) -> RecordingSubscriber:
     async def scenario() -> RecordingSubscriber:
         subscriber = RecordingSubscriber()
         clock = LoopClock()
         follower = Follower(
-            store, 'servers', subscriber, clock, random.Random(1), StoreHealth(), Relay(), 0.1
+            store,
+            'servers',
+            subscriber,
+            clock,
+            random.Random(1),
+            StoreHealth(),
+            Relay(),
+            0.1,
+            history_s,
         )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(duration_s)
@@ -110,6 +120,13 @@
     assert store.calls == ['list', 'watch 5 30', 'watch 6 30']
 
 
+def test_a_watch_ends_before_its_revision_is_older_than_the_history() -> None:
+    """22 daemons listed all objects again when their watches of 30 s ended."""
+    store = ScriptedStore(Listing([], 5), WatchAnswer([], 9))
+    _run_follower(store, history_s=20.0)
+    assert store.calls == ['list', 'watch 5 12', 'watch 9 12']
+
+
 def test_only_the_first_list_may_return_a_stale_state() -> None:
     """195 daemons that started together made 2,800 full-price calls to list all servers."""
     store = ScriptedStore(Listing([], 5), RevisionTooOldError('too old'), Listing([], 9))
@@ -152,6 +169,7 @@
                     health,
                     Relay(),
                     0.1,
+                    50.0,
                 ).run()
             )
             for store in stores
@@ -197,6 +215,7 @@
             StoreHealth(),
             relay,
             0.1,
+            50.0,
         )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(1.0)
@@ -242,6 +261,7 @@
             StoreHealth(),
             Relay(),
             0.1,
+            50.0,
         )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(1.0)
