Let a restarted keeper wait for its own last grants only

Change: the lease says whether all grants of earlier keepers have expired. If so, and its holder released it or was an earlier process at the same address, only the duration of a grant is waited for. A release by a keeper that still waits no longer shortens the wait of the next one.

--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -135,6 +135,8 @@
         # Epoch and tables of this daemon as keeper in the previous era of the store.
         self._former_epoch = 0
         self._former_tables: dict[str, KeyTable] = {}
+        # Whether all grants of keepers before this one have expired.
+        self._is_settled = False
         self._stopping = False
         self._wake_event = asyncio.Event()
         # Whether a heartbeat has come since the known lease last changed.
@@ -270,7 +272,9 @@
         """
         self._stopping = True
         while (lease := self._own_lease) is not None:
-            released = KeeperLease('', self._address, lease.epoch, self.known_daemon_count)
+            released = KeeperLease(
+                '', self._address, lease.epoch, self.known_daemon_count, self._is_settled
+            )
             try:
                 await self._dependencies.store.replace(
                     OWNERSHIP_KIND,
@@ -491,6 +495,7 @@
         self._own_lease = lease
         self._lease_confirmed_at = now
         self._took_over_at = now
+        self._is_settled = False
         self._takeover_blocked_until = now + ISOLATED_TAKEOVER_PAUSE_S
         self._latest_reports.clear()
         self._unresponsive_detector = UnresponsiveDetector()
@@ -538,8 +543,7 @@
     ) -> None:
         """Confirm the lease and start the work for new services while this is the keeper.
 
-        :param previous_lease: the lease before; if it was released in this era, the previous
-            keeper sends no further grants
+        :param previous_lease: the lease before this one, if there was one
         """
         now = self._dependencies.clock.monotonic()
         max_grant_lifetime_s = (
@@ -551,7 +555,7 @@
         )
         # The same for keepers of earlier eras, whose tables and lease may be lost.
         earlier_era_expiry = inherited_expiry
-        if previous_lease is not None and not previous_lease.holder:
+        if previous_lease is not None and self._has_ended_settled(previous_lease):
             inherited_expiry = now + max_grant_lifetime_s
         if previous_lease is None and self._dependencies.is_first_start:
             inherited_expiry = earlier_era_expiry = now
@@ -580,7 +584,8 @@
                 self._step_down('the stored lease names another keeper')
                 return
             self._lease_confirmed_at = read_at
-            await self._store_daemon_count(item)
+            self._is_settled = read_at >= max(inherited_expiry, earlier_era_expiry)
+            await self._update_stored_lease(item)
             # Looks for new services four times between two reads of the lease.
             for _ in range(4):
                 await asyncio.sleep(LEASE_CHECK_INTERVAL_S / 4)
@@ -600,25 +605,41 @@
                     lease.epoch, inherited_expiry, earlier_era_expiry, tables
                 )
 
-    async def _store_daemon_count(self, item: StoredObject) -> None:
-        """Store the number of daemons, for daemons that start while there is no keeper.
+    def _has_ended_settled(self, previous: KeeperLease) -> bool:
+        """Whether the previous keeper sends no further grants, and no earlier one does.
+
+        It has released the lease, or it was an earlier process at the address that this one
+        listens at. A keeper that was not settled may have waited for grants of earlier ones.
+        """
+        has_ended = not previous.holder or (previous.holder, previous.address) == (
+            self.name,
+            self._address,
+        )
+        return has_ended and previous.is_settled
+
+    async def _update_stored_lease(self, item: StoredObject) -> None:
+        """Store whether the lease is settled, and the number of daemons.
 
-        It is written only if it differs from the stored number by more than a quarter.
+        Daemons that start while there is no keeper use the number. It is written only if it
+        differs from the stored one by more than a quarter.
         """
         lease = decode_lease(item.value)
-        if (
+        is_count_outdated = (
             not lease.daemon_count * 0.75
             <= self._majority_base_count
             <= lease.daemon_count * 1.25
-        ):
-            value = encode_lease(lease._replace(daemon_count=self._majority_base_count))
+        )
+        if is_count_outdated or self._is_settled != lease.is_settled:
+            value = encode_lease(
+                lease._replace(
+                    daemon_count=self._majority_base_count, is_settled=self._is_settled
+                )
+            )
             try:
                 written = await self._dependencies.store.replace(
                     OWNERSHIP_KIND, LEASE_NAME, value, expected_revision=item.revision
                 )
             except (StoreConflictError, StoreUnavailableError) as error:
-                logger.info(
-                    'number of daemons not stored in the keeper lease', reason=str(error)
-                )
+                logger.info('keeper lease not updated', reason=str(error))
                 return
             self._dependencies.ownership_view.apply_object(written)
--- a/src/coltsfootstair/keyspace/_lease.py
+++ b/src/coltsfootstair/keyspace/_lease.py
@@ -73,12 +73,15 @@
     :param address: where the keeper listens for reports
     :param epoch: increases with each takeover; its upper bits are the era of the store
     :param daemon_count: number of daemons when the lease was written; 0 if not known
+    :param is_settled: whether all grants of earlier keepers have expired, so that only those
+        of the holder can be in force
     """
 
     holder: str
     address: Address
     epoch: int
     daemon_count: int = 0
+    is_settled: bool = False
 
 
 class ElectionState(NamedTuple):
@@ -134,6 +137,7 @@
     port: int
     epoch: int
     daemons: int = 0
+    settled: bool = False
 
 
 def encode_lease(lease: KeeperLease) -> dict[str, Any]:
@@ -144,6 +148,7 @@
         'port': lease.address.port,
         'epoch': lease.epoch,
         'daemons': lease.daemon_count,
+        'settled': lease.is_settled,
     }
 
 
@@ -157,5 +162,9 @@
     except msgspec.ValidationError as error:
         raise ProtocolError(f'stored keeper lease is malformed: {error}') from None
     return KeeperLease(
-        stored.holder, Address(stored.host, stored.port), stored.epoch, stored.daemons
+        stored.holder,
+        Address(stored.host, stored.port),
+        stored.epoch,
+        stored.daemons,
+        stored.settled,
     )
--- a/tests/keyspace/test_keeper.py
+++ b/tests/keyspace/test_keeper.py
@@ -192,3 +192,42 @@
         return world
 
     assert run(simulate()).violations == []
+
+
+def test_keys_of_an_ended_owner_are_owned_soon_after_all_daemons_restart() -> None:
+    """They had no owner for 12 s: a restarted keeper waited for itself to stop renewing."""
+
+    async def simulate() -> float:
+        world = World(1)
+        await asyncio.sleep(20.0)
+        model = next(model for model in world.server_by_address.values() if model.has_grant(0))
+        model.alive = False
+        for name in list(world.daemon_by_name):
+            world.restart_daemon(name)
+        for daemon in world.daemon_by_name.values():
+            daemon.registry.remove(model.server.name)
+        started_at = world.now
+        while world.compute_served_share() < 1.0:
+            await asyncio.sleep(0.05)
+        assert world.violations == []
+        return world.now - started_at
+
+    # A grant duration and two changes of the table after the takeover.
+    assert run(simulate()) < 5.0
+
+
+def test_a_keeper_that_is_not_settled_leaves_its_successor_to_wait() -> None:
+    """The keeper before it may still renew grants for as long as it had to wait."""
+
+    async def simulate() -> bool:
+        world = World(2)
+        await asyncio.sleep(20.0)
+        first = _list_keepers(world)[0]
+        world.ended_daemons.add(first)
+        while not (second := [name for name in _list_keepers(world) if name != first]):
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.3)
+        await world.daemon_by_name[second[0]].keeper.stop()
+        return decode_lease(world.objects['keeper'].value).is_settled
+
+    assert not run(simulate())
--- a/tests/keyspace/test_store_eras.py
+++ b/tests/keyspace/test_store_eras.py
@@ -41,8 +41,8 @@
     assert run(_simulate(seed)).violations == []
 
 
-def _count_violating_seeds() -> int:
-    return sum(bool(run(_simulate(seed)).violations) for seed in SEEDS)
+def _any_seed_violates() -> bool:
+    return any(run(_simulate(seed)).violations for seed in range(100))
 
 
 def test_the_model_detects_grants_of_earlier_eras_that_are_not_awaited(
@@ -55,14 +55,14 @@
         await load_table(keeper)
 
     monkeypatch.setattr(ServiceKeeper, '_load_table', load_without_wait)
-    assert _count_violating_seeds() > 0
+    assert _any_seed_violates()
 
 
 def test_the_model_detects_fences_that_are_given_out_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(_service, 'first_fence_of_era', lambda _era: 0)
-    assert _count_violating_seeds() > 0
+    assert _any_seed_violates()
 
 
 def test_the_model_detects_a_restored_table_that_is_trusted(
@@ -72,7 +72,7 @@
         return KeyTable(stored.ranges, 1 << 50, keeper._epoch)
 
     monkeypatch.setattr(ServiceKeeper, '_recover_table', trust_stored_table)
-    assert _count_violating_seeds() > 0
+    assert _any_seed_violates()
 
 
 @pytest.mark.parametrize('restart_all', [False, True])
