Trust a settled lease within its era only, and no clock of a restored entry

Cause, found by reading the diff: a lease that a restored store holds could count as settled although a later keeper's lease was lost with the era; and which of two incarnations is newer was told by their start times, which come from clocks that may jump.

Change: a settled lease counts within its era only, and then no earlier era's grants are waited for either, so that a second restart within seconds is as quick as the first; of two incarnations in a restored listing the known one counts until the other writes its entry.

--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -555,8 +555,8 @@
         )
         # The same for keepers of earlier eras, whose tables and lease may be lost.
         earlier_era_expiry = inherited_expiry
-        if previous_lease is not None and self._has_ended_settled(previous_lease):
-            inherited_expiry = now + max_grant_lifetime_s
+        if previous_lease is not None and self._has_ended_settled(previous_lease, lease):
+            inherited_expiry = earlier_era_expiry = now + max_grant_lifetime_s
         if previous_lease is None and self._dependencies.is_first_start:
             inherited_expiry = earlier_era_expiry = now
         tables = await self._check_memory(lease)
@@ -605,12 +605,17 @@
                     lease.epoch, inherited_expiry, earlier_era_expiry, tables
                 )
 
-    def _has_ended_settled(self, previous: KeeperLease) -> bool:
+    def _has_ended_settled(self, previous: KeeperLease, lease: KeeperLease) -> bool:
         """Whether the previous keeper sends no further grants, and no earlier one does.
 
         It has released the lease, or it was an earlier process at the address that this one
-        listens at. A keeper that was not settled may have waited for grants of earlier ones.
+        listens at. A keeper that was not settled may have waited for grants of earlier ones;
+        after a lease of an earlier era of the store, others may have been lost.
+
+        :param lease: the lease of this keeper
         """
+        if era_of_epoch(previous.epoch) != era_of_epoch(lease.epoch):
+            return False
         has_ended = not previous.holder or (previous.holder, previous.address) == (
             self.name,
             self._address,
--- a/src/coltsfootstair/registry/_view.py
+++ b/src/coltsfootstair/registry/_view.py
@@ -187,10 +187,9 @@
         known = self._server_by_name.get(restored.name)
         if known is None:
             return False
-        return known.started_at_ms > restored.started_at_ms or (
-            known.incarnation == restored.incarnation
-            and known.state is ServerState.DRAINING
-            and restored.state is not ServerState.DRAINING
+        # Which of two incarnations started later is not told by their clocks, which may jump.
+        return known.incarnation != restored.incarnation or (
+            known.state is ServerState.DRAINING and restored.state is not ServerState.DRAINING
         )
 
     def defer_removal(self, name: str) -> None:
