Log and count grant calls that were held up on their way

The logs could not tell which grant call a server took late, when it was sent and how its connection ended: 'grant call not answered' named neither keys nor fence and was written for the first failure in a row only. Now each call that was given up with unacknowledged bytes has a line, and a counter has the outcome of every grant call.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -428,6 +428,7 @@
             self._apply_relayed,
             self._fleet.collect_report,
             self._settings.is_first_start,
+            self.metrics.count_grant_call,
         )
 
     def _compute_keeper_capacity(self) -> float:
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import sys
+import termios
 from typing import TYPE_CHECKING, NamedTuple
 
 import httptools
@@ -44,11 +47,16 @@
     """An exchange ended without a complete answer.
 
     :param sent: whether the server may have read a byte of the request
+    :param unacknowledged_bytes: bytes of the request that the server's TCP had not
+        acknowledged when the exchange was given up; ``None`` if not known
     """
 
-    def __init__(self, text: str, *, sent: bool) -> None:
+    def __init__(
+        self, text: str, *, sent: bool, unacknowledged_bytes: int | None = None
+    ) -> None:
         super().__init__(text)
         self.sent = sent
+        self.unacknowledged_bytes = unacknowledged_bytes
 
 
 class Connection(asyncio.Protocol):
@@ -59,6 +67,8 @@
 
     :param id_header: name in lower case of the header in which servers return the id of a
         request
+    :ivar unacknowledged_bytes: bytes of a request that was given up which the server's TCP had
+        not acknowledged by then; ``None`` if not known
     """
 
     def __init__(self, address: Address, id_header: bytes) -> None:
@@ -67,6 +77,7 @@
         self.idle_limit_s: float | None = None
         self.exchange_count = 0
         self.is_reusable = True
+        self.unacknowledged_bytes: int | None = None
         self._id_header = id_header
         self._transport: asyncio.Transport | None = None
         self._pending_answer: asyncio.Future[Answer] | None = None
@@ -136,8 +147,21 @@
         finally:
             self._pending_answer = None
             if not pending_answer.done() or pending_answer.cancelled():
+                self.unacknowledged_bytes = self._count_unacknowledged_bytes()
                 self.close()
 
+    def _count_unacknowledged_bytes(self) -> int | None:
+        """Return how many sent bytes the peer has not acknowledged, or ``None``."""
+        if self._transport is None:
+            return None
+        raw_socket = self._transport.get_extra_info('socket')
+        count = bytearray(4)
+        try:
+            fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, count)
+        except OSError:
+            return None
+        return int.from_bytes(count, sys.byteorder)
+
     def close(self) -> None:
         """Close the connection at once."""
         self.is_reusable = False
--- a/src/coltsfootstair/keyspace/_dependencies.py
+++ b/src/coltsfootstair/keyspace/_dependencies.py
@@ -54,6 +54,9 @@
     :param collect_report: returns this daemon's report with its figures since the last call.
         It is called with the epoch of the keeper, whether this daemon can reach the store, the
         seconds since the last call, and the revision of the known table by service
+    :param count_grant_call: called with the outcome of each grant call: ``accepted``,
+        ``refused``, ``other server``, ``not answered``, or ``held up`` if the server's TCP had
+        not acknowledged the whole call when it was given up
     """
 
     store: ObjectStore
@@ -74,3 +77,4 @@
     on_relayed_changes: Callable[[RelayedChanges], None]
     collect_report: Callable[[int, bool, float, dict[str, int]], Report]
     is_first_start: bool = False
+    count_grant_call: Callable[[str], None] = lambda _outcome: None
--- a/src/coltsfootstair/keyspace/_owner_grants.py
+++ b/src/coltsfootstair/keyspace/_owner_grants.py
@@ -121,14 +121,12 @@
         try:
             await self._send_grant(server, key_range, duration_s, handover)
         except BrokenExchangeError as error:
-            now = self._dependencies.clock.monotonic()
-            if server.incarnation not in self._failing_since_by_incarnation:
-                logger.info('grant call not answered', server=server.name, reason=str(error))
-            self._failing_since_by_incarnation.setdefault(server.incarnation, now)
+            self._on_call_not_answered(server, key_range, error)
             return False
         except WrongServerError as error:
             logger.info('owner has ended', server=server.name, reason=str(error))
             self._ended_incarnations.add(server.incarnation)
+            self._dependencies.count_grant_call('other server')
             return False
         except StaleFenceError:
             logger.warning(
@@ -138,10 +136,34 @@
                 fence=key_range.fence,
             )
             self._refused_fences.add(key_range.fence)
+            self._dependencies.count_grant_call('refused')
             return False
+        self._dependencies.count_grant_call('accepted')
         self._failing_since_by_incarnation.pop(server.incarnation, None)
         return True
 
+    def _on_call_not_answered(
+        self, server: BackendServer, key_range: KeyRange, error: BrokenExchangeError
+    ) -> None:
+        now = self._dependencies.clock.monotonic()
+        is_first = server.incarnation not in self._failing_since_by_incarnation
+        self._failing_since_by_incarnation.setdefault(server.incarnation, now)
+        self._dependencies.count_grant_call(
+            'held up' if error.unacknowledged_bytes else 'not answered'
+        )
+        if is_first or error.unacknowledged_bytes:
+            logger.info(
+                'grant call not answered',
+                service=self.service,
+                server=server.name,
+                first=key_range.first,
+                last=key_range.last,
+                fence=key_range.fence,
+                sent=error.sent,
+                unacknowledged_bytes=error.unacknowledged_bytes,
+                reason=str(error),
+            )
+
     async def _send_grant(
         self,
         server: BackendServer,
--- a/src/coltsfootstair/metrics/_gateway.py
+++ b/src/coltsfootstair/metrics/_gateway.py
@@ -18,7 +18,7 @@
 
 
 class GatewayMetrics(MetricsPage):
-    """Counts requests by route and outcome, and records their durations by route."""
+    """Counts requests and grant calls by outcome, and records durations of requests."""
 
     def __init__(self, daemon: str) -> None:
         aggregation = ExplicitBucketHistogramAggregation(DURATION_BOUNDARIES_S)
@@ -31,6 +31,10 @@
         self._duration = self._meter.create_histogram(
             DURATION_NAME, unit='s', description='Time from the first byte to the answer'
         )
+        self._grant_calls = self._meter.create_counter(
+            'coltsfootstair.grant_calls',
+            description='Grant calls to owners of keys by outcome',
+        )
         self._labelled_routes: set[str] = set()
 
     def count_request(self, route: str, outcome: str, duration_s: float) -> None:
@@ -46,3 +50,7 @@
         self._labelled_routes.add(route)
         self._requests.add(1, {'route': route, 'outcome': outcome})
         self._duration.record(duration_s, {'route': route})
+
+    def count_grant_call(self, outcome: str) -> None:
+        """Count one grant call that has ended."""
+        self._grant_calls.add(1, {'outcome': outcome})
