--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from typing import Any
@@ -164,7 +165,11 @@
         handover: str | None,
         timeout_s: float,
     ) -> None:
-        model = await self._connect(server, timeout_s)
+        model = await self._connect(
+            server,
+            timeout_s,
+            lambda model: model.grant(first, last, fence, duration_s, self._world.now),
+        )
         arrived_at = self._world.now
         if self._world.random.random() < self._world.late_call_share:
             asyncio.get_running_loop().call_later(
@@ -198,12 +203,19 @@
         except StaleFenceError:
             return
 
-    async def _connect(self, server: BackendServer, timeout_s: float) -> ModelServer:
+    async def _connect(
+        self,
+        server: BackendServer,
+        timeout_s: float,
+        held_up_call: Callable[[ModelServer], None] | None = None,
+    ) -> ModelServer:
         await asyncio.sleep(0.002)
         if (
             self._daemon,
             server.name,
         ) in self._world.cut_links or self._daemon in self._world.ended_daemons:
+            if held_up_call is not None and not self._world.resets_given_up_calls:
+                self._world.held_up_calls.append((self._daemon, server.name, held_up_call))
             await asyncio.sleep(timeout_s)
             raise BrokenExchangeError('no answer', sent=False)
         model = self._world.server_at(server.address)
@@ -309,6 +321,10 @@
         self.cut_links: set[tuple[str, str]] = set()
         self.lost_answer_share = 0.0
         self.late_call_share = 0.0
+        # Whether a call that is given up in a cut of the network is dropped with its
+        # connection; if not, it is delivered after the cut.
+        self.resets_given_up_calls = True
+        self.held_up_calls: list[tuple[str, str, Callable[[ModelServer], None]]] = []
         self.violations: list[str] = []
         self._last_start_ms = 1
         self._last_owner_by_key: dict[int, tuple[int, str]] = {}
@@ -442,11 +458,11 @@
             case 2:  # one daemon is cut off from the other daemons
                 links = {(daemon, other) for other in self._daemon_names}
                 self.cut_links |= links
-                loop.call_later(duration_s, self._restore_links, links)
+                loop.call_later(duration_s, self.restore_links, links)
             case 3:  # one daemon is cut off from one backend server
                 links = {(daemon, model.server.name)}
                 self.cut_links |= links
-                loop.call_later(duration_s, self._restore_links, links)
+                loop.call_later(duration_s, self.restore_links, links)
             case 4:  # one daemon restarts
                 self.restart_daemon(daemon)
             case 5:  # one backend server ends, and another one starts at its address
@@ -465,5 +481,14 @@
                 for other_daemon in self.daemon_by_name.values():
                     other_daemon.registry.apply_entry(server)
 
-    def _restore_links(self, links: set[tuple[str, str]]) -> None:
+    def restore_links(self, links: set[tuple[str, str]]) -> None:
         self.cut_links -= links
+        held_up_calls, self.held_up_calls = self.held_up_calls, []
+        for daemon, server_name, call in held_up_calls:
+            if (daemon, server_name) in self.cut_links:
+                self.held_up_calls.append((daemon, server_name, call))
+                continue
+            for model in self.server_by_address.values():
+                if model.alive and model.server.name == server_name:
+                    with contextlib.suppress(StaleFenceError):
+                        call(model)
--- a/tests/keyspace/test_sole_owner.py
+++ b/tests/keyspace/test_sole_owner.py
@@ -55,6 +55,36 @@
     assert min(run(simulate())) == 1.0
 
 
+async def _cut_off_an_owner(seed: int, *, resets_given_up_calls: bool) -> World:
+    """Cut the keeper off from an owner until its keys have gone to others."""
+    world = World(seed)
+    world.resets_given_up_calls = resets_given_up_calls
+    await asyncio.sleep(5.0)
+    keeper = next(
+        daemon.name for daemon in world.daemon_by_name.values() if daemon.keeper.is_keeper
+    )
+    owner = world.random.choice(list(world.server_by_address.values()))
+    links = {(keeper, owner.server.name)}
+    world.cut_links |= links
+    await asyncio.sleep(world.random.uniform(4.5, 8.0))
+    world.restore_links(links)
+    await asyncio.sleep(1.0)
+    world.check_owners(range(64))
+    return world
+
+
+def test_no_key_has_two_owners_after_an_owner_was_cut_off() -> None:
+    for seed in SEEDS:
+        world = run(_cut_off_an_owner(seed, resets_given_up_calls=True))
+        assert world.violations == []
+
+
+def test_the_model_detects_given_up_calls_that_arrive_after_a_cut() -> None:
+    assert any(
+        run(_cut_off_an_owner(seed, resets_given_up_calls=False)).violations for seed in SEEDS
+    )
+
+
 def _count_violating_seeds() -> int:
     return sum(bool(run(_simulate(seed)).violations) for seed in SEEDS)
 
