Release keys at a later life of their owner, too

An owner that ends and starts again under its name and address may take renewals of its earlier life: grant calls name the server, not its incarnation.

Change: the release goes to the server that has the name now, and is repeated until it is answered or the grants have expired, as for any other owner.

Not measured: what the release costs callers; it is one call.

--- a/src/coltsfootstair/keyspace/_owner_grants.py
+++ b/src/coltsfootstair/keyspace/_owner_grants.py
@@ -193,18 +193,18 @@
     async def reclaim(self, incarnation: Incarnation, key_range: KeyRange) -> str | None:
         """End the grant of ``incarnation`` on ``key_range``; return its handover, if any.
 
-        Returns once the backend server has released the keys, has ended, or its grants have
-        expired.
+        Returns once the backend server, or a later life of it under the same name, has
+        released the keys, the server has ended, or its grants have expired.
         """
         clock = self._dependencies.clock
         logged = False
         async with self.get_renewal_lock(incarnation):
             pass  # Wait for a renewal in progress; later ones do not include the range.
         while clock.monotonic() < self._expiries.get_expiry(incarnation):
-            current = self._dependencies.registry.get(incarnation[0])
-            if current is not None and current.incarnation != incarnation:
-                return None
-            server = current or self._find_last_known(incarnation)
+            # A later life of the server may have taken renewals, which name no incarnation.
+            server = self._dependencies.registry.get(incarnation[0]) or self._find_last_known(
+                incarnation
+            )
             if server is None:
                 await asyncio.sleep(CALL_RETRY_DELAY_S)
                 continue
--- a/tests/keyspace/test_keeper.py
+++ b/tests/keyspace/test_keeper.py
@@ -14,7 +14,7 @@
     decode_lease,
     find_takeover_reason,
 )
-from tests.keyspace.model import SERVICE, ModelStore, World
+from tests.keyspace.model import SERVICE, ModelServer, ModelStore, World
 from tests.virtual_time import run
 
 TABLE = f'table-{SERVICE}'
@@ -257,3 +257,28 @@
         return world.violations
 
     assert [len(run(simulate(seed))) for seed in range(8)] == [0] * 8
+
+
+def test_a_grant_that_a_new_life_of_its_owner_took_is_released() -> None:
+    """Renewals reached the new life by its name, and the keys went to others at once."""
+
+    async def simulate(seed: int) -> list[str]:
+        world = World(seed)
+        await asyncio.sleep(6.0)
+        owner = max(
+            world.server_by_address.values(),
+            key=lambda model: sum(model.has_grant(key) for key in range(64)),
+        )
+        owner.alive = False
+        await asyncio.sleep(0.5)
+        new_life = owner.server._replace(
+            started_at_ms=owner.server.started_at_ms + 1000, reported_cold_left_s=8.0
+        )
+        world.server_by_address[new_life.address] = ModelServer(world, new_life)
+        await asyncio.sleep(0.3)
+        for daemon in world.daemon_by_name.values():
+            daemon.registry.apply_entry(new_life)
+        await asyncio.sleep(4.0)
+        return world.violations
+
+    assert [len(run(simulate(seed))) for seed in range(12)] == [0] * 12
