Let the clock of daemons run while their VM is suspended

The steady clock stands still while a VM is suspended, so a suspended keeper took its lease for confirmed at most 0.8 s ago and renewed the grants of an old table: until its next read of the lease, or for 3.8 s if the store did not answer it. By then its successor had waited out what a keeper can grant by its own clock.

Change: daemons use CLOCK_BOOTTIME; stand-ins, whose times tests compare with the machine's monotonic clock, don't.

--- a/src/coltsfootstair/cli/_daemon.py
+++ b/src/coltsfootstair/cli/_daemon.py
@@ -12,7 +12,7 @@
 from cyclopts import Parameter
 
 from coltsfootstair.cli._app import app
-from coltsfootstair.clock import SystemClock
+from coltsfootstair.clock import SuspensionAwareClock
 from coltsfootstair.errors import BadInputError
 from coltsfootstair.logs import configure
 from coltsfootstair.settings import load
@@ -44,7 +44,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: stop_requested.set())
     try:
-        running_daemon = Daemon(daemon_settings, SystemClock())
+        running_daemon = Daemon(daemon_settings, SuspensionAwareClock())
         running_daemon.start()
     except OSError as error:
         print(f'coltsfootstair: cannot listen on an address: {error}', file=sys.stderr)
--- a/src/coltsfootstair/clock/__init__.py
+++ b/src/coltsfootstair/clock/__init__.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from coltsfootstair.clock._clock import Clock, ManualClock, SystemClock
+from coltsfootstair.clock._clock import Clock, ManualClock, SuspensionAwareClock, SystemClock
 
-__all__ = ['Clock', 'ManualClock', 'SystemClock']
+__all__ = ['Clock', 'ManualClock', 'SuspensionAwareClock', 'SystemClock']
--- a/src/coltsfootstair/clock/_clock.py
+++ b/src/coltsfootstair/clock/_clock.py
@@ -6,7 +6,7 @@
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
 
-__all__ = ['Clock', 'ManualClock', 'SystemClock']
+__all__ = ['Clock', 'ManualClock', 'SuspensionAwareClock', 'SystemClock']
 
 
 class Clock(Protocol):
@@ -31,6 +31,17 @@
         return datetime.now(UTC)
 
 
+class SuspensionAwareClock(SystemClock):
+    """The clock of the operating system; it also runs while the VM is suspended.
+
+    Daemons need it: what they knew before a suspension is as old for them as for others.
+    """
+
+    def monotonic(self) -> float:
+        """Return the monotonic time with that of suspensions, in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock for tests, whose time changes only when ``advance`` is called."""
 
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
 from coltsfootstair.http1 import Address, BrokenExchangeError
@@ -30,6 +30,11 @@
 from coltsfootstair.registry import BackendServer, Registry, ServerState
 from tests.virtual_time import LoopClock
 
+if TYPE_CHECKING:
+    from datetime import datetime
+
+    from coltsfootstair.clock import Clock
+
 SERVICE = 'lookups'
 CLOCK_DRIFT_FACTOR = 1.02
 """Factor by which the clock of a backend server may be slow, as the platform states."""
@@ -253,12 +258,31 @@
         return
 
 
+class DaemonClock:
+    """The clock of one daemon, which may run ahead after a suspension of its VM."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._ahead_s = 0.0
+
+    def monotonic(self) -> float:
+        return self._clock.monotonic() + self._ahead_s
+
+    def now(self) -> datetime:
+        return self._clock.now()
+
+    def advance(self, duration_s: float) -> None:
+        """Let the clock run ahead by ``duration_s`` more seconds."""
+        self._ahead_s += duration_s
+
+
 class Daemon:
     """The part of a daemon that works on the ownership of keys."""
 
     def __init__(self, world: World, name: str) -> None:
         self.name = name
-        self.registry = Registry(world.clock)
+        clock = world.clock_by_daemon.setdefault(name, DaemonClock(world.clock))
+        self.registry = Registry(clock)
         self.view = OwnershipView()
         self.relay = Relay()
         dependencies = KeeperDependencies(
@@ -266,7 +290,7 @@
             grant_client=ModelGrantClient(world, name),
             registry=self.registry,
             ownership_view=self.view,
-            clock=world.clock,
+            clock=clock,
             random_source=world.random,
             is_store_reachable=lambda: name not in world.daemons_without_store,
             get_services_divided_by_key=lambda: {SERVICE},
@@ -313,6 +337,7 @@
     def __init__(self, seed: int, daemon_count: int = 4, server_count: int = 5) -> None:
         self.random = random.Random(seed)
         self.clock = LoopClock()
+        self.clock_by_daemon: dict[str, DaemonClock] = {}
         self.objects: dict[str, StoredObject] = {}
         self.revision = 1
         self.era = 0
--- a/tests/keyspace/test_keeper.py
+++ b/tests/keyspace/test_keeper.py
@@ -282,3 +282,25 @@
         return world.violations
 
     assert [len(run(simulate(seed))) for seed in range(12)] == [0] * 12
+
+
+def test_a_keeper_that_was_suspended_grants_nothing_before_it_has_confirmed_its_lease() -> (
+    None
+):
+    """Its clock stood still meanwhile, so it renewed grants of a table that others had."""
+
+    async def simulate() -> tuple[float | None, float | None, float | None]:
+        world = World(1)
+        await asyncio.sleep(5.0)
+        name = _list_keepers(world)[0]
+        keeper = world.daemon_by_name[name].keeper
+        before = keeper.grant_duration_s
+        world.clock_by_daemon[name].advance(20.0)
+        after = keeper.grant_duration_s
+        await asyncio.sleep(1.0)
+        return before, after, keeper.grant_duration_s
+
+    before, after, confirmed = run(simulate())
+    assert before is not None
+    assert after is None
+    assert confirmed is not None
