--- a/tests/coltsfootstair_platform/test_grant_client.py
+++ b/tests/coltsfootstair_platform/test_grant_client.py
@@ -18,7 +18,7 @@
 from coltsfootstair.http1 import Address, BrokenExchangeError
 from coltsfootstair.registry import BackendServer, ServerState
 from coltsfootstair_platform import HttpGrantClient
-from tests.coltsfootstair_platform.standin import encode_answer
+from tests.coltsfootstair_platform.standin import encode_answer, read_request
 
 RECEIVE_BUFFER_BYTES = 2048
 FILLER = b'x' * 256
@@ -127,6 +127,30 @@
     asyncio.run(_grant_into_cut(server, 10 * RECEIVE_TIMEOUT_S))
 
 
+def test_an_extra_answer_to_a_grant_does_not_answer_the_release_after_it() -> None:
+    """The keys would go to their next owner while the release is not carried out."""
+
+    async def simulate() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            granted = await read_request(reader)
+            assert granted is not None
+            answer = encode_answer(200, X_Request_Id=granted.headers.get('x-request-id', ''))
+            writer.write(answer)
+            await read_request(reader)
+            writer.write(answer)
+
+        listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+        address = Address(*listener.sockets[0].getsockname()[:2])
+        server = BackendServer('s1', 1, 'slots', address, 'north', 4, ServerState.READY, 0.0)
+        client = HttpGrantClient(SystemClock())
+        await client.grant(server, 0, 9, 2, 2.5, None, RECEIVE_TIMEOUT_S)
+        with pytest.raises(BrokenExchangeError):
+            await client.release(server, 0, 9, 3, CALL_TIMEOUT_S)
+        listener.close()
+
+    asyncio.run(simulate())
+
+
 def test_a_grant_call_that_was_given_up_in_a_cut_does_not_arrive_after_it() -> None:
     """Two servers held the same keys: the kernel delivered the call after the cut."""
 
