Reset given-up connections of the product's own client, too

A request that timed out in a cut of the network arrived after it. The coordinator then asks the server to stop it, is told that no such request runs, and frees its slot, while the request still comes and runs. Its caller was told that the outcome is unknown, which is true. Grants there end at a time on the server's clock, so owners are not concerned.

An idle connection still ends in the ordinary way.

--- a/src/coltsfootstair/backend/_client.py
+++ b/src/coltsfootstair/backend/_client.py
@@ -13,6 +13,7 @@
 
 from coltsfootstair.backend._types import BackendAnswer, GrantReply, Health
 from coltsfootstair.errors import CallFailedError
+from coltsfootstair.sockets import finish_on_close, reset_on_close
 
 if TYPE_CHECKING:
     from coltsfootstair.backend._types import AnswerSink, BackendRequest, Grant
@@ -90,7 +91,7 @@
         """Close all idle connections."""
         for pool in (self._idle_request_connections, self._idle_control_connections):
             while pool:
-                pool.popleft().close()
+                _close_idle(pool.popleft())
 
     def _call(
         self, method: str, path: str, payload: object, timeout_s: float
@@ -127,13 +128,14 @@
                 break
             if not _is_closed_by_server(connection):
                 return connection
-            connection.close()
+            _close_idle(connection)
         connection = http.client.HTTPConnection(self._host, self._port, timeout=timeout_s)
         try:
             connection.connect()
         except OSError as error:
             raise CallFailedError(f'can not connect: {error}', dispatched=False) from error
         connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        reset_on_close(connection.sock)
         return connection
 
     @staticmethod
@@ -143,11 +145,17 @@
         response: http.client.HTTPResponse,
     ) -> None:
         if response.will_close or connection.sock is None:
-            connection.close()
+            _close_idle(connection)
         else:
             pool.append(connection)
 
 
+def _close_idle(connection: http.client.HTTPConnection) -> None:
+    if connection.sock is not None:
+        finish_on_close(connection.sock)
+    connection.close()
+
+
 def _is_closed_by_server(connection: http.client.HTTPConnection) -> bool:
     """Return whether the server has closed an idle connection, or violated the protocol on it.
 
--- /dev/null
+++ b/tests/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the client of backend servers."""
--- a/tests/coltsfootstair_platform/test_grant_client.py
+++ b/tests/coltsfootstair_platform/test_grant_client.py
@@ -6,11 +6,8 @@
 import contextlib
 import fcntl
 import multiprocessing
-import os
-import socket
 import sys
 import termios
-import time
 
 import pytest
 
@@ -19,26 +16,22 @@
 from coltsfootstair.registry import BackendServer, ServerState
 from coltsfootstair_platform import HttpGrantClient
 from tests.coltsfootstair_platform.standin import encode_answer, read_request
+from tests.held_up import fill_receive_buffer, listen_with_small_buffer, receive_rest
 
-RECEIVE_BUFFER_BYTES = 2048
-FILLER = b'x' * 256
 CALL_TIMEOUT_S = 0.2
-MAX_ACKNOWLEDGEMENT_DELAY_S = 0.05
+FULL_FOR_S = 0.2
 RECEIVE_TIMEOUT_S = 5.0
 
 
 class CutServer:
     """A backend server to which bytes on their way are held up, as by a cut of the network.
 
-    It answers the first call, so that the connection is kept. Once ``_fill_receive_buffer``
+    It answers the first call, so that the connection is kept. Once ``fill_receive_buffer``
     was called, the sender's kernel must keep all further bytes until ``receive_rest``.
     """
 
     def __init__(self) -> None:
-        self._listener = socket.socket()
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        self._listener.bind(('127.0.0.1', 0))
-        self._listener.listen()
+        self._listener = listen_with_small_buffer()
         self._listener.setblocking(False)
         self._connection = self._listener
         address = Address(*self._listener.getsockname()[:2])
@@ -57,67 +50,24 @@
         """Wait until the number of received bytes stays the same for a while."""
         last, count = -1, 0
         while not 0 < count == last:
-            await asyncio.sleep(4 * MAX_ACKNOWLEDGEMENT_DELAY_S)
+            await asyncio.sleep(FULL_FOR_S)
             waiting = fcntl.ioctl(self._connection.fileno(), termios.FIONREAD, b'\0' * 4)
             last, count = count, int.from_bytes(waiting, sys.byteorder)
 
     async def receive_rest(self) -> tuple[bytes, bool]:
         """Return all bytes up to the end of the connection, and whether it was reset."""
-        loop = asyncio.get_running_loop()
-        received = b''
-        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
-            while True:
-                try:
-                    part = await loop.sock_recv(self._connection, 65536)
-                except ConnectionResetError:
-                    return received, True
-                if not part:
-                    return received, False
-                received += part
+        return await asyncio.to_thread(receive_rest, self._connection)
 
     def close(self) -> None:
         self._connection.close()
         self._listener.close()
 
 
-def _count_unacknowledged_bytes(sender: socket.socket) -> int:
-    count = fcntl.ioctl(sender.fileno(), termios.TIOCOUTQ, b'\0' * 4)
-    return int.from_bytes(count, sys.byteorder)
-
-
-def _copy_socket_to(address: Address) -> socket.socket:
-    """Return a copy of this process's connected socket to ``address``."""
-    for name in os.listdir('/proc/self/fd'):
-        try:
-            copy = socket.socket(fileno=os.dup(int(name)))
-        except OSError:
-            continue
-        try:
-            if copy.getpeername()[:2] == tuple(address):
-                return copy
-        except OSError:
-            pass
-        copy.close()
-    raise AssertionError(f'no connection to {address}')
-
-
-def _fill_receive_buffer(address: Address) -> None:
-    """Fill the receive buffer of the peer of this process's connection to ``address``."""
-    sender = _copy_socket_to(address)
-    count = 0
-    while count == 0:
-        sender.send(FILLER)
-        time.sleep(MAX_ACKNOWLEDGEMENT_DELAY_S)
-        count = _count_unacknowledged_bytes(sender)
-    # The connection ends only when no copy of its socket is open.
-    sender.close()
-
-
 async def _grant_into_cut(server: BackendServer, timeout_s: float) -> int | None:
     """Make a call that is answered, and one that is cut off; return its missing bytes."""
     client = HttpGrantClient(SystemClock())
     await client.grant(server, 0, 99, 2, 2.5, None, RECEIVE_TIMEOUT_S)
-    _fill_receive_buffer(server.address)
+    fill_receive_buffer(server.address)
     with pytest.raises(BrokenExchangeError) as raised:
         await client.grant(server, 0, 99, 2, 2.5, None, timeout_s)
     return raised.value.unacknowledged_bytes
