Send nothing to a server that has asked for a pause

A backend server that turned a request away with 503 and Retry-After got the next request at once: the retry of the same request, a keyed one up to four times, and all that came in.

Cause: Retry-After of backend servers was not read. A 503 counted as one failure among others, which makes a server dearer for 3 s but never excludes it, least of all the only one or the owner of a key.

Change: placement.ServerPauses holds the pauses by incarnation; a candidate has the time that is left, for requests that wait for room, retries, trial requests and keyed ones. What can't go elsewhere is refused at once with code 206 and the soonest end, spread by chance beyond it. No retry of the budget is spent where nobody may get it. A malformed value is logged and ignored.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -146,6 +146,7 @@
             self._services.get_expected_service_time_s,
             lambda: self._keeper.unresponsive_servers,
             random_source,
+            self.metrics.count_pause,
         )
         self._keeper = Keeper(
             settings.name, settings.inner, self._build_keeper_dependencies(random_source)
@@ -327,6 +328,18 @@
             },
             'service',
         )
+        self.metrics.add_gauge(
+            'coltsfootstair.paused_servers',
+            'Usable backend servers that have asked this daemon for a pause, by service',
+            lambda: {
+                service: sum(
+                    self._fleet.get_pause_wait_s(server) > 0
+                    for server in self._registry.find_usable(service)
+                )
+                for service in self._services.list_names()
+            },
+            'service',
+        )
         self.metrics.add_gauge(
             'coltsfootstair.backend_connections_opened',
             'Connections to backend servers that were opened',
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -21,6 +21,7 @@
     PlacementRefusal,
     RequestConstraints,
     choose_server,
+    compute_caller_retry_after_s,
 )
 from coltsfootstair.results import Ran, Refusal, ResultCode, title
 from coltsfootstair.routes import RequestKind
@@ -252,9 +253,17 @@
                     f'{request.service} has no server',
                     0.5,
                 )
-            untried = [server for server in usable if server.name not in request.tried_servers]
+            pause_wait_s = self._get_pause_wait_s(request)
+            if pause_wait_s > 0:
+                return self._build_pause_refusal(request, pause_wait_s)
+            untried = [
+                server
+                for server in usable
+                if server.name not in request.tried_servers
+                and self._fleet.get_pause_wait_s(server) <= 0
+            ]
             max_connections = request.policy.max_connections
-            # If all have been tried, any of them may be tried again.
+            # If all others have been tried, any of them may be tried again.
             candidates = [
                 self._fleet.make_candidate(server, max_connections)
                 for server in untried or usable
@@ -266,7 +275,9 @@
                 return choice
             # Without a fresh load report the limit of a server is low; a report may raise it.
             may_get_room_with_report = any(
-                candidate.load.is_report_stale(now) and not candidate.has_room
+                candidate.load.is_report_stale(now)
+                and not candidate.has_room
+                and candidate.pause_wait_s <= 0
                 for candidate in candidates
             )
             if not may_get_room_with_report or now >= wait_deadline:
@@ -289,6 +300,8 @@
             remaining_s = wait_deadline - self._clock.monotonic()
             if server is not None:
                 candidate = self._fleet.make_candidate(server, request.policy.max_connections)
+                if candidate.pause_wait_s > 0:
+                    return self._build_pause_refusal(request, candidate.pause_wait_s)
                 # _place_at_owner refuses the request if the owner is cold or has no room.
                 if candidate.has_room or candidate.cold_wait_s > 0 or remaining_s <= 0:
                     break
@@ -346,6 +359,25 @@
         """Whether an owner is usable, or has been unusable for less than the grace time."""
         return self._registry.unusable_for_s(server.name) < self._unusable_owner_grace_s
 
+    def _get_pause_wait_s(self, request: RequestState) -> float:
+        """Return the seconds until the first pause of the servers that may run a request ends.
+
+        Returns 0 if one of them has not asked for a pause.
+        """
+        servers = self._registry.find_usable(request.service)
+        if request.key is not None:
+            owner = self._find_owner(request.service, request.key)
+            servers = [] if owner is None else [owner]
+        return min((self._fleet.get_pause_wait_s(server) for server in servers), default=0.0)
+
+    def _build_pause_refusal(self, request: RequestState, pause_wait_s: float) -> Refusal:
+        return Refusal(
+            ResultCode.PAUSED,
+            Ran.NO,
+            f'{request.service}: no backend server wants requests for {pause_wait_s:.2f} s',
+            compute_caller_retry_after_s(pause_wait_s, self._random.random()),
+        )
+
     def _build_constraints(self, request: RequestState, now: float) -> RequestConstraints:
         return RequestConstraints(
             self._data_centre,
@@ -359,7 +391,7 @@
 
         Spends a retry of the budget for it, unless nothing was sent.
         """
-        if request.abandoned:
+        if request.abandoned or self._get_pause_wait_s(request) > 0:
             return False
         if result.outcome is Outcome.NOT_SENT:
             return request.failed_connect_count < MAX_FAILED_CONNECT_COUNT
@@ -386,6 +418,9 @@
             return self._refuse(
                 request, Refusal(ResultCode.ANSWER_INCOMPLETE, Ran.UNKNOWN, result.reason)
             )
+        pause_wait_s = self._get_pause_wait_s(request)
+        if pause_wait_s > 0:
+            return self._refuse(request, self._build_pause_refusal(request, pause_wait_s))
         retry_after_s = max(0.1, request.route.target_latency_s / 4)
         return self._refuse(
             request, Refusal(ResultCode.SHED, Ran.NO, result.reason, retry_after_s)
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -4,11 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+import structlog
+
 from coltsfootstair.peers import LoadFigures, Report
 from coltsfootstair.placement import (
     Candidate,
     LoadEstimate,
     RequestPacer,
+    ServerPauses,
     ServiceMean,
     compute_limit_without_report,
 )
@@ -20,10 +23,13 @@
 
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._settings import RetrySettings
+    from coltsfootstair.gateway._types import AnswerFacts
     from coltsfootstair.registry import BackendServer, Registry
 
 __all__ = ['Fleet']
 
+logger = structlog.get_logger()
+
 RETRY_BUDGET_SHARE = 0.9
 """Share of the configured ratio of retries that daemons use; the rest is a safety margin."""
 
@@ -54,6 +60,7 @@
         an answer has been measured, in seconds
     :param get_cold_requests_per_s: returns the requests a second that a cold server of a
         service accepts from all daemons together
+    :param count_pause: counts what a server says of a pause, by outcome
     """
 
     def __init__(
@@ -67,6 +74,7 @@
         get_expected_service_time_s: Callable[[str], float],
         get_unresponsive_servers: Callable[[], list[str]],
         random_source: random.Random,
+        count_pause: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._name = name
         self._registry = registry
@@ -81,6 +89,10 @@
         self._cold_pacer = RequestPacer()
         self._probe_pacer = RequestPacer()
         self._get_unresponsive_servers = get_unresponsive_servers
+        self._count_pause = count_pause
+        self._pauses = ServerPauses()
+        # So that equal malformed values of one server are logged once.
+        self._malformed_retry_after_by_incarnation: dict[tuple[str, int], bytes] = {}
         self._budget_by_service: dict[str, WindowRetryBudget] = {}
         self._request_counts_by_service: dict[str, dict[int, int]] = {}
 
@@ -149,7 +161,49 @@
             max_in_flight = min(
                 max_in_flight, compute_limit_without_report(server.slots, known_daemon_count)
             )
-        return Candidate(server, estimate, cold_wait_s, max_in_flight, is_unresponsive)
+        return Candidate(
+            server,
+            estimate,
+            cold_wait_s,
+            max_in_flight,
+            is_unresponsive,
+            self.get_pause_wait_s(server),
+        )
+
+    def get_pause_wait_s(self, server: BackendServer) -> float:
+        """Return the seconds until the end of a server's pause; 0 if there is none."""
+        return self._pauses.get_wait_s(server.incarnation, self._clock.monotonic())
+
+    def apply_retry_after(self, server: BackendServer, facts: AnswerFacts) -> None:
+        """Apply what an answer says of a pause."""
+        if facts.malformed_retry_after is not None:
+            self._count_pause('malformed')
+            self._log_malformed(server, facts.malformed_retry_after)
+        if facts.retry_after_s is None:
+            return
+        self._count_pause('asked for' if facts.retry_after_s > 0 else 'zero')
+        is_changed = self._pauses.start(
+            server.incarnation, facts.retry_after_s, self._clock.monotonic()
+        )
+        if is_changed:
+            logger.info(
+                'backend server paused',
+                server=server.name,
+                service=server.service,
+                retry_after_s=facts.retry_after_s,
+                says_not_run=facts.says_not_run,
+            )
+
+    def _log_malformed(self, server: BackendServer, value: bytes) -> None:
+        last_by_incarnation = self._malformed_retry_after_by_incarnation
+        if last_by_incarnation.get(server.incarnation) == value:
+            return
+        last_by_incarnation[server.incarnation] = value
+        logger.warning(
+            'pause of backend server ignored: malformed duration',
+            server=server.name,
+            value=value.decode('latin-1'),
+        )
 
     def record_sent(self, server: BackendServer) -> None:
         """Count a request that is about to be sent to ``server``."""
@@ -197,6 +251,7 @@
                 server is None or server.incarnation != incarnation
             ) and not estimate.in_flight:
                 del self._estimate_by_incarnation[incarnation]
+                self._malformed_retry_after_by_incarnation.pop(incarnation, None)
                 continue
             known_incarnations.add(incarnation)
             is_overdue = estimate.is_overdue(self._clock.monotonic())
@@ -208,6 +263,7 @@
                 estimate.answer_count, estimate.service_time_sum_s = 0, 0.0
         self._cold_pacer.forget_ended(known_incarnations)
         self._probe_pacer.forget_ended(known_incarnations)
+        self._pauses.forget_ended(self._clock.monotonic())
         return Report(
             self._name, epoch, store_reachable, interval_s, revisions, requests, load_by_server
         )
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -216,6 +216,7 @@
         if facts.load is not None:
             estimate.apply_report(facts.load, now)
         estimate.on_any_answer(now)
+        self._fleet.apply_retry_after(server, facts)
         if facts.is_wrong_server:
             return AttemptResult(Outcome.WRONG_SERVER, answer, f'status {answer.status}')
         if facts.says_not_run:
--- a/src/coltsfootstair/gateway/_types.py
+++ b/src/coltsfootstair/gateway/_types.py
@@ -38,12 +38,17 @@
     :param is_wrong_server: whether the server at the address is another one than the request
         names, or does not own the key
     :param load: the server's load report; ``None`` if there is no valid one
+    :param retry_after_s: for how long the server wants no further request from this daemon, in
+        seconds; ``None`` if it does not say so
+    :param malformed_retry_after: the value that stands in its place if it can't be read
     """
 
     has_signature_header: bool
     says_not_run: bool
     is_wrong_server: bool
     load: LoadReport | None
+    retry_after_s: float | None = None
+    malformed_retry_after: bytes | None = None
 
 
 class Dialect(Protocol):
--- a/src/coltsfootstair/metrics/_gateway.py
+++ b/src/coltsfootstair/metrics/_gateway.py
@@ -18,7 +18,7 @@
 
 
 class GatewayMetrics(MetricsPage):
-    """Counts requests and grant calls by outcome, and records durations of requests."""
+    """Counts requests, grant calls and pauses by outcome, and records request durations."""
 
     def __init__(self, daemon: str) -> None:
         aggregation = ExplicitBucketHistogramAggregation(DURATION_BOUNDARIES_S)
@@ -35,6 +35,10 @@
             'coltsfootstair.grant_calls',
             description='Grant calls to owners of keys by outcome',
         )
+        self._pauses = self._meter.create_counter(
+            'coltsfootstair.pauses',
+            description='Answers of backend servers that ask for a pause, by outcome',
+        )
         self._labelled_routes: set[str] = set()
 
     def count_request(self, route: str, outcome: str, duration_s: float) -> None:
@@ -54,3 +58,7 @@
     def count_grant_call(self, outcome: str) -> None:
         """Count one grant call that has ended."""
         self._grant_calls.add(1, {'outcome': outcome})
+
+    def count_pause(self, outcome: str) -> None:
+        """Count one answer that asks for a pause."""
+        self._pauses.add(1, {'outcome': outcome})
--- a/src/coltsfootstair/placement/__init__.py
+++ b/src/coltsfootstair/placement/__init__.py
@@ -12,6 +12,7 @@
     compute_limit_without_report,
 )
 from coltsfootstair.placement._load import LoadEstimate, LoadReport, ServiceMean
+from coltsfootstair.placement._pauses import ServerPauses, compute_caller_retry_after_s
 from coltsfootstair.placement._request_pacer import RequestPacer
 
 __all__ = [
@@ -23,7 +24,9 @@
     'PlacementRefusal',
     'RequestConstraints',
     'RequestPacer',
+    'ServerPauses',
     'ServiceMean',
     'choose_server',
+    'compute_caller_retry_after_s',
     'compute_limit_without_report',
 ]
--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -63,6 +63,7 @@
         daemon may have there at once
     :param is_unresponsive: whether the keeper found, from the reports of all daemons, that it
         answers none of them
+    :param pause_wait_s: seconds until the end of a pause that it has asked for; 0 if none
     """
 
     server: BackendServer
@@ -70,6 +71,7 @@
     cold_wait_s: float
     max_in_flight: float = math.inf
     is_unresponsive: bool = False
+    pause_wait_s: float = 0.0
 
     @property
     def has_room(self) -> bool:
@@ -141,6 +143,9 @@
     retry_after_s = constraints.time_left_s
     for candidate in candidates:
         load = candidate.load
+        if candidate.pause_wait_s > 0:
+            retry_after_s = min(retry_after_s, candidate.pause_wait_s)
+            continue
         if candidate.cold_wait_s > 0:
             retry_after_s = min(retry_after_s, candidate.cold_wait_s)
             continue
--- a/src/coltsfootstair/results/_codes.py
+++ b/src/coltsfootstair/results/_codes.py
@@ -35,6 +35,7 @@
     UPLOAD_MEMORY_FULL = 203
     SHED = 204
     COLD = 205
+    PAUSED = 206
     NO_OWNER = 300
     COORDINATOR_UNREACHABLE = 301
     NOT_COORDINATOR = 302
@@ -84,6 +85,7 @@
     ResultCode.UPLOAD_MEMORY_FULL: (503, 'No memory is free for another upload'),
     ResultCode.SHED: (503, 'The backend server refused the request'),
     ResultCode.COLD: (503, 'The backend server is in a cold start'),
+    ResultCode.PAUSED: (503, 'The backend server has asked for a pause'),
     ResultCode.NO_OWNER: (503, 'The key has no owner at present'),
     ResultCode.COORDINATOR_UNREACHABLE: (503, 'The coordinator can not be reached'),
     ResultCode.NOT_COORDINATOR: (503, 'The coordinator has changed'),
--- a/tests/coltsfootstair_platform/test_adapter.py
+++ b/tests/coltsfootstair_platform/test_adapter.py
@@ -189,6 +189,35 @@
         assert DIALECT.parse_answer(Answer(status, headers, b'')).says_not_run is not_run
 
 
+@pytest.mark.parametrize(
+    ('status', 'value', 'retry_after_s', 'malformed'),
+    [
+        (503, b'7', 7.0, None),
+        (503, b'0.25', 0.25, None),
+        (503, b' 2.50 ', 2.5, None),
+        (503, b'0', 0.0, None),
+        (503, None, None, None),
+        (503, b'', None, b''),
+        (503, b'-1', None, b'-1'),
+        (503, b'1e3', None, b'1e3'),
+        (503, b'1_000', None, b'1_000'),
+        (503, b'inf', None, b'inf'),
+        (503, b'9' * 400, None, b'9' * 400),
+        (503, b'Fri, 04 Dec 2026 10:00:00 GMT', None, b'Fri, 04 Dec 2026 10:00:00 GMT'),
+        (429, b'7', None, None),
+        (200, b'7', None, None),
+    ],
+)
+def test_only_a_503_with_a_number_of_seconds_asks_for_a_pause(
+    status: int, value: bytes | None, retry_after_s: float | None, malformed: bytes | None
+) -> None:
+    headers = [] if value is None else [(b'Retry-After', value)]
+    for not_run in ([], [(b'X-Not-Executed', b'1')]):
+        facts = DIALECT.parse_answer(Answer(status, headers + not_run, b''))
+        assert facts.retry_after_s == retry_after_s
+        assert facts.malformed_retry_after == malformed
+
+
 def test_no_wire_name_of_the_platform_occurs_outside_the_adapter() -> None:
     names = re.compile(
         r'X-Upstream-|X-Target-Instance|X-Not-Executed|X-Warmup|X-Handover|X-Shard-Key'
