Check for a pause again once the connection is open

A request whose connection was being opened while its server asked for a pause was sent all the same, up to 0.4 s later.

Cause: a pause was looked at when the server was chosen only.

Change: the sender looks again before it writes the first byte.

Measured: of 4 bookings that were opening connections, the server got 4 before and gets the one now that told it of the pause (test_a_request_whose_connection_is_being_opened_when_the_pause_begins_is_not_sent).

--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -48,7 +48,8 @@
 class Outcome(enum.Enum):
     """Outcome of one attempt.
 
-    - ``NOT_SENT``: nothing was sent, since there was no connection or it was closed before.
+    - ``NOT_SENT``: nothing was sent, since there was no connection or it was closed before, or
+      the server has asked for a pause meanwhile.
     - ``NOT_RUN``: the server states that it did not run the request.
     - ``SHED_WITH_FREE_SLOTS``: the same, although the server's load report shows free slots.
     - ``WRONG_SERVER``: the server at the address is another one, or does not own the key.
@@ -157,6 +158,10 @@
             request.failed_connect_count += 1
             estimate.on_no_answer(self._clock.monotonic())
             return AttemptResult(Outcome.NOT_SENT, None, str(error))
+        if self._fleet.get_pause_wait_s(server) > 0:
+            # The pause began while the connection was being opened.
+            self._pool.release(connection)
+            return AttemptResult(Outcome.NOT_SENT, None, 'the server has asked for a pause')
         request.attempt_count += 1
         request.tried_servers.add(server.name)
         may_have_run_before = request.may_have_run
--- a/src/coltsfootstair/placement/_pauses.py
+++ b/src/coltsfootstair/placement/_pauses.py
@@ -28,7 +28,7 @@
     """
     spread_s = max(MIN_RETRY_AFTER_SPREAD_S, RETRY_AFTER_SPREAD_SHARE * pause_wait_s)
     delay_s = pause_wait_s + spread_s * random_share
-    return math.ceil(delay_s / RETRY_AFTER_UNIT_S) * RETRY_AFTER_UNIT_S
+    return round(math.ceil(delay_s / RETRY_AFTER_UNIT_S) * RETRY_AFTER_UNIT_S, 2)
 
 
 class Pause:
--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -9,7 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import pytest
 
@@ -21,6 +21,9 @@
     run_with_time_limit,
 )
 
+if TYPE_CHECKING:
+    from coltsfootstair.http1 import Address, Connection
+
 REFUSED_WITHIN_S = 0.15
 """Time within which a request that is not held is refused, in seconds."""
 
@@ -245,6 +248,37 @@
     assert len(server.received) == 1
 
 
+def test_a_request_whose_connection_is_being_opened_when_the_pause_begins_is_not_sent() -> (
+    None
+):
+    """Guards against sending what was chosen for the server before it asked for a pause."""
+    server = PausingServer('s1', ['20'] * 9)
+
+    async def work() -> list[tuple[ReceivedAnswer, float]]:
+        async with run_gateway(('desk', server)) as running:
+            pool = running.gateway._pool
+            open_at_once = pool.open
+
+            async def open_slowly(address: Address, timeout_s: float) -> Connection:
+                await asyncio.sleep(0.1)
+                return await open_at_once(address, timeout_s)
+
+            pool.open = open_slowly  # type: ignore[method-assign]
+            calls = []
+            for _ in range(4):
+                calls.append(
+                    asyncio.ensure_future(_call_timed(running, 'bookings', body=b'x'))
+                )
+                await asyncio.sleep(0.03)
+            return await asyncio.gather(*calls)
+
+    for answered, took_s in run_with_time_limit(work()):
+        assert answered.status == 503
+        assert float(answered.headers['retry-after']) > 19.0
+        assert took_s < 0.1 + REFUSED_WITHIN_S
+    assert len(server.received) == 1
+
+
 def test_a_pause_counts_if_the_answer_does_not_say_that_the_request_was_not_run() -> None:
     """The request keeps its outcome: it may have run, so a booking is not sent again."""
     signature = {'X_Upstream_Signature': 'signed'}
