Come back in steps and spread when a pause is over

When a server's pause was over, each daemon sent all that it had at that moment, and all daemons that had been told the same time did.

Cause: the end of the pause was the only limit.

Change: each daemon resumes at a random moment after the end, over the time in which the server works off one request of each daemon (0.1 to 2 s), with one request at once and twice as many in each further step. Requests that were chosen before a pause are counted apart, and not sent if one has begun since. A zero that comes when no pause is in force changes nothing.

Measured: of 12 bookings sent at once after the pause the server got 12 at once before, at most 2 now, and at least 4 when the return is over (test_a_daemon_comes_back_in_steps_when_a_pause_is_over); 300 daemons told the same came back at one moment before, and no more than 47 of them within a mean service time now (tests/gateway/test_fleet.py).

--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -14,6 +14,7 @@
     ServerPauses,
     ServiceMean,
     compute_limit_without_report,
+    compute_return_pace,
 )
 from coltsfootstair.retries import WindowRetryBudget
 
@@ -24,6 +25,7 @@
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._settings import RetrySettings
     from coltsfootstair.gateway._types import AnswerFacts
+    from coltsfootstair.placement import Pause
     from coltsfootstair.registry import BackendServer, Registry
 
 __all__ = ['Fleet']
@@ -161,6 +163,11 @@
             max_in_flight = min(
                 max_in_flight, compute_limit_without_report(server.slots, known_daemon_count)
             )
+        now = self._clock.monotonic()
+        max_in_flight = min(
+            max_in_flight,
+            estimate.in_flight + self._pauses.compute_room(server.incarnation, now),
+        )
         return Candidate(
             server,
             estimate,
@@ -182,9 +189,15 @@
         if facts.retry_after_s is None:
             return
         self._count_pause('asked for' if facts.retry_after_s > 0 else 'zero')
-        is_changed = self._pauses.start(
-            server.incarnation, facts.retry_after_s, self._clock.monotonic()
+        now = self._clock.monotonic()
+        estimate = self.get_load_estimate(server)
+        pace = compute_return_pace(
+            estimate.mean_service_time_s * estimate.estimate_slowdown(now),
+            estimate.slots,
+            self.daemon_count,
+            self._random.random(),
         )
+        is_changed = self._pauses.start(server.incarnation, facts.retry_after_s, now, pace)
         if is_changed:
             logger.info(
                 'backend server paused',
@@ -205,8 +218,18 @@
             value=value.decode('latin-1'),
         )
 
-    def record_sent(self, server: BackendServer) -> None:
-        """Count a request that is about to be sent to ``server``."""
+    def may_send(self, server: BackendServer, counted_in: Pause | None) -> bool:
+        """Whether a server has not asked for a pause since a request was recorded as sent.
+
+        :param counted_in: what ``record_sent`` returned for the request
+        """
+        return self._pauses.may_send(server.incarnation, counted_in)
+
+    def record_sent(self, server: BackendServer) -> Pause | None:
+        """Count a request that is about to be sent to ``server``.
+
+        Returns the last pause of the server, which ``record_ended`` needs.
+        """
         now = self._clock.monotonic()
         self.get_load_estimate(server).on_request_sent(now)
         if server.name in self._get_unresponsive_servers():
@@ -218,6 +241,12 @@
             self._cold_pacer.on_request_sent(
                 server.incarnation, now, requests_per_s, self.daemon_count
             )
+        return self._pauses.on_request_chosen(server.incarnation)
+
+    def record_ended(self, server: BackendServer, counted_in: Pause | None) -> None:
+        """Count the end of a request to ``server``, however it ended."""
+        self.get_load_estimate(server).on_request_ended()
+        self._pauses.on_request_ended(counted_in)
 
     def record_request(self, service: str, key: int | None) -> None:
         """Count a caller's request."""
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -15,6 +15,7 @@
     from coltsfootstair.gateway._trace import RequestTrace
     from coltsfootstair.gateway._types import Dialect
     from coltsfootstair.http1 import Connection, ConnectionPool, IncomingRequest
+    from coltsfootstair.placement import Pause
     from coltsfootstair.registry import BackendServer
     from coltsfootstair.routes import Route, RouteTable, ServicePolicy
 
@@ -142,15 +143,15 @@
 
     async def send(self, request: RequestState, server: BackendServer) -> AttemptResult:
         """Send a request to ``server`` and return the outcome."""
-        estimate = self._fleet.get_load_estimate(server)
-        self._fleet.record_sent(server)
+        counted_in = self._fleet.record_sent(server)
         try:
-            return await self._exchange(request, server)
+            return await self._exchange(request, server, counted_in)
         finally:
-            # The counterpart of on_request_sent, which Fleet.record_sent calls.
-            estimate.on_request_ended()
+            self._fleet.record_ended(server, counted_in)
 
-    async def _exchange(self, request: RequestState, server: BackendServer) -> AttemptResult:
+    async def _exchange(
+        self, request: RequestState, server: BackendServer, counted_in: Pause | None
+    ) -> AttemptResult:
         estimate = self._fleet.get_load_estimate(server)
         try:
             connection = await self._get_connection(request, server)
@@ -158,7 +159,7 @@
             request.failed_connect_count += 1
             estimate.on_no_answer(self._clock.monotonic())
             return AttemptResult(Outcome.NOT_SENT, None, str(error))
-        if self._fleet.get_pause_wait_s(server) > 0:
+        if not self._fleet.may_send(server, counted_in):
             # The pause began while the connection was being opened.
             self._pool.release(connection)
             return AttemptResult(Outcome.NOT_SENT, None, 'the server has asked for a pause')
--- a/src/coltsfootstair/placement/__init__.py
+++ b/src/coltsfootstair/placement/__init__.py
@@ -12,7 +12,13 @@
     compute_limit_without_report,
 )
 from coltsfootstair.placement._load import LoadEstimate, LoadReport, ServiceMean
-from coltsfootstair.placement._pauses import ServerPauses, compute_caller_retry_after_s
+from coltsfootstair.placement._pauses import (
+    Pause,
+    ReturnPace,
+    ServerPauses,
+    compute_caller_retry_after_s,
+    compute_return_pace,
+)
 from coltsfootstair.placement._request_pacer import RequestPacer
 
 __all__ = [
@@ -20,13 +26,16 @@
     'Candidate',
     'LoadEstimate',
     'LoadReport',
+    'Pause',
     'Placement',
     'PlacementRefusal',
     'RequestConstraints',
     'RequestPacer',
+    'ReturnPace',
     'ServerPauses',
     'ServiceMean',
     'choose_server',
     'compute_caller_retry_after_s',
     'compute_limit_without_report',
+    'compute_return_pace',
 ]
--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -14,6 +14,7 @@
 
 
 __all__ = [
+    'MAX_REQUESTS_PER_SLOT',
     'Candidate',
     'Placement',
     'PlacementRefusal',
