Keep a paused owner from counting as unresponsive

Cause: daemons whose answers were overdue report it for 3 s. A server that asks them for a pause gets nothing from them and so answers nothing more; 1 s later it counted as unresponsive, and after 2 s more its keys could move.

Change: reports have what is left of a pause. The keeper drops the overdue report of a daemon that is paused, and a paused daemon reports nothing as overdue. Other daemons' reports count as before.

Measured: test_a_server_that_asks_for_a_pause_is_not_unresponsive and test_a_paused_server_is_reported_as_paused_and_not_as_overdue fail before and pass now; tests/keyspace pass.

--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -283,10 +283,15 @@
                 self._malformed_retry_after_by_incarnation.pop(incarnation, None)
                 continue
             known_incarnations.add(incarnation)
-            is_overdue = estimate.is_overdue(self._clock.monotonic())
-            if estimate.answer_count or is_overdue:
+            pause_left_s = self.get_pause_wait_s(server) if server is not None else 0.0
+            # Nothing is sent during a pause, so missing answers say little.
+            is_overdue = pause_left_s <= 0 and estimate.is_overdue(self._clock.monotonic())
+            if estimate.answer_count or is_overdue or pause_left_s > 0:
                 figures = LoadFigures(
-                    estimate.answer_count, round(estimate.service_time_sum_s, 4), is_overdue
+                    estimate.answer_count,
+                    round(estimate.service_time_sum_s, 4),
+                    is_overdue,
+                    round(pause_left_s, 2),
                 )
                 load_by_server[incarnation[0]] = figures
                 estimate.answer_count, estimate.service_time_sum_s = 0, 0.0
--- a/src/coltsfootstair/keyspace/_unresponsive.py
+++ b/src/coltsfootstair/keyspace/_unresponsive.py
@@ -50,6 +50,9 @@
                 self._add_answers(server, figures)
             if figures.is_overdue:
                 self._reported_at_by_server.setdefault(server, {})[report.daemon] = now
+            elif figures.pause_left_s > 0:
+                # It has answered this daemon, which may send it nothing now.
+                self._reported_at_by_server.get(server, {}).pop(report.daemon, None)
 
     def _add_answers(self, server: str, figures: LoadFigures) -> None:
         mean_s = figures.service_time_sum_s / figures.answer_count
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -28,11 +28,13 @@
         seconds; an error answer counts with the mean service time, since its own latency does
         not tell how fast the server is
     :param is_overdue: whether requests have waited much longer than usual without any answer
+    :param pause_left_s: what is left of the pause that it has asked the daemon for, in seconds
     """
 
     answer_count: int
     service_time_sum_s: float
     is_overdue: bool = False
+    pause_left_s: float = 0.0
 
 
 class Report(msgspec.Struct, tag='report', array_like=True):
@@ -47,7 +49,7 @@
     :param request_counts_by_service: number of requests since the last report, by service and
         then by key
     :param figures_by_server: figures of the backend servers that answered since the last
-        report or whose answers are overdue
+        report, whose answers are overdue, or that have asked for a pause
     """
 
     daemon: str
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -99,3 +99,19 @@
     in_steps = Counter(int(wait_s / 0.18) for wait_s in waits_s)
     assert max(in_steps.values()) < 3 * SLOT_COUNT * 4
     assert max(waits_s) <= retry_after_s + 2.0
+
+
+def test_a_paused_server_is_reported_as_paused_and_not_as_overdue() -> None:
+    """Guards against reporting a server as dead that has only asked for a pause."""
+    clock = ManualClock()
+    fleet = _fleet(clock)
+    fleet._registry.apply_entry(SERVER)
+    fleet.record_sent(SERVER)
+    clock.advance(3.0)
+    figures = fleet.collect_report(1, True, 0.3, {}).figures_by_server['s1']
+    assert (figures.is_overdue, figures.pause_left_s) == (True, 0.0)
+    fleet.apply_retry_after(SERVER, AnswerFacts(True, True, False, None, 5.0))
+    clock.advance(1.5)
+    figures = fleet.collect_report(1, True, 0.3, {}).figures_by_server['s1']
+    assert not figures.is_overdue
+    assert 3.4 < figures.pause_left_s < 6.0
--- a/tests/keyspace/test_unresponsive.py
+++ b/tests/keyspace/test_unresponsive.py
@@ -16,6 +16,7 @@
 
 OVERDUE = LoadFigures(0, 0.0, is_overdue=True)
 ANSWERING = LoadFigures(3, 0.5)
+PAUSED = LoadFigures(0, 0.0, pause_left_s=9.0)
 
 
 def test_two_daemons_without_answers_make_a_server_unresponsive() -> None:
@@ -46,3 +47,21 @@
         detector.apply_report(_report(daemon, s1=OVERDUE), 11.0)
     assert detector.list_unresponsive(10.0 + 3 * mean_s) == []
     assert detector.list_unresponsive(10.0 + 5 * mean_s) == ['s1']
+
+
+def test_a_server_that_asks_for_a_pause_is_not_unresponsive() -> None:
+    """Guards against taking the keys off an owner that is overloaded but alive.
+
+    Daemons whose answers were overdue and that may send nothing now get no answers.
+    """
+    detector = UnresponsiveDetector()
+    for daemon in ('d1', 'd2'):
+        detector.apply_report(_report(daemon, s1=OVERDUE), 10.0)
+    for daemon in ('d1', 'd2'):
+        detector.apply_report(_report(daemon, s1=PAUSED), 10.3)
+    assert detector.list_unresponsive(10.4) == []
+    assert detector.list_unresponsive(10.4 + ANSWER_VALIDITY_S) == []
+    # Others find out for themselves.
+    for daemon in ('d3', 'd4'):
+        detector.apply_report(_report(daemon, s1=OVERDUE), 12.0)
+    assert detector.list_unresponsive(12.0) == ['s1']
