Plan with a paused owner as a slower one

Cause: the planner knew of an owner's load by rates and service times only. An owner that turns requests away in time looks as quick as ever.

--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -16,6 +16,7 @@
 from coltsfootstair.keyspace._demand import KeyDemand
 from coltsfootstair.keyspace._lease import era_of_epoch, first_fence_of_era
 from coltsfootstair.keyspace._owner_grants import CALL_RETRY_DELAY_S, OwnerGrants
+from coltsfootstair.keyspace._paused_owners import PausedOwners
 from coltsfootstair.keyspace._planner import FENCE_STEP, OwnerCandidate, plan_table
 from coltsfootstair.keyspace._table import (
     KeyRange,
@@ -108,6 +109,7 @@
     ) -> None:
         self.service = service
         self.demand = KeyDemand()
+        self.paused_owners = PausedOwners()
         self._dependencies = dependencies
         self._get_grant_duration_s = get_grant_duration_s
         self._epoch = epoch
@@ -340,6 +342,7 @@
             service_time_s = self.demand.estimate_service_time_s(
                 server.name, self._dependencies.get_default_service_time_s(self.service)
             )
+            service_time_s *= self.paused_owners.compute_slowdown(server.name, now)
             if is_cold:
                 # The service time at which the server would serve no more than its cold limit;
                 # the lower bound of the limit avoids a division by zero.
--- a/src/coltsfootstair/keyspace/_services.py
+++ b/src/coltsfootstair/keyspace/_services.py
@@ -115,6 +115,8 @@
             service_keeper = self._service_keeper_by_name.get(service)
             if service_keeper is not None:
                 service_keeper.demand.count_requests(request_count_by_key, now)
+        for service_keeper in self._service_keeper_by_name.values():
+            service_keeper.paused_owners.on_report(report.daemon, now)
         for server_name, figures in report.figures_by_server.items():
             server = self._dependencies.registry.get(server_name)
             service_keeper = (
@@ -122,6 +124,10 @@
             )
             if service_keeper is not None:
                 service_keeper.demand.apply_figures(server_name, figures)
+                if figures.pause_left_s > 0:
+                    service_keeper.paused_owners.apply_pause(
+                        server_name, report.daemon, figures.pause_left_s, now
+                    )
 
     def compute_admitted_shares(self, now: float) -> dict[str, float]:
         """Return the admitted share of requests by name of each overloaded owner."""
