--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -364,6 +364,8 @@
 
         Returns 0 if one of them has not asked for a pause.
         """
+        if not self._fleet.has_pauses:
+            return 0.0
         servers = self._registry.find_usable(request.service)
         if request.key is not None:
             owner = self._find_owner(request.service, request.key)
@@ -371,10 +373,15 @@
         return min((self._fleet.get_pause_wait_s(server) for server in servers), default=0.0)
 
     def _build_pause_refusal(self, request: RequestState, pause_wait_s: float) -> Refusal:
+        paused = (
+            f'{request.service}: all backend servers have'
+            if request.key is None
+            else f'the owner of key {request.key} of {request.service} has'
+        )
         return Refusal(
             ResultCode.PAUSED,
             Ran.NO,
-            f'{request.service}: no backend server wants requests for {pause_wait_s:.2f} s',
+            f'{paused} asked for a pause, {pause_wait_s:.2f} s are left',
             compute_caller_retry_after_s(pause_wait_s, self._random.random()),
         )
 
@@ -391,7 +398,10 @@
 
         Spends a retry of the budget for it, unless nothing was sent.
         """
-        if request.abandoned or self._get_pause_wait_s(request) > 0:
+        if request.abandoned:
+            return False
+        # A key that the server does not own may have an owner that is not paused.
+        if result.outcome is not Outcome.WRONG_SERVER and self._get_pause_wait_s(request) > 0:
             return False
         if result.outcome is Outcome.NOT_SENT:
             return request.failed_connect_count < MAX_FAILED_CONNECT_COUNT
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -163,11 +163,12 @@
             max_in_flight = min(
                 max_in_flight, compute_limit_without_report(server.slots, known_daemon_count)
             )
-        now = self._clock.monotonic()
-        max_in_flight = min(
-            max_in_flight,
-            estimate.in_flight + self._pauses.compute_room(server.incarnation, now),
-        )
+        if self.has_pauses:
+            now = self._clock.monotonic()
+            max_in_flight = min(
+                max_in_flight,
+                estimate.in_flight + self._pauses.compute_room(server.incarnation, now),
+            )
         return Candidate(
             server,
             estimate,
@@ -177,8 +178,15 @@
             self.get_pause_wait_s(server),
         )
 
+    @property
+    def has_pauses(self) -> bool:
+        """Whether any server has asked for a pause and the return after it is not over."""
+        return not self._pauses.is_empty
+
     def get_pause_wait_s(self, server: BackendServer) -> float:
         """Return the seconds until the end of a server's pause; 0 if there is none."""
+        if self._pauses.is_empty:
+            return 0.0
         return self._pauses.get_wait_s(server.incarnation, self._clock.monotonic())
 
     def apply_retry_after(self, server: BackendServer, facts: AnswerFacts) -> None:
--- a/src/coltsfootstair/placement/_pauses.py
+++ b/src/coltsfootstair/placement/_pauses.py
@@ -126,6 +126,11 @@
     def __init__(self) -> None:
         self._pause_by_incarnation: dict[tuple[str, int], Pause] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no pause and no return after one is known."""
+        return not self._pause_by_incarnation
+
     def start(
         self, incarnation: tuple[str, int], retry_after_s: float, now: float, pace: ReturnPace
     ) -> bool:
--- a/tests/gateway/test_pauses.py
+++ b/tests/gateway/test_pauses.py
@@ -236,6 +236,49 @@
     assert len(server.received) == 1
 
 
+def test_a_request_whose_key_has_moved_is_not_refused_for_the_old_owners_pause() -> None:
+    """Guards against refusing a request for the pause of a server that lost its key."""
+    waits: list[float] = []
+
+    async def lose_key(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        request_id = request.headers['x-request-id']
+        if len(server.received) == 1:
+            await asyncio.sleep(0.2)
+            writer.write(encode_answer(421, X_Request_Id=request_id, X_Not_Executed='1'))
+        else:
+            writer.write(
+                encode_answer(
+                    503, X_Request_Id=request_id, X_Not_Executed='1', Retry_After='20'
+                )
+            )
+        return True
+
+    server = ServerStandin('s1', lose_key)
+
+    async def work() -> list[ReceivedAnswer]:
+        async with run_gateway(('slots', server)) as running:
+            await _wait_for_grants(server)
+            ownership = running.gateway._ownership
+            wait_for_change = ownership.wait_for_change
+
+            async def count_wait(timeout_s: float) -> bool:
+                waits.append(timeout_s)
+                return await wait_for_change(timeout_s)
+
+            ownership.wait_for_change = count_wait  # type: ignore[method-assign]
+            first = asyncio.ensure_future(running.call('keyed', X_Shard_Key=7))
+            await asyncio.sleep(0.05)
+            return [await running.call('keyed', X_Shard_Key=7), await first]
+
+    answers = run_with_time_limit(work())
+    assert [answered.headers['coltsfootstair-result'] for answered in answers] == [
+        '206',
+        '206',
+    ]
+    assert len(waits) == 1
+    assert len(server.received) == 2
+
+
 def test_grants_are_renewed_during_a_pause() -> None:
     server = PausingServer('s1', ['20'] * 9)
 
--- a/tests/placement/test_choose.py
+++ b/tests/placement/test_choose.py
@@ -75,6 +75,14 @@
     assert refused.retry_after_s == 0.7
 
 
+def test_a_paused_server_gets_no_request_as_a_trial_or_for_want_of_others() -> None:
+    """An unresponsive server counts as responsive while a trial request is due."""
+    paused = _candidate('paused')._replace(pause_wait_s=9.0)
+    assert _choose_name(paused, _candidate('slow', service_time_s=0.5)) == 'slow'
+    refused = choose_server([paused], CONSTRAINTS, NOW, random.Random(1))
+    assert isinstance(refused, PlacementRefusal)
+
+
 def test_an_unresponsive_server_gets_no_requests() -> None:
     """Requests were sent to unresponsive servers until they timed out."""
     unresponsive = _candidate('unresponsive', service_time_s=0.05)
