--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -4,13 +4,17 @@
 
 from typing import TYPE_CHECKING
 
+import structlog
+
 from coltsfootstair.peers import LoadFigures, Report
 from coltsfootstair.placement import (
     Candidate,
     LoadEstimate,
     RequestPacer,
+    ServerPauses,
     ServiceMean,
     compute_limit_without_report,
+    compute_return_pace,
 )
 from coltsfootstair.retries import WindowRetryBudget
 
@@ -20,10 +24,14 @@
 
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._settings import RetrySettings
+    from coltsfootstair.gateway._types import AnswerFacts
+    from coltsfootstair.placement import Pause
     from coltsfootstair.registry import BackendServer, Registry
 
 __all__ = ['Fleet']
 
+logger = structlog.get_logger()
+
 RETRY_BUDGET_SHARE = 0.9
 """Share of the configured ratio of retries that daemons use; the rest is a safety margin."""
 
@@ -54,6 +62,7 @@
         an answer has been measured, in seconds
     :param get_cold_requests_per_s: returns the requests a second that a cold server of a
         service accepts from all daemons together
+    :param count_pause: counts what a server says of a pause, by outcome
     """
 
     def __init__(
@@ -67,6 +76,7 @@
         get_expected_service_time_s: Callable[[str], float],
         get_unresponsive_servers: Callable[[], list[str]],
         random_source: random.Random,
+        count_pause: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._name = name
         self._registry = registry
@@ -81,6 +91,10 @@
         self._cold_pacer = RequestPacer()
         self._probe_pacer = RequestPacer()
         self._get_unresponsive_servers = get_unresponsive_servers
+        self._count_pause = count_pause
+        self._pauses = ServerPauses()
+        # So that equal malformed values of one server are logged once.
+        self._malformed_retry_after_by_incarnation: dict[tuple[str, int], bytes] = {}
         self._budget_by_service: dict[str, WindowRetryBudget] = {}
         self._request_counts_by_service: dict[str, dict[int, int]] = {}
 
@@ -149,10 +163,81 @@
             max_in_flight = min(
                 max_in_flight, compute_limit_without_report(server.slots, known_daemon_count)
             )
-        return Candidate(server, estimate, cold_wait_s, max_in_flight, is_unresponsive)
+        if self.has_pauses:
+            now = self._clock.monotonic()
+            max_in_flight = min(
+                max_in_flight,
+                estimate.in_flight + self._pauses.compute_room(server.incarnation, now),
+            )
+        return Candidate(
+            server,
+            estimate,
+            cold_wait_s,
+            max_in_flight,
+            is_unresponsive,
+            self.get_pause_wait_s(server),
+        )
 
-    def record_sent(self, server: BackendServer) -> None:
-        """Count a request that is about to be sent to ``server``."""
+    @property
+    def has_pauses(self) -> bool:
+        """Whether any server has asked for a pause and the return after it is not over."""
+        return not self._pauses.is_empty
+
+    def get_pause_wait_s(self, server: BackendServer) -> float:
+        """Return the seconds until the end of a server's pause; 0 if there is none."""
+        if self._pauses.is_empty:
+            return 0.0
+        return self._pauses.get_wait_s(server.incarnation, self._clock.monotonic())
+
+    def apply_retry_after(self, server: BackendServer, facts: AnswerFacts) -> None:
+        """Apply what an answer says of a pause."""
+        if facts.malformed_retry_after is not None:
+            self._count_pause('malformed')
+            self._log_malformed(server, facts.malformed_retry_after)
+        if facts.retry_after_s is None:
+            return
+        self._count_pause('asked for' if facts.retry_after_s > 0 else 'zero')
+        now = self._clock.monotonic()
+        estimate = self.get_load_estimate(server)
+        pace = compute_return_pace(
+            estimate.mean_service_time_s * estimate.estimate_slowdown(now),
+            estimate.slots,
+            self.daemon_count,
+            self._random.random(),
+        )
+        is_changed = self._pauses.start(server.incarnation, facts.retry_after_s, now, pace)
+        if is_changed:
+            logger.info(
+                'backend server paused',
+                server=server.name,
+                service=server.service,
+                retry_after_s=facts.retry_after_s,
+                says_not_run=facts.says_not_run,
+            )
+
+    def _log_malformed(self, server: BackendServer, value: bytes) -> None:
+        last_by_incarnation = self._malformed_retry_after_by_incarnation
+        if last_by_incarnation.get(server.incarnation) == value:
+            return
+        last_by_incarnation[server.incarnation] = value
+        logger.warning(
+            'pause of backend server ignored: malformed duration',
+            server=server.name,
+            value=value.decode('latin-1'),
+        )
+
+    def may_send(self, server: BackendServer, counted_in: Pause | None) -> bool:
+        """Whether a server has not asked for a pause since a request was recorded as sent.
+
+        :param counted_in: what ``record_sent`` returned for the request
+        """
+        return self._pauses.may_send(server.incarnation, counted_in)
+
+    def record_sent(self, server: BackendServer) -> Pause | None:
+        """Count a request that is about to be sent to ``server``.
+
+        Returns the last pause of the server, which ``record_ended`` needs.
+        """
         now = self._clock.monotonic()
         self.get_load_estimate(server).on_request_sent(now)
         if server.name in self._get_unresponsive_servers():
@@ -164,6 +249,12 @@
             self._cold_pacer.on_request_sent(
                 server.incarnation, now, requests_per_s, self.daemon_count
             )
+        return self._pauses.on_request_chosen(server.incarnation)
+
+    def record_ended(self, server: BackendServer, counted_in: Pause | None) -> None:
+        """Count the end of a request to ``server``, however it ended."""
+        self.get_load_estimate(server).on_request_ended()
+        self._pauses.on_request_ended(counted_in)
 
     def record_request(self, service: str, key: int | None) -> None:
         """Count a caller's request."""
@@ -197,17 +288,24 @@
                 server is None or server.incarnation != incarnation
             ) and not estimate.in_flight:
                 del self._estimate_by_incarnation[incarnation]
+                self._malformed_retry_after_by_incarnation.pop(incarnation, None)
                 continue
             known_incarnations.add(incarnation)
-            is_overdue = estimate.is_overdue(self._clock.monotonic())
-            if estimate.answer_count or is_overdue:
+            pause_left_s = self.get_pause_wait_s(server) if server is not None else 0.0
+            # Nothing is sent during a pause, so missing answers say little.
+            is_overdue = pause_left_s <= 0 and estimate.is_overdue(self._clock.monotonic())
+            if estimate.answer_count or is_overdue or pause_left_s > 0:
                 figures = LoadFigures(
-                    estimate.answer_count, round(estimate.service_time_sum_s, 4), is_overdue
+                    estimate.answer_count,
+                    round(estimate.service_time_sum_s, 4),
+                    is_overdue,
+                    round(pause_left_s, 2),
                 )
                 load_by_server[incarnation[0]] = figures
                 estimate.answer_count, estimate.service_time_sum_s = 0, 0.0
         self._cold_pacer.forget_ended(known_incarnations)
         self._probe_pacer.forget_ended(known_incarnations)
+        self._pauses.forget_ended(self._clock.monotonic())
         return Report(
             self._name, epoch, store_reachable, interval_s, revisions, requests, load_by_server
         )
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -15,6 +15,7 @@
     from coltsfootstair.gateway._trace import RequestTrace
     from coltsfootstair.gateway._types import Dialect
     from coltsfootstair.http1 import Connection, ConnectionPool, IncomingRequest
+    from coltsfootstair.placement import Pause
     from coltsfootstair.registry import BackendServer
     from coltsfootstair.routes import Route, RouteTable, ServicePolicy
 
@@ -48,7 +49,8 @@
 class Outcome(enum.Enum):
     """Outcome of one attempt.
 
-    - ``NOT_SENT``: nothing was sent, since there was no connection or it was closed before.
+    - ``NOT_SENT``: nothing was sent, since there was no connection or it was closed before, or
+      the server has asked for a pause meanwhile.
     - ``NOT_RUN``: the server states that it did not run the request.
     - ``SHED_WITH_FREE_SLOTS``: the same, although the server's load report shows free slots.
     - ``WRONG_SERVER``: the server at the address is another one, or does not own the key.
@@ -141,15 +143,15 @@
 
     async def send(self, request: RequestState, server: BackendServer) -> AttemptResult:
         """Send a request to ``server`` and return the outcome."""
-        estimate = self._fleet.get_load_estimate(server)
-        self._fleet.record_sent(server)
+        counted_in = self._fleet.record_sent(server)
         try:
-            return await self._exchange(request, server)
+            return await self._exchange(request, server, counted_in)
         finally:
-            # The counterpart of on_request_sent, which Fleet.record_sent calls.
-            estimate.on_request_ended()
+            self._fleet.record_ended(server, counted_in)
 
-    async def _exchange(self, request: RequestState, server: BackendServer) -> AttemptResult:
+    async def _exchange(
+        self, request: RequestState, server: BackendServer, counted_in: Pause | None
+    ) -> AttemptResult:
         estimate = self._fleet.get_load_estimate(server)
         try:
             connection = await self._get_connection(request, server)
@@ -157,6 +159,10 @@
             request.failed_connect_count += 1
             estimate.on_no_answer(self._clock.monotonic())
             return AttemptResult(Outcome.NOT_SENT, None, str(error))
+        if not self._fleet.may_send(server, counted_in):
+            # The pause began while the connection was being opened.
+            self._pool.release(connection)
+            return AttemptResult(Outcome.NOT_SENT, None, 'the server has asked for a pause')
         request.attempt_count += 1
         request.tried_servers.add(server.name)
         may_have_run_before = request.may_have_run
@@ -216,6 +222,7 @@
         if facts.load is not None:
             estimate.apply_report(facts.load, now)
         estimate.on_any_answer(now)
+        self._fleet.apply_retry_after(server, facts)
         if facts.is_wrong_server:
             return AttemptResult(Outcome.WRONG_SERVER, answer, f'status {answer.status}')
         if facts.says_not_run:
