Cut off answers whose head or framing has no end

Cause: the head of an answer, interim answers, answers to another request, the extensions, lengths and trailers of chunks, and empty lines before an answer were read until the deadline. Headers and trailers were kept in memory without a bound. Only the body of the last answer was limited, after it had arrived.

Change: one exchange may bring 64 KiB that belong to no body and eight bytes for each byte of a body, and 256 headers; the bodies of all its answers count towards the 16 MiB. An announced length beyond that fails at once. The parser stops within the bytes being read. As before, the exchange fails as sent, the connection is reset and not reused, and the failure counts for its server. Cut off answers are counted by reason, and logged each 5 s by server.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -22,6 +22,7 @@
 from coltsfootstair.gateway._trace import RequestLog
 from coltsfootstair.http1 import (
     Address,
+    AnswerLimiter,
     CallerConnection,
     CallerLimits,
     ConnectionPool,
@@ -135,7 +136,10 @@
         self._configuration_subscriber = ConfigurationSubscriber(ports.decoder)
         self._services = ServicesInForce(lambda: self._configuration_subscriber.route_table)
         self._ownership = OwnershipView()
-        self._pool = ConnectionPool(clock, ports.dialect.request_id_header)
+        self._answer_limiter = AnswerLimiter()
+        self._pool = ConnectionPool(
+            clock, ports.dialect.request_id_header, self._answer_limiter
+        )
         self._fleet = Fleet(
             settings.name,
             self._registry,
@@ -333,6 +337,12 @@
             lambda: {'all': self._pool.opened_count},
             'what',
         )
+        self.metrics.add_gauge(
+            'coltsfootstair.answers_cut_off',
+            'Answers of backend servers that were not received to their end, by reason',
+            lambda: dict(self._answer_limiter.cut_off_count_by_reason),
+            'reason',
+        )
 
     def _read_state(self) -> dict[str, float]:
         route_table = self._configuration_subscriber.route_table
@@ -401,6 +411,8 @@
             if self.clock.monotonic() >= next_log_at:
                 next_log_at += LOG_COUNTS_INTERVAL_S
                 self._request_log.flush()
+                if count_by_cause := self._answer_limiter.take_new_counts():
+                    logger.warning('answers cut off', count_by_cause=count_by_cause)
                 if self._get_dropped_line_count() > logged_dropped_line_count:
                     logger.warning(
                         'log lines dropped',
--- a/src/coltsfootstair/http1/__init__.py
+++ b/src/coltsfootstair/http1/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootstair.http1._answer_limiter import AnswerLimiter, CutOffReason
 from coltsfootstair.http1._client import Answer, BrokenExchangeError, Connection
 from coltsfootstair.http1._headers import Headers, find_first_value, select_end_to_end
 from coltsfootstair.http1._pool import Address, ConnectionPool
@@ -16,11 +17,13 @@
 __all__ = [
     'Address',
     'Answer',
+    'AnswerLimiter',
     'BrokenExchangeError',
     'CallerConnection',
     'CallerLimits',
     'Connection',
     'ConnectionPool',
+    'CutOffReason',
     'Headers',
     'IncomingRequest',
     'Reply',
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -13,6 +13,7 @@
 import httptools
 
 from coltsfootstair.errors import ColtsfootstairError
+from coltsfootstair.http1._answer_limiter import AnswerLimiter, CutOffReason
 from coltsfootstair.http1._headers import Headers, find_first_value, render_head
 
 if TYPE_CHECKING:
@@ -20,8 +21,15 @@
 
 __all__ = ['Answer', 'BrokenExchangeError', 'Connection']
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-"""Longest body of an answer; a quarter of the default limit of a request's body."""
+MAX_HEAD_BYTES = 64 * 1024
+"""Bytes of one exchange that belong to no body: heads, also interim ones, and trailers."""
+
+MAX_HEADER_COUNT = 256
+"""Headers of an answer, with its trailers."""
+
+MAX_FRAMING_BYTES_PER_BODY_BYTE = 8
+"""Bytes of chunk framing allowed in addition for each byte of a body; a chunk of one byte
+has five."""
 
 KEEP_ALIVE_INTERVAL_S = 1
 """Idle time after which TCP probes a connection, and time between probes."""
@@ -34,6 +42,7 @@
 time in which the deployments require that a broken network path is detected."""
 
 FIRST_FINAL_STATUS = 200
+NOT_MODIFIED_STATUS = 304
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _FINISH_ON_CLOSE = struct.pack('ii', 0, 0)
@@ -64,22 +73,31 @@
         self.unacknowledged_bytes = unacknowledged_bytes
 
 
+class _CutOffError(Exception):
+    """Stops the parser after the exchange has failed."""
+
+
 class Connection(asyncio.Protocol):
     """Sends requests over one socket to a server and parses the answers.
 
     Bytes that arrive while no request is pending, or that violate the protocol, make the
-    connection unusable. An answer with the id of another request is ignored.
+    connection unusable. An answer with the id of another request is ignored. An exchange whose
+    answers exceed the limits, ignored ones included, fails at once.
 
     A connection that ends during an exchange is reset, also if the process is killed, so that
     bytes of the request that are held up on their way are not delivered later.
 
     :param id_header: name in lower case of the header in which servers return the id of a
         request
+    :param limiter: limits the answers of all connections that share it
     :ivar unacknowledged_bytes: bytes of a request that was given up which the server's TCP had
         not acknowledged by then; ``None`` if not known
     """
 
-    def __init__(self, address: Address, id_header: bytes) -> None:
+    def __init__(
+        self, address: Address, id_header: bytes, limiter: AnswerLimiter | None = None
+    ) -> None:
+        self._limiter = limiter or AnswerLimiter()
         self.address = address
         self.idle_since = 0.0
         self.idle_limit_s: float | None = None
@@ -92,10 +110,18 @@
         self._expected_id: bytes | None = None
         self._is_head_request = False
         self._sent = False
+        self._received_bytes = 0
+        self._received_body_bytes = 0
         self._reset_parser()
 
     @classmethod
-    async def open(cls, address: Address, id_header: bytes, timeout_s: float) -> Connection:
+    async def open(
+        cls,
+        address: Address,
+        id_header: bytes,
+        timeout_s: float,
+        limiter: AnswerLimiter | None = None,
+    ) -> Connection:
         """Connect to ``address``.
 
         :raises BrokenExchangeError: there was no connection within ``timeout_s``
@@ -104,7 +130,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: cls(address, id_header), address.host, address.port
+                    lambda: cls(address, id_header, limiter), address.host, address.port
                 )
         except (OSError, TimeoutError) as error:
             raise BrokenExchangeError(
@@ -146,6 +172,8 @@
         self._pending_answer = pending_answer
         self._expected_id = expected_id
         self._is_head_request = request_line.startswith(b'HEAD ')
+        self._received_bytes = 0
+        self._received_body_bytes = 0
         self.exchange_count += 1
         if self.exchange_count > 1:
             self._reset_parser()
@@ -154,6 +182,8 @@
             return await pending_answer
         finally:
             if not pending_answer.done() or pending_answer.cancelled():
+                if self._received_bytes > 0:
+                    self._limiter.count_cut_off(str(self.address), CutOffReason.UNFINISHED)
                 self.unacknowledged_bytes = self._count_unacknowledged_bytes()
                 self.close()
             self._pending_answer = None
@@ -207,13 +237,27 @@
         if self._pending_answer is None or self._pending_answer.done():
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._pending_answer.done():
-                self._fail(f'{self.address} sent bytes that are no answer: {error}')
+                self._cut_off(
+                    CutOffReason.MALFORMED,
+                    f'{self.address} sent bytes that are no answer: {error}',
+                )
             else:
                 self.close()
+            return
+        if self._pending_answer.done():
+            return
+        framing_bytes = self._received_bytes - self._received_body_bytes
+        allowed_bytes = MAX_FRAMING_BYTES_PER_BODY_BYTE * self._received_body_bytes
+        if framing_bytes > MAX_HEAD_BYTES + allowed_bytes:
+            self._cut_off(
+                CutOffReason.HEAD_TOO_LARGE,
+                f'{self.address} sent {framing_bytes} bytes that belong to no body',
+            )
 
     def eof_received(self) -> bool:
         """Complete an answer that ends with its connection; any other answer fails."""
@@ -244,24 +288,30 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add one header."""
         self._headers.append((name, value))
+        if len(self._headers) > MAX_HEADER_COUNT:
+            text = f'the answer of {self.address} has over {MAX_HEADER_COUNT} headers'
+            self._cut_off(CutOffReason.HEAD_TOO_LARGE, text)
+            raise _CutOffError
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the answer is recognised."""
         self._status = self._parser.get_status_code()
         self._in_final_body = self._status >= FIRST_FINAL_STATUS
-        has_length = find_first_value(self._headers, b'content-length') is not None
+        length = find_first_value(self._headers, b'content-length')
         coding = find_first_value(self._headers, b'transfer-encoding') or b''
-        self._is_ended_by_close = not has_length and b'chunked' not in coding.lower()
+        self._is_ended_by_close = length is None and b'chunked' not in coding.lower()
         # The answer to a HEAD request has no body, but the parser would wait for one.
         if self._is_head_request and self._in_final_body:
             self.is_reusable = False
             self._complete_answer()
+        elif self._status != NOT_MODIFIED_STATUS and length is not None:
+            self._check_body_size(int(length))
 
     def on_body(self, chunk: bytes) -> None:
         """Add a chunk of the body."""
+        self._received_body_bytes += len(chunk)
+        self._check_body_size(self._received_body_bytes)
         self._body += chunk
-        if len(self._body) > MAX_ANSWER_BYTES:
-            self._fail(f'the answer of {self.address} is over {MAX_ANSWER_BYTES} bytes')
 
     def on_message_complete(self) -> None:
         """Complete an answer, unless it is an interim one (status 1xx)."""
@@ -299,6 +349,19 @@
             if name.lower() == b'timeout' and number.isdigit():
                 self.idle_limit_s = float(number)
 
+    def _check_body_size(self, size: int) -> None:
+        limit = self._limiter.max_body_bytes
+        if size > limit:
+            text = f'the answer of {self.address} is over {limit} bytes'
+            self._cut_off(CutOffReason.BODY_TOO_LARGE, text)
+            raise _CutOffError
+
+    def _cut_off(self, reason: CutOffReason, text: str) -> None:
+        """Fail the exchange because of what the server has sent."""
+        if self._pending_answer is not None and not self._pending_answer.done():
+            self._limiter.count_cut_off(str(self.address), reason)
+        self._fail(text)
+
     def _fail(self, text: str) -> None:
         if self._pending_answer is not None and not self._pending_answer.done():
             self._pending_answer.set_exception(BrokenExchangeError(text, sent=True))
--- a/src/coltsfootstair/http1/_pool.py
+++ b/src/coltsfootstair/http1/_pool.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
+from coltsfootstair.http1._answer_limiter import AnswerLimiter
 from coltsfootstair.http1._client import Connection
 
 if TYPE_CHECKING:
@@ -37,9 +38,13 @@
 
     :param id_header: name in lower case of the header in which servers return the id of a
         request
+    :param limiter: limits the answers on all connections of the pool
     """
 
-    def __init__(self, clock: Clock, id_header: bytes) -> None:
+    def __init__(
+        self, clock: Clock, id_header: bytes, limiter: AnswerLimiter | None = None
+    ) -> None:
+        self._limiter = limiter or AnswerLimiter()
         self._clock = clock
         self._id_header = id_header
         self._idle_by_address: dict[Address, deque[Connection]] = {}
@@ -77,7 +82,7 @@
         :raises BrokenExchangeError: there was no connection within ``timeout_s``
         """
         self.opened_count += 1
-        return await Connection.open(address, self._id_header, timeout_s)
+        return await Connection.open(address, self._id_header, timeout_s, self._limiter)
 
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
