Don't promise 'not run' for a request whose earlier attempt may have run

Cause: a lookup whose first server broke off, or sent bytes that are no answer, is retried. If no further server could be chosen, the refusal of the choice was passed on as it was: 503 with ran 'no', although the first server may have run it. (Requests that may run at most once are never retried after such an end, so that they were not affected.)

--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -215,6 +215,10 @@
             else:
                 choice = await self._choose_owner(request, request.key)
             if isinstance(choice, Refusal):
+                if request.may_have_run:
+                    # An earlier attempt may have run it, so no "not run" may be promised.
+                    detail = f'not sent again: {choice.detail}'
+                    choice = Refusal(ResultCode.ANSWER_INCOMPLETE, Ran.UNKNOWN, detail)
                 return self._refuse(request, choice)
             server = choice.candidate.server
             now = self._clock.monotonic()
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -18,7 +18,12 @@
 from coltsfootstair.http1 import Address, ConnectionPool
 from coltsfootstair.peers import Heartbeat, Message, PeerChannel
 from tests.coltsfootstair_platform.standin import ReceivedRequest, ServerStandin, encode_answer
-from tests.gateway.harness import ReceivedAnswer, run_gateway, run_with_time_limit
+from tests.gateway.harness import (
+    ReceivedAnswer,
+    RunningGateway,
+    run_gateway,
+    run_with_time_limit,
+)
 
 
 async def _never_answer(_request: ReceivedRequest, _writer: asyncio.StreamWriter) -> bool:
@@ -203,6 +208,32 @@
     assert len(servers[0].received) + len(servers[1].received) == 1
 
 
+def test_a_lookup_that_may_have_run_is_not_refused_as_not_run_for_lack_of_a_server() -> None:
+    """Its first server had sent garbage, and there was no other one to send it to."""
+    gateways: list[RunningGateway] = []
+
+    async def drain_and_send_garbage(
+        _request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        entry = server.build_entry('calendar', state='draining')
+        await gateways[0].store.put('servers', server.name, entry)
+        await asyncio.sleep(0.6)
+        writer.write(b'no answer\r\n\r\n')
+        return True
+
+    server = ServerStandin('s1', drain_and_send_garbage)
+
+    async def work() -> ReceivedAnswer:
+        async with run_gateway(('calendar', server)) as running:
+            gateways.append(running)
+            return await running.call('lookups')
+
+    answered = run_with_time_limit(work())
+    assert answered.status == 502
+    assert b'"ran": "unknown"' in answered.body
+    assert len(server.received) == 1
+
+
 def test_an_answer_without_a_server_signature_is_reported_as_incomplete() -> None:
     async def answer_unsigned(_request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
         writer.write(encode_answer(200, b'forged', X_Request_Id='r1'))
