Bound the memory of all answers that are being received

Cause: each answer being received was bounded, their sum was not: 48 servers that send endless bodies, or 15 MiB and then nothing, took 1,334 MiB at a daemon that may use 256. Besides, each idle connection kept the body and headers of its last answer until the next one.

Change: answers that are being received share 15 % of the process's memory. When it is full, the largest of them is cut off, as sent and as a failure of its server, so that answers of usual size pass beside endless ones. A connection drops an answer once it is complete or failed.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -73,6 +73,9 @@
 BODY_MEMORY_SHARE = 0.3
 """Share of the process's memory that the bodies of requests in progress may use."""
 
+ANSWER_MEMORY_SHARE = 0.15
+"""Share of the process's memory that answers may use while they are received."""
+
 FULL_CAPACITY_LINK_MBPS = 100.0
 """Bandwidth from which a VM has full capacity as keeper, in megabits a second. It is enough to
 send ten changes a second of a few kilobytes each to a few hundred daemons."""
@@ -136,7 +139,9 @@
         self._configuration_subscriber = ConfigurationSubscriber(ports.decoder)
         self._services = ServicesInForce(lambda: self._configuration_subscriber.route_table)
         self._ownership = OwnershipView()
-        self._answer_limiter = AnswerLimiter()
+        self._answer_limiter = AnswerLimiter(
+            max_total_bytes=int(settings.memory_mib * 2**20 * ANSWER_MEMORY_SHARE)
+        )
         self._pool = ConnectionPool(
             clock, ports.dialect.request_id_header, self._answer_limiter
         )
@@ -308,11 +313,12 @@
     def _register_gauges(self) -> None:
         self.metrics.add_gauge(
             'coltsfootstair.under_way',
-            'Requests, connections and bytes of bodies that are under way',
+            'Requests, connections, and bytes of bodies and answers that are under way',
             lambda: {
                 'requests': self._requests_in_progress,
                 'connections': len(self._connections),
                 'body_bytes': self._body_bytes,
+                'answer_bytes': self._answer_limiter.used_bytes,
             },
             'what',
         )
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -186,6 +186,7 @@
                     self._limiter.count_cut_off(str(self.address), CutOffReason.UNFINISHED)
                 self.unacknowledged_bytes = self._count_unacknowledged_bytes()
                 self.close()
+                self._drop_answer()
             self._pending_answer = None
 
     def _count_unacknowledged_bytes(self) -> int | None:
@@ -258,6 +259,10 @@
                 CutOffReason.HEAD_TOO_LARGE,
                 f'{self.address} sent {framing_bytes} bytes that belong to no body',
             )
+            return
+        # The parser keeps an unfinished line, so all of a head counts.
+        head_bytes = min(self._received_bytes, MAX_HEAD_BYTES)
+        self._limiter.update_size(self._cut_off_for_memory, head_bytes + len(self._body))
 
     def eof_received(self) -> bool:
         """Complete an answer that ends with its connection; any other answer fails."""
@@ -335,7 +340,8 @@
                 self._fail(f'{self.address} answered another request')
             return
         self._update_idle_limit()
-        pending_answer.set_result(Answer(self._status, list(self._headers), bytes(self._body)))
+        pending_answer.set_result(Answer(self._status, self._headers, bytes(self._body)))
+        self._drop_answer()
         if not self.is_reusable:
             asyncio.get_running_loop().call_soon(self.close)
 
@@ -362,15 +368,27 @@
             self._limiter.count_cut_off(str(self.address), reason)
         self._fail(text)
 
+    def _cut_off_for_memory(self) -> None:
+        self._cut_off(
+            CutOffReason.MEMORY_FULL,
+            f'the answer of {self.address} was the largest while the memory was full',
+        )
+
+    def _drop_answer(self) -> None:
+        """Release the memory of the answer that was being received."""
+        self._limiter.remove(self._cut_off_for_memory)
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body = bytearray()
+
     def _fail(self, text: str) -> None:
         if self._pending_answer is not None and not self._pending_answer.done():
             self._pending_answer.set_exception(BrokenExchangeError(text, sent=True))
         self.close()
+        self._drop_answer()
 
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body = bytearray()
+        self._drop_answer()
         self._status = 0
         self._in_final_body = False
         self._is_ended_by_close = False
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import time
+import tracemalloc
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any, TypeVar
 
@@ -90,6 +91,8 @@
             await reader.read()
         except ConnectionError:
             self.was_reset = True
+        except asyncio.CancelledError:
+            return  # The test has ended.
         finally:
             self.ended.set()
             writer.transport.abort()
@@ -281,14 +284,69 @@
 
 def test_answers_that_are_cut_off_are_counted_by_reason() -> None:
     async def work() -> dict[str, int]:
-        limiter = AnswerLimiter(max_body_bytes=1000)
-        for first in (b'SSH-2.0\r\n', OK + b'A: b\r\n' * 300, OK + b'\r\n' + b'x' * 1001, OK):
+        limiter = AnswerLimiter(max_body_bytes=1000, max_total_bytes=3000)
+        for first in (
+            b'SSH-2.0\r\n',
+            OK + b'A: b\r\n' * 300,
+            OK + b'\r\n' + b'x' * 1001,
+            OK + b'A: ' + b'x' * 3000,
+            OK,
+        ):
             async with ScriptedServer(first).run(limiter) as connection:
                 with pytest.raises((TimeoutError, BrokenExchangeError)):
                     async with asyncio.timeout(0.2):
                         await _get(connection)
-        assert sum(limiter.take_new_counts().values()) == 4
+        assert sum(limiter.take_new_counts().values()) == len(CutOffReason)
+        assert limiter.used_bytes == 0
         assert not limiter.take_new_counts()
         return dict(limiter.cut_off_count_by_reason)
 
     assert _run(work()) == {reason.value: 1 for reason in CutOffReason}
+
+
+def test_many_endless_answers_leave_memory_for_an_honest_one() -> None:
+    """Each was allowed 16 MiB, however many came at once."""
+
+    async def work() -> tuple[Answer, int, int]:
+        limiter = AnswerLimiter(max_total_bytes=4_000_000)
+        async with contextlib.AsyncExitStack() as stack:
+            endless = []
+            for _ in range(20):
+                server = ScriptedServer(OK + b'\r\n' + b'x' * 900_000, b'x', pause_s=0.01)
+                connection = await stack.enter_async_context(server.run(limiter))
+                endless.append(asyncio.create_task(_get(connection)))
+            await asyncio.sleep(0.5)
+            used_bytes = limiter.used_bytes
+            honest = ScriptedServer(OK + b'Content-Length: 100000\r\n\r\n' + b'x' * 100_000)
+            answer = await _get(await stack.enter_async_context(honest.run(limiter)))
+            cut_off_count = sum(task.done() for task in endless)
+            for task in endless:
+                task.cancel()
+            await asyncio.gather(*endless, return_exceptions=True)
+        assert limiter.used_bytes == 0
+        return answer, used_bytes, cut_off_count
+
+    answer, used_bytes, cut_off_count = _run(work())
+    assert len(answer.body) == 100_000
+    assert 2_000_000 < used_bytes <= 4_000_000
+    assert 16 <= cut_off_count < 20
+
+
+def test_idle_connections_keep_no_memory_of_their_last_answer() -> None:
+    async def work() -> int:
+        lengths = []
+        body = b'x' * 1_000_000
+        async with contextlib.AsyncExitStack() as stack:
+            tracemalloc.start()
+            stack.callback(tracemalloc.stop)
+            for _ in range(10):
+                server = ScriptedServer(OK + b'Content-Length: 1000000\r\n\r\n' + body)
+                connection = await stack.enter_async_context(server.run())
+                lengths.append(len((await _get(connection)).body))
+            await asyncio.sleep(0)  # Until then, the event loop keeps the last answer.
+            snapshot = tracemalloc.take_snapshot()
+        assert lengths == [len(body)] * 10
+        client = snapshot.filter_traces([tracemalloc.Filter(True, '*/http1/_client.py')])
+        return sum(statistic.size for statistic in client.statistics('filename'))
+
+    assert _run(work()) < 1_000_000
