Test that a server with endless answers is avoided and counted

An endless head counts as a failure for placement as any broken exchange, and in the gauge answers_cut_off.

--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from tests.coltsfootstair_platform.standin import ServerStandin
+from tests.coltsfootstair_platform.standin import ReceivedRequest, ServerStandin
 from tests.gateway.harness import RunningGateway, run_gateway, run_with_time_limit
 
 if TYPE_CHECKING:
@@ -151,3 +151,38 @@
     for request_id, status in status_by_id.items():
         assert status in ((502, 504) if request_id in arrived else (502, 503, 504))
     assert growth[0] < MAX_GROWTH_MIB
+
+
+def test_a_server_that_sends_an_endless_head_is_avoided_like_any_failing_one() -> None:
+    async def send_endless_head(
+        _request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(OK)
+        while True:
+            writer.write(b'A: b\r\n' * 1000)
+            await writer.drain()
+
+    endless, honest = ServerStandin('s1', send_endless_head), ServerStandin('s2')
+
+    async def work() -> tuple[Counter[int], str]:
+        async with run_gateway(('calendar', endless), ('calendar', honest)) as running:
+            for state in ('draining', 'ready'):
+                entry = honest.build_entry('calendar', state=state)
+                await running.store.put('servers', honest.name, entry)
+                await asyncio.sleep(0.6)
+                if state == 'draining':
+                    # Only the endless server may get it.
+                    assert (await running.call('lookups')).status == 502
+            statuses: Counter[int] = Counter()
+            for _ in range(10):
+                calls = [running.call('lookups') for _ in range(4)]
+                statuses.update([answer.status for answer in await asyncio.gather(*calls)])
+            return statuses, running.gateway.metrics.render_page().decode()
+
+    statuses, metrics = run_with_time_limit(work())
+    # The retry budget may not suffice at first.
+    assert set(statuses) <= {200, 502}
+    assert statuses[200] >= 36
+    assert 0 < len(endless.received) < 10
+    count = len(endless.received)
+    assert re.search(rf'answers_cut_off.*reason="head too large".* {count}\.0', metrics)
