--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -22,6 +22,7 @@
 from coltsfootstair.gateway._trace import RequestLog
 from coltsfootstair.http1 import (
     Address,
+    AnswerLimiter,
     CallerConnection,
     CallerLimits,
     ConnectionPool,
@@ -72,6 +73,9 @@
 BODY_MEMORY_SHARE = 0.3
 """Share of the process's memory that the bodies of requests in progress may use."""
 
+ANSWER_MEMORY_SHARE = 0.15
+"""Share of the process's memory that answers may use while they are received."""
+
 FULL_CAPACITY_LINK_MBPS = 100.0
 """Bandwidth from which a VM has full capacity as keeper, in megabits a second. It is enough to
 send ten changes a second of a few kilobytes each to a few hundred daemons."""
@@ -135,7 +139,12 @@
         self._configuration_subscriber = ConfigurationSubscriber(ports.decoder)
         self._services = ServicesInForce(lambda: self._configuration_subscriber.route_table)
         self._ownership = OwnershipView()
-        self._pool = ConnectionPool(clock, ports.dialect.request_id_header)
+        self._answer_limiter = AnswerLimiter(
+            max_total_bytes=int(settings.memory_mib * 2**20 * ANSWER_MEMORY_SHARE)
+        )
+        self._pool = ConnectionPool(
+            clock, ports.dialect.request_id_header, self._answer_limiter
+        )
         self._fleet = Fleet(
             settings.name,
             self._registry,
@@ -305,11 +314,12 @@
     def _register_gauges(self) -> None:
         self.metrics.add_gauge(
             'coltsfootstair.under_way',
-            'Requests, connections and bytes of bodies that are under way',
+            'Requests, connections, and bytes of bodies and answers that are under way',
             lambda: {
                 'requests': self._requests_in_progress,
                 'connections': len(self._connections),
                 'body_bytes': self._body_bytes,
+                'answer_bytes': self._answer_limiter.used_bytes,
             },
             'what',
         )
@@ -346,6 +356,12 @@
             lambda: {'all': self._pool.opened_count},
             'what',
         )
+        self.metrics.add_gauge(
+            'coltsfootstair.answers_cut_off',
+            'Answers of backend servers that were not received to their end, by reason',
+            lambda: dict(self._answer_limiter.cut_off_count_by_reason),
+            'reason',
+        )
 
     def _read_state(self) -> dict[str, float]:
         route_table = self._configuration_subscriber.route_table
@@ -414,6 +430,8 @@
             if self.clock.monotonic() >= next_log_at:
                 next_log_at += LOG_COUNTS_INTERVAL_S
                 self._request_log.flush()
+                if count_by_cause := self._answer_limiter.take_new_counts():
+                    logger.warning('answers cut off', count_by_cause=count_by_cause)
                 if self._get_dropped_line_count() > logged_dropped_line_count:
                     logger.warning(
                         'log lines dropped',
