Use the shared socket options in the platform's client

Both clients set the same option for the end of a connection; one copy of it stands in the package sockets now.

--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -5,7 +5,6 @@
 import asyncio
 import fcntl
 import socket
-import struct
 import sys
 import termios
 from typing import TYPE_CHECKING, NamedTuple
@@ -15,6 +14,7 @@
 from coltsfootstair.errors import ColtsfootstairError
 from coltsfootstair.http1._answer_limiter import AnswerLimiter, CutOffReason
 from coltsfootstair.http1._headers import Headers, find_first_value, render_head
+from coltsfootstair.sockets import finish_on_close, reset_on_close
 
 if TYPE_CHECKING:
     from coltsfootstair.http1._pool import Address
@@ -44,10 +44,6 @@
 FIRST_FINAL_STATUS = 200
 NOT_MODIFIED_STATUS = 304
 
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-_FINISH_ON_CLOSE = struct.pack('ii', 0, 0)
-"""Values of ``SO_LINGER``. A reset drops the bytes that the kernel has not delivered yet."""
-
 
 class Answer(NamedTuple):
     """Complete answer of a server."""
@@ -207,7 +203,7 @@
         if self._transport is not None:
             raw_socket = self._transport.get_extra_info('socket')
             if raw_socket is not None and self._pending_answer is None:
-                raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _FINISH_ON_CLOSE)
+                finish_on_close(raw_socket)
             self._transport.abort()
             self._transport = None
 
@@ -221,7 +217,7 @@
             raw_socket.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
             )
-            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            reset_on_close(raw_socket)
             raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
             raw_socket.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_INTERVAL_S
