Send nothing new to a server that says in an answer that it leaves

What callers and servers saw: a leaving server that says so in all its answers (header Server-Leaving) got requests until the store told the same, for as long as the store was away, and again when it came back from an older copy.

Cause: draining was known from the store's entries alone; headers of answers were read for load and outcome only.

Change: the adapter decodes the header; each head on a connection to a server (also of interim, late, crossed and unrequested answers) marks the incarnation that the request names. The registry treats it as one more source of draining that no entry undoes. A request that waited for a connection meanwhile goes elsewhere. 421 counts only where the named server may answer it, as it is recorded in docs/design/platform.md. Callers don't see the header.

--- a/src/coltsfootstair/gateway/__init__.py
+++ b/src/coltsfootstair/gateway/__init__.py
@@ -8,6 +8,7 @@
     AnswerFacts,
     CallerFacts,
     Dialect,
+    HeadFacts,
     ObjectKinds,
     PlatformPorts,
 )
@@ -18,6 +19,7 @@
     'Dialect',
     'Gateway',
     'GatewaySettings',
+    'HeadFacts',
     'ObjectKinds',
     'PlatformPorts',
     'RetrySettings',
--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -6,6 +6,7 @@
 import gc
 import http
 import random
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import structlog
@@ -327,6 +328,12 @@
             },
             'service',
         )
+        self.metrics.add_gauge(
+            'coltsfootstair.leaving_backend_servers',
+            'Backend servers with an entry that have said in an answer that they leave',
+            lambda: Counter(server.service for server in self._registry.list_leaving()),
+            'service',
+        )
         self.metrics.add_gauge(
             'coltsfootstair.backend_connections_opened',
             'Connections to backend servers that were opened',
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import enum
+import functools
 from typing import TYPE_CHECKING, NamedTuple
 
+from coltsfootstair.gateway._leaving import LeavingObserver
 from coltsfootstair.http1 import Answer, BrokenExchangeError, find_first_value
 from coltsfootstair.routes import RequestKind
 
@@ -15,7 +17,7 @@
     from coltsfootstair.gateway._trace import RequestTrace
     from coltsfootstair.gateway._types import Dialect
     from coltsfootstair.http1 import Connection, ConnectionPool, IncomingRequest
-    from coltsfootstair.registry import BackendServer
+    from coltsfootstair.registry import BackendServer, Registry
     from coltsfootstair.routes import Route, RouteTable, ServicePolicy
 
 __all__ = ['ANSWER_MARGIN_S', 'AttemptResult', 'Outcome', 'RequestState', 'Sender']
@@ -132,12 +134,19 @@
     """Sends requests over idle or new connections and classifies the answers."""
 
     def __init__(
-        self, dialect: Dialect, fleet: Fleet, pool: ConnectionPool, clock: Clock
+        self,
+        dialect: Dialect,
+        registry: Registry,
+        fleet: Fleet,
+        pool: ConnectionPool,
+        clock: Clock,
     ) -> None:
         self._dialect = dialect
         self._fleet = fleet
         self._pool = pool
         self._clock = clock
+        self._registry = registry
+        self._leaving_observer = LeavingObserver(dialect, registry)
 
     async def send(self, request: RequestState, server: BackendServer) -> AttemptResult:
         """Send a request to ``server`` and return the outcome."""
@@ -157,6 +166,10 @@
             request.failed_connect_count += 1
             estimate.on_no_answer(self._clock.monotonic())
             return AttemptResult(Outcome.NOT_SENT, None, str(error))
+        if self._registry.is_leaving(server):
+            # It said so while the connection was opened.
+            connection.close()
+            return AttemptResult(Outcome.NOT_SENT, None, f'{server.name} is leaving')
         request.attempt_count += 1
         request.tried_servers.add(server.name)
         may_have_run_before = request.may_have_run
@@ -171,7 +184,13 @@
         request_line = incoming.method + b' ' + incoming.target + b' HTTP/1.1'
         try:
             answer = await connection.exchange(
-                request_line, headers, incoming.body, expected_id=request.request_id
+                request_line,
+                headers,
+                incoming.body,
+                expected_id=request.request_id,
+                on_head=functools.partial(
+                    self._leaving_observer.on_head, server, request.key is not None
+                ),
             )
         except asyncio.CancelledError:
             now = self._clock.monotonic()
--- a/src/coltsfootstair/gateway/_types.py
+++ b/src/coltsfootstair/gateway/_types.py
@@ -14,7 +14,14 @@
     from coltsfootstair.registry import BackendServer
     from coltsfootstair.routes import Configuration
 
-__all__ = ['AnswerFacts', 'CallerFacts', 'Dialect', 'ObjectKinds', 'PlatformPorts']
+__all__ = [
+    'AnswerFacts',
+    'CallerFacts',
+    'Dialect',
+    'HeadFacts',
+    'ObjectKinds',
+    'PlatformPorts',
+]
 
 
 class CallerFacts(NamedTuple):
@@ -46,6 +53,17 @@
     load: LoadReport | None
 
 
+class HeadFacts(NamedTuple):
+    """What the head of any answer on a connection to a backend server states.
+
+    :param says_leaving: whether the server at the address says that it is leaving
+    :param is_wrong_server: as in ``AnswerFacts``
+    """
+
+    says_leaving: bool
+    is_wrong_server: bool
+
+
 class Dialect(Protocol):
     """Reads and writes the platform's headers.
 
@@ -65,6 +83,9 @@
         :param remaining_s: time until the caller's deadline, in seconds
         """
 
+    def parse_head(self, status: int, headers: Headers) -> HeadFacts:
+        """Parse the head of an answer, which may be an interim one or have no request."""
+
     def parse_answer(self, answer: Answer) -> AnswerFacts:
         """Parse a backend server's answer."""
 
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import socket
 import struct
@@ -16,6 +17,8 @@
 from coltsfootstair.http1._headers import Headers, find_first_value, render_head
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coltsfootstair.http1._pool import Address
 
 __all__ = ['Answer', 'BrokenExchangeError', 'Connection']
@@ -90,6 +93,7 @@
         self._transport: asyncio.Transport | None = None
         self._pending_answer: asyncio.Future[Answer] | None = None
         self._expected_id: bytes | None = None
+        self._on_head: Callable[[int, Headers], None] | None = None
         self._is_head_request = False
         self._sent = False
         self._reset_parser()
@@ -129,6 +133,7 @@
         body: bytes,
         *,
         expected_id: bytes | None = None,
+        on_head: Callable[[int, Headers], None] | None = None,
     ) -> Answer:
         """Send one request and return its complete answer.
 
@@ -136,6 +141,8 @@
 
         :param expected_id: id of the request; an answer whose id header has another value is
             ignored
+        :param on_head: called with status and headers of each head that arrives from now until
+            the next exchange, also of interim, ignored and unrequested answers
         :raises BrokenExchangeError: the connection ended before the answer was complete, or
             the server violated the protocol
         """
@@ -145,6 +152,7 @@
         pending_answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self._pending_answer = pending_answer
         self._expected_id = expected_id
+        self._on_head = on_head
         self._is_head_request = request_line.startswith(b'HEAD ')
         self.exchange_count += 1
         if self.exchange_count > 1:
@@ -205,6 +213,9 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the server."""
         if self._pending_answer is None or self._pending_answer.done():
+            # Only what its head says of the server itself counts.
+            with contextlib.suppress(httptools.HttpParserError, httptools.HttpParserUpgrade):
+                self._parser.feed_data(data)
             self.close()
             return
         try:
@@ -248,6 +259,8 @@
     def on_headers_complete(self) -> None:
         """Determine how the end of the answer is recognised."""
         self._status = self._parser.get_status_code()
+        if self._on_head is not None:
+            self._on_head(self._status, self._headers)
         self._in_final_body = self._status >= FIRST_FINAL_STATUS
         has_length = find_first_value(self._headers, b'content-length') is not None
         coding = find_first_value(self._headers, b'transfer-encoding') or b''
--- a/src/coltsfootstair/registry/_view.py
+++ b/src/coltsfootstair/registry/_view.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from coltsfootstair.registry._leaving import LeavingServers
 from coltsfootstair.registry._types import ServerState
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         self._index_is_stale = False
         self._gone_at_by_incarnation: dict[tuple[str, int], float] = {}
         self._evacuated_until_by_data_centre: dict[str, float] = {}
+        self._leaving = LeavingServers(clock)
 
     def get(self, name: str) -> BackendServer | None:
         """Return the current entry of a backend server, also of a draining one."""
@@ -68,6 +70,7 @@
         return (
             server is not None
             and server.state is ServerState.READY
+            and server.incarnation not in self._leaving
             and not self._is_evacuated(server.data_centre)
         )
 
@@ -77,6 +80,34 @@
             or data_centre in self._evacuated_until_by_data_centre
         )
 
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Whether this incarnation has said in an answer that it is leaving."""
+        return server.incarnation in self._leaving
+
+    def list_leaving(self) -> list[BackendServer]:
+        """Return the servers with an entry that have said in an answer that they leave."""
+        return [server for server in self._server_by_name.values() if self.is_leaving(server)]
+
+    def mark_leaving(self, incarnation: tuple[str, int]) -> None:
+        """Record that an incarnation has said in an answer that it is leaving.
+
+        It gets no new requests from now on, whatever its entry says; other incarnations of the
+        same name are not affected.
+        """
+        if not self._leaving.add(incarnation):
+            return
+        name, started_at_ms = incarnation
+        logger.info('backend server leaving', server=name, born_ms=started_at_ms)
+        if self._is_known(incarnation):
+            self._update_usability(name)
+
+    def has_other_at_address(self, server: BackendServer) -> bool:
+        """Whether another server is known to have the address of ``server``."""
+        return any(
+            other.address == server.address and other.name != server.name
+            for other in self._server_by_name.values()
+        )
+
     def unusable_for_s(self, name: str) -> float:
         """Return for how long ``name`` has not been usable, in seconds.
 
@@ -204,6 +235,7 @@
     def remove_expired(self) -> None:
         """Remove the entries whose deferred removal is due."""
         now = self._clock.monotonic()
+        self._leaving.forget_ended(self._is_known)
         for name, removal_at in list(self._removal_at_by_name.items()):
             if now >= removal_at:
                 self.remove(name)
@@ -216,6 +248,10 @@
                 del self._evacuated_until_by_data_centre[data_centre]
                 self._on_evacuations_changed()
 
+    def _is_known(self, incarnation: tuple[str, int]) -> bool:
+        server = self._server_by_name.get(incarnation[0])
+        return server is not None and server.incarnation == incarnation
+
     def set_evacuated_data_centres(self, data_centres: frozenset[str]) -> None:
         """Set the data centres whose servers get no new requests."""
         if data_centres == self._evacuated_data_centres:
--- a/tests/coltsfootstair_platform/test_adapter.py
+++ b/tests/coltsfootstair_platform/test_adapter.py
@@ -189,10 +189,35 @@
         assert DIALECT.parse_answer(Answer(status, headers, b'')).says_not_run is not_run
 
 
+@pytest.mark.parametrize(
+    ('headers', 'is_leaving'),
+    [
+        ([], False),
+        ([(b'Server-Leaving', b'1')], True),
+        ([(b'SERVER-LEAVING', b' 1 ')], True),
+        ([(b'Server-Leaving', b'0')], False),
+        ([(b'Server-Leaving', b'yes')], False),
+        ([(b'X-Server-Leaving', b'1')], False),
+    ],
+)
+def test_only_the_value_1_says_that_a_server_is_leaving(
+    headers: list[tuple[bytes, bytes]], is_leaving: bool
+) -> None:
+    for status in (103, 200, 421, 503):
+        facts = DIALECT.parse_head(status, headers)
+        assert facts.says_leaving is is_leaving
+        assert facts.is_wrong_server is (status == 421)
+
+
+def test_a_caller_is_not_told_that_a_server_is_leaving() -> None:
+    headers = [(b'Server-Leaving', b'1'), (b'X-Kept', b'1')]
+    assert DIALECT.build_answer_headers(headers) == [(b'X-Kept', b'1')]
+
+
 def test_no_wire_name_of_the_platform_occurs_outside_the_adapter() -> None:
     names = re.compile(
         r'X-Upstream-|X-Target-Instance|X-Not-Executed|X-Warmup|X-Handover|X-Shard-Key'
-        r'|X-Request-Deadline|delete-pending|weighted-backends|is-sharded',
+        r'|X-Request-Deadline|Server-Leaving|delete-pending|weighted-backends|is-sharded',
         re.IGNORECASE,
     )
     found = [
--- /dev/null
+++ b/tests/gateway/test_leaving.py
@@ -0,0 +1,342 @@
+"""Tests of requests around a backend server that says in an answer that it is leaving."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from coltsfootstair.gateway import HeadFacts
+from coltsfootstair.gateway._leaving import is_said_by_named_server
+from coltsfootstair.http1 import Address, Connection
+from tests.coltsfootstair_platform.standin import (
+    Behaviour,
+    ReceivedRequest,
+    ServerStandin,
+    encode_answer,
+)
+from tests.gateway.harness import (
+    ReceivedAnswer,
+    RunningGateway,
+    run_gateway,
+    run_with_time_limit,
+)
+
+ENTRY_DELAY_S = 0.6
+"""Longer than a daemon takes to read a changed entry."""
+
+Build = Callable[[ServerStandin, ReceivedRequest], bytes]
+
+
+def _answer_with(server: ServerStandin, build: Build) -> Behaviour:
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        writer.write(build(server, request))
+        return True
+
+    return answer
+
+
+def _build_leaving_answer(server: ServerStandin, request: ReceivedRequest) -> bytes:
+    return server.build_answer(request, Server_Leaving='1')
+
+
+def _make_leaving_server(name: str, build: Build = _build_leaving_answer) -> ServerStandin:
+    server = ServerStandin(name)
+    server.behaviour = _answer_with(server, build)
+    return server
+
+
+def _build_failed(server: ServerStandin, request: ReceivedRequest) -> bytes:
+    return encode_answer(
+        500,
+        X_Request_Id='r1',
+        X_Upstream_Signature=f'signed-by-{server.name}',
+        Server_Leaving='1',
+    )
+
+
+def _build_shed(server: ServerStandin, request: ReceivedRequest) -> bytes:
+    return encode_answer(503, X_Not_Executed='1', X_Request_Id='r1', Server_Leaving='1')
+
+
+def _build_unsigned(server: ServerStandin, request: ReceivedRequest) -> bytes:
+    return encode_answer(200, b'unsigned', X_Request_Id='r1', Server_Leaving='1')
+
+
+def _build_crossed(server: ServerStandin, request: ReceivedRequest) -> bytes:
+    late = encode_answer(200, b'late', X_Request_Id='another', Server_Leaving='1')
+    return late + server.build_answer(request)
+
+
+def _build_interim(server: ServerStandin, request: ReceivedRequest) -> bytes:
+    interim = b'HTTP/1.1 103 Early Hints\r\nServer-Leaving: 1\r\n\r\n'
+    return interim + server.build_answer(request)
+
+
+def _build_extra(server: ServerStandin, request: ReceivedRequest) -> bytes:
+    return server.build_answer(request) + server.build_answer(
+        request, b'again', Server_Leaving='1'
+    )
+
+
+def _build_truncated(server: ServerStandin, request: ReceivedRequest) -> bytes:
+    return server.build_answer(request, b'x' * 100, Server_Leaving='1')[:-40]
+
+
+@pytest.mark.parametrize(
+    'build',
+    [
+        _build_leaving_answer,
+        _build_failed,
+        _build_shed,
+        _build_unsigned,
+        _build_crossed,
+        _build_interim,
+        _build_extra,
+        _build_truncated,
+    ],
+)
+def test_a_server_that_says_it_leaves_gets_no_further_request(build: Build) -> None:
+    """Guards against waiting for the store to tell of a server that is leaving.
+
+    A server that told it in all its answers got requests for as long as its entry said that it
+    was ready.
+    """
+    leaving = _make_leaving_server('s1', build)
+
+    async def work() -> list[int]:
+        async with run_gateway(('calendar', leaving)) as running:
+            await running.call('lookups')
+            return [(await running.call('lookups')).status for _ in range(3)]
+
+    assert run_with_time_limit(work()) == [503] * 3, 'no other server is there'
+    assert len(leaving.received) == 1
+
+
+def test_a_late_answer_on_an_idle_connection_tells_that_its_server_leaves() -> None:
+    """Guards against reading nothing of an answer for which no request waits."""
+    server = ServerStandin('s1')
+
+    async def answer_twice(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        writer.write(server.build_answer(request))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(server.build_answer(request, b'late', Server_Leaving='1'))
+        return True
+
+    server.behaviour = answer_twice
+
+    async def work() -> list[int]:
+        async with run_gateway(('calendar', server)) as running:
+            statuses = [(await running.call('lookups')).status]
+            await asyncio.sleep(0.15)
+            return [*statuses, (await running.call('lookups')).status]
+
+    assert run_with_time_limit(work()) == [200, 503]
+    assert len(server.received) == 1
+
+
+def test_the_head_of_an_answer_is_enough() -> None:
+    """Guards against waiting for the end of a long answer, or for a caller that has left."""
+    server = ServerStandin('s1')
+
+    async def answer_slowly(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        content = server.build_answer(request, b'x' * 100, Server_Leaving='1')
+        await asyncio.sleep(0.1)
+        writer.write(content[:-40])
+        await writer.drain()
+        await asyncio.sleep(0.6)
+        writer.write(content[-40:])
+        return True
+
+    server.behaviour = answer_slowly
+
+    async def work() -> int:
+        async with run_gateway(('desk', server)) as running:
+            caller = await running.connect()
+            caller.send('bookings', body=b'x')
+            async with asyncio.timeout(5.0):
+                while not server.received:
+                    await asyncio.sleep(0.01)
+            caller.writer.close()
+            await asyncio.sleep(0.3)
+            return (await running.call('bookings', body=b'x')).status
+
+    assert run_with_time_limit(work()) == 503, 'no other server is there'
+    assert len(server.received) == 1
+
+
+def test_work_at_a_leaving_server_ends_as_it_would() -> None:
+    """Guards against breaking off requests at a server that says it leaves."""
+    server = ServerStandin('s1')
+
+    async def answer_long_ones_slowly(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        await asyncio.sleep(0.5 if request.target == '/x/long' else 0.0)
+        writer.write(server.build_answer(request, Server_Leaving='1'))
+        return True
+
+    server.behaviour = answer_long_ones_slowly
+
+    async def work() -> tuple[ReceivedAnswer, list[bytes]]:
+        async with run_gateway(('desk', server)) as running:
+            long_call = asyncio.ensure_future(running.call('uploads', '/x/long', b'body'))
+            await asyncio.sleep(0.1)
+            statuses = [
+                (await running.call('bookings', '/x/short', b'')).status for _ in range(3)
+            ]
+            assert statuses == [200, 503, 503], 'no other server is there'
+            return await long_call, [request.target.encode() for request in server.received]
+
+    answered, targets = run_with_time_limit(work())
+    assert (answered.status, answered.body) == (200, b'/x/longbody')
+    assert targets == [b'/x/long', b'/x/short']
+
+
+def test_callers_do_not_see_that_a_server_leaves() -> None:
+    async def work() -> ReceivedAnswer:
+        async with run_gateway(('calendar', _make_leaving_server('s1'))) as running:
+            return await running.call('lookups')
+
+    answered = run_with_time_limit(work())
+    assert answered.status == 200
+    assert 'server-leaving' not in answered.headers
+
+
+def test_a_request_that_waits_for_a_connection_goes_elsewhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against sending a request that waits when its server says that it leaves."""
+    leaving, other = _make_leaving_server('s1'), ServerStandin('s2')
+    waiting = asyncio.Event()
+    open_connection = Connection.open
+
+    async def open_slowly(address: Address, id_header: bytes, timeout_s: float) -> Connection:
+        if address.port == leaving.port and leaving.received:
+            waiting.set()
+            await asyncio.sleep(0.2)
+        return await open_connection(address, id_header, timeout_s)
+
+    async def work() -> list[int]:
+        async with run_gateway(('calendar', leaving)) as running:
+            release_first = asyncio.Event()
+
+            async def answer_when_told(
+                request: ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> bool:
+                await release_first.wait()
+                writer.write(_build_leaving_answer(leaving, request))
+                return True
+
+            leaving.behaviour = answer_when_told
+            first = asyncio.ensure_future(running.call('lookups'))
+            async with asyncio.timeout(5.0):
+                while not leaving.received:
+                    await asyncio.sleep(0.01)
+            second = asyncio.ensure_future(running.call('lookups', X_Request_Id='r2'))
+            async with asyncio.timeout(5.0):
+                await waiting.wait()
+            await other.start()
+            await running.store.put('servers', 's2', other.build_entry('calendar'))
+            release_first.set()
+            statuses = [(await first).status, (await second).status]
+            other.stop()
+            return statuses
+
+    monkeypatch.setattr(Connection, 'open', open_slowly)
+    statuses = run_with_time_limit(work())
+    assert statuses[0] == 200
+    # The other server may not be known yet.
+    assert statuses[1] in (200, 503)
+    assert len(leaving.received) == 1
+
+
+@pytest.mark.parametrize(
+    ('started_at_ms', 'status'), [(1700000000000, 503), (1700000000001, 200)]
+)
+@pytest.mark.parametrize('is_restored', [False, True])
+def test_leaving_holds_for_one_incarnation_whatever_the_store_says(
+    started_at_ms: int, status: int, is_restored: bool
+) -> None:
+    """Guards against an outdated entry that makes a leaving server ready again."""
+    leaving = _make_leaving_server('s1')
+
+    async def work() -> list[int]:
+        async with run_gateway(('calendar', leaving)) as running:
+            store = running.store
+            store.take_copy()
+            statuses = [(await running.call('lookups')).status]
+            if is_restored:
+                await store.restore()
+            else:
+                await store.delete('servers', 's1')
+            await asyncio.sleep(ENTRY_DELAY_S)
+            statuses.append((await running.call('lookups')).status)
+            leaving.behaviour = leaving.echo
+            for sequence in (2, 3):
+                # A restored store is only believed once the server writes its entry again.
+                entry = leaving.build_entry('calendar', born=started_at_ms, sequence=sequence)
+                await store.put('servers', 's1', entry)
+                await asyncio.sleep(ENTRY_DELAY_S)
+            return [*statuses, (await running.call('lookups')).status]
+
+    assert run_with_time_limit(work()) == [200, 503, status]
+
+
+def test_another_server_at_the_address_does_not_speak_for_the_named_one() -> None:
+    """Guards against taking the named server for leaving when another one has its address.
+
+    A server without keys answers 421 only if another one is named.
+    """
+    server = _make_leaving_server(
+        's1',
+        lambda _server, _request: encode_answer(421, X_Request_Id='r1', Server_Leaving='1'),
+    )
+
+    async def work() -> list[int]:
+        async with run_gateway(('calendar', server)) as running:
+            statuses = [(await running.call('lookups')).status]
+            server.behaviour = server.echo
+            return [*statuses, (await running.call('lookups')).status]
+
+    assert run_with_time_limit(work()) == [503, 200]
+
+
+@pytest.mark.parametrize(
+    ('facts', 'has_key', 'has_other_at_address', 'expected'),
+    [
+        (HeadFacts(False, False), True, False, False),
+        (HeadFacts(True, False), False, False, True),
+        (HeadFacts(True, False), False, True, True),  # It answered a request that names it.
+        (HeadFacts(True, True), False, False, False),
+        (HeadFacts(True, True), True, False, True),  # The named one may not own the key.
+        (HeadFacts(True, True), True, True, False),
+    ],
+)
+def test_which_answers_are_those_of_the_named_server(
+    facts: HeadFacts, has_key: bool, has_other_at_address: bool, expected: bool
+) -> None:
+    said = is_said_by_named_server(
+        facts, has_key=has_key, has_other_at_address=has_other_at_address
+    )
+    assert said is expected
+
+
+def test_the_metrics_count_leaving_servers() -> None:
+    async def work() -> tuple[float, float]:
+        async with run_gateway(('calendar', _make_leaving_server('s1'))) as running:
+            before = _read_leaving_count(running)
+            await running.call('lookups')
+            return before, _read_leaving_count(running)
+
+    before, after = run_with_time_limit(work())
+    assert after == before + 1
+
+
+def _read_leaving_count(running: RunningGateway) -> float:
+    """Return the sum over all gateways of this process, since the page shows them all."""
+    prefix = 'coltsfootstair_leaving_backend_servers{'
+    lines = running.gateway.metrics.render_page().decode().splitlines()
+    return sum(float(line.split()[-1]) for line in lines if line.startswith(prefix))
