Tell the keeper which servers say that they are leaving

What callers saw: keys of a leaving server stayed with it until its entry in the store was draining or gone, though daemons had its word that it leaves.

Cause: only the store told the keeper of draining servers.

Change: reports name the incarnations that have said so and still have an entry, the first time at once, and later in each report, so that a lost datagram or a new keeper loses nothing. The keeper marks them in its registry and plans without them; table, release and grant keep their order.

--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -209,7 +209,14 @@
         self._cold_pacer.forget_ended(known_incarnations)
         self._probe_pacer.forget_ended(known_incarnations)
         return Report(
-            self._name, epoch, store_reachable, interval_s, revisions, requests, load_by_server
+            self._name,
+            epoch,
+            store_reachable,
+            interval_s,
+            revisions,
+            requests,
+            load_by_server,
+            [server.incarnation for server in self._registry.list_leaving()],
         )
 
     def _get_budget(self, service: str) -> WindowRetryBudget:
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -145,6 +145,8 @@
         self.unresponsive_servers: list[str] = []
         self._unresponsive_detector = UnresponsiveDetector()
         dependencies.ownership_view.subscribe_lease(self._on_lease_changed)
+        # The keeper is told at once, so that the keys of a leaving server move soon.
+        dependencies.registry.subscribe_leaving(self._wake_event.set)
 
     @property
     def is_keeper(self) -> bool:
@@ -386,6 +388,8 @@
         self._unresponsive_detector.apply_report(report, now)
         self._set_unresponsive_servers(self._unresponsive_detector.list_unresponsive(now))
         self._services.apply_report(report, now)
+        for incarnation in report.leaving_incarnations:
+            self._dependencies.registry.mark_leaving(incarnation)
 
     def _is_majority(self, daemon_count: int) -> bool:
         """Whether ``daemon_count`` is a majority of the daemons that report to the keeper.
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -48,6 +48,8 @@
         then by key
     :param figures_by_server: figures of the backend servers that answered since the last
         report or whose answers are overdue
+    :param leaving_incarnations: names and start times, in Unix milliseconds, of the backend
+        servers that have said in an answer that they leave and still have an entry
     """
 
     daemon: str
@@ -57,6 +59,7 @@
     table_revision_by_service: dict[str, int]
     request_counts_by_service: dict[str, dict[int, int]]
     figures_by_server: dict[str, LoadFigures]
+    leaving_incarnations: list[tuple[str, int]] = []
 
 
 class Heartbeat(msgspec.Struct, tag='beat', array_like=True):
--- a/src/coltsfootstair/registry/_view.py
+++ b/src/coltsfootstair/registry/_view.py
@@ -11,7 +11,7 @@
 from coltsfootstair.registry._types import ServerState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from coltsfootstair.clock import Clock
     from coltsfootstair.registry._types import BackendServer
@@ -53,6 +53,7 @@
         self._gone_at_by_incarnation: dict[tuple[str, int], float] = {}
         self._evacuated_until_by_data_centre: dict[str, float] = {}
         self._leaving = LeavingServers(clock)
+        self._leaving_listeners: list[Callable[[], None]] = []
 
     def get(self, name: str) -> BackendServer | None:
         """Return the current entry of a backend server, also of a draining one."""
@@ -100,6 +101,12 @@
         logger.info('backend server leaving', server=name, born_ms=started_at_ms)
         if self._is_known(incarnation):
             self._update_usability(name)
+        for listener in self._leaving_listeners:
+            listener()
+
+    def subscribe_leaving(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` each time that another incarnation is known to be leaving."""
+        self._leaving_listeners.append(listener)
 
     def has_other_at_address(self, server: BackendServer) -> bool:
         """Whether another server is known to have the address of ``server``."""
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -76,6 +76,17 @@
     assert _send_while_allowed(_fleet(ManualClock(), daemon_count=0)) == SLOT_COUNT
 
 
+def test_a_report_names_the_incarnations_that_are_leaving() -> None:
+    clock = ManualClock()
+    fleet = _fleet(clock)
+    fleet._registry.apply_entry(SERVER)
+    fleet._registry.mark_leaving(SERVER.incarnation)
+    fleet._registry.mark_leaving(('another', 1))
+    # One without an entry is no longer of interest.
+    for _ in range(2):
+        assert fleet.collect_report(1, True, 0.3, {}).leaving_incarnations == [('s1', 1)]
+
+
 def test_reloaded_settings_change_the_retry_budget_at_once() -> None:
     fleet = _fleet(ManualClock(), daemon_count=1)
     for _ in range(100):
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -289,6 +289,7 @@
             revisions,
             {SERVICE: request_count_by_key},
             {},
+            [server.incarnation for server in self.registry.list_leaving()],
         )
 
 
