Refuse keys of a server that says it leaves until they have another owner

What callers and servers saw: an owner that said in an answer that it leaves got the requests of its keys for the grace time of draining owners, counted from there; after that, requests waited for half of their target latency.

Cause: owners have a grace, since the store tells of draining before the end of the work; and a key without a usable owner is waited for. Neither fits an owner whose word this daemon has and whose keys are not even planned to move.

A key that is planned for another owner is waited for as before.

--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from coltsfootstair.gateway._leaving import LeavingOwners
 from coltsfootstair.gateway._refusals import render_refusal
 from coltsfootstair.gateway._sender import (
     ANSWER_MARGIN_S,
@@ -110,6 +111,7 @@
         self._timeouts: set[asyncio.Timeout] = set()
         self._active_requests: dict[int, RequestState] = {}
         self._unusable_owner_grace_s = UNUSABLE_OWNER_GRACE_SHARE * drain_s
+        self._leaving_owners = LeavingOwners(registry, ownership, clock)
         self._admission = AdmissionGate(get_admitted_share_by_server, clock)
 
     def find_route(self, incoming: IncomingRequest) -> Route | None:
@@ -285,6 +287,9 @@
     async def _choose_owner(self, request: RequestState, key: int) -> Placement | Refusal:
         wait_deadline = self._compute_wait_deadline(request)
         while True:
+            refusal = self._leaving_owners.refuse(request.service, key)
+            if refusal is not None:
+                return refusal
             server = self._find_owner(request.service, key)
             remaining_s = wait_deadline - self._clock.monotonic()
             if server is not None:
--- a/src/coltsfootstair/gateway/_leaving.py
+++ b/src/coltsfootstair/gateway/_leaving.py
@@ -1,15 +1,32 @@
-"""Takes from the heads of answers which backend servers are leaving."""
+"""Takes from answers which backend servers leave, and refuses requests for their keys."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from coltsfootstair.keyspace import MoveTimes
+from coltsfootstair.results import Ran, Refusal, ResultCode
+
 if TYPE_CHECKING:
+    from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._types import Dialect, HeadFacts
     from coltsfootstair.http1 import Headers
+    from coltsfootstair.keyspace import OwnershipView
     from coltsfootstair.registry import BackendServer, Registry
 
-__all__ = ['LeavingObserver', 'is_said_by_named_server']
+__all__ = [
+    'LeavingObserver',
+    'LeavingOwners',
+    'compute_move_wait_s',
+    'is_said_by_named_server',
+]
+
+PLAN_DELAY_S = 0.25
+"""Time in which the keeper is told of a leaving server and writes a plan without it, in
+seconds."""
+
+MIN_MOVE_WAIT_S = 0.1
+"""Shortest Retry-After of a request whose key is to move, in seconds."""
 
 
 def is_said_by_named_server(
@@ -51,3 +68,41 @@
             has_other_at_address=self._registry.has_other_at_address(server),
         ):
             self._registry.mark_leaving(server.incarnation)
+
+
+def compute_move_wait_s(known_for_s: float, move_s: float) -> float:
+    """Return how long it takes until a leaving owner's keys have another owner, in seconds.
+
+    A move that is overdue may be delayed by anything, so a whole move is expected again.
+
+    :param known_for_s: for how long the owner is known to be leaving, in seconds
+    :param move_s: how long a move takes once it is planned, in seconds
+    """
+    whole_s = PLAN_DELAY_S + move_s
+    remaining_s = whole_s - known_for_s
+    return max(MIN_MOVE_WAIT_S, remaining_s if remaining_s > 0 else whole_s)
+
+
+class LeavingOwners:
+    """Refuses requests whose key belongs to a server that has said that it is leaving."""
+
+    def __init__(self, registry: Registry, ownership: OwnershipView, clock: Clock) -> None:
+        self._registry = registry
+        self._ownership = ownership
+        self._move_times = MoveTimes(clock)
+        ownership.subscribe_tables(self._move_times.apply_table)
+
+    def refuse(self, service: str, key: int) -> Refusal | None:
+        """Return the refusal of a request whose key's last known owner is leaving."""
+        key_range = self._ownership.range_of(service, key)
+        if key_range is None:
+            return None
+        known_for_s = self._registry.leaving_known_for_s(key_range.owner)
+        if known_for_s is None:
+            return None
+        return Refusal(
+            ResultCode.KEY_MOVING,
+            Ran.NO,
+            f'{key_range.owner[0]}, which owns key {key} of {service}, is leaving',
+            compute_move_wait_s(known_for_s, self._move_times.estimate_s()),
+        )
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -166,7 +166,7 @@
             request.failed_connect_count += 1
             estimate.on_no_answer(self._clock.monotonic())
             return AttemptResult(Outcome.NOT_SENT, None, str(error))
-        if self._registry.is_leaving(server):
+        if self._registry.is_leaving(server.incarnation):
             # It said so while the connection was opened.
             connection.close()
             return AttemptResult(Outcome.NOT_SENT, None, f'{server.name} is leaving')
--- a/src/coltsfootstair/keyspace/__init__.py
+++ b/src/coltsfootstair/keyspace/__init__.py
@@ -10,6 +10,7 @@
     WrongServerError,
 )
 from coltsfootstair.keyspace._keeper import Keeper
+from coltsfootstair.keyspace._move_times import MoveTimes
 from coltsfootstair.keyspace._planner import KeyRates, OwnerCandidate, plan_table
 from coltsfootstair.keyspace._table import (
     KEY_COUNT,
@@ -30,6 +31,7 @@
     'KeyRange',
     'KeyRates',
     'KeyTable',
+    'MoveTimes',
     'OwnerCandidate',
     'OwnershipView',
     'StaleFenceError',
--- a/src/coltsfootstair/keyspace/_view.py
+++ b/src/coltsfootstair/keyspace/_view.py
@@ -47,11 +47,16 @@
         self._revision_by_name: dict[str, int] = {}
         self._change_waiters: list[asyncio.Future[None]] = []
         self._lease_listeners: list[Callable[[], None]] = []
+        self._table_listeners: list[Callable[[str, KeyTable], None]] = []
 
     def subscribe_lease(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the keeper lease."""
         self._lease_listeners.append(listener)
 
+    def subscribe_tables(self, listener: Callable[[str, KeyTable], None]) -> None:
+        """Call ``listener`` with the service and its table after each change of a table."""
+        self._table_listeners.append(listener)
+
     def range_of(self, service: str, key: int) -> KeyRange | None:
         """Return the range that contains ``key``, or ``None`` while no table is known."""
         table = self._table_by_service.get(service)
@@ -101,8 +106,7 @@
             )
             return
         self._revision_by_name[name] = update.revision
-        self._table_by_service[update.service] = table
-        self._wake_waiters()
+        self._set_table(update.service, table)
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply all objects of the kind.
@@ -129,14 +133,16 @@
                     listener()
             elif item.name.startswith(TABLE_PREFIX):
                 service = item.name.removeprefix(TABLE_PREFIX)
-                self._table_by_service[service] = decode_table(item.value)
-                self._wake_waiters()
+                self._set_table(service, decode_table(item.value))
         except ProtocolError as error:
             logger.warning(
                 'object refused', kind=OWNERSHIP_KIND, name=item.name, reason=str(error)
             )
 
-    def _wake_waiters(self) -> None:
+    def _set_table(self, service: str, table: KeyTable) -> None:
+        self._table_by_service[service] = table
+        for listener in self._table_listeners:
+            listener(service, table)
         waiters, self._change_waiters = self._change_waiters, []
         for change in waiters:
             if not change.done():
--- a/src/coltsfootstair/registry/_leaving.py
+++ b/src/coltsfootstair/registry/_leaving.py
@@ -24,16 +24,22 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._since_by_incarnation: dict[tuple[str, int], float] = {}
         self._last_needed_at_by_incarnation: dict[tuple[str, int], float] = {}
 
     def __contains__(self, incarnation: tuple[str, int]) -> bool:
         """Whether ``incarnation`` is leaving."""
-        return incarnation in self._last_needed_at_by_incarnation
+        return incarnation in self._since_by_incarnation
+
+    def known_for_s(self, incarnation: tuple[str, int]) -> float:
+        """Return for how long ``incarnation`` is known to be leaving, in seconds."""
+        return self._clock.monotonic() - self._since_by_incarnation[incarnation]
 
     def add(self, incarnation: tuple[str, int]) -> bool:
         """Remember an incarnation as leaving; return false if it was already."""
-        if incarnation in self._last_needed_at_by_incarnation:
+        if incarnation in self._since_by_incarnation:
             return False
+        self._since_by_incarnation[incarnation] = self._clock.monotonic()
         self._last_needed_at_by_incarnation[incarnation] = self._clock.monotonic()
         return True
 
@@ -47,4 +53,5 @@
             if is_known(incarnation):
                 self._last_needed_at_by_incarnation[incarnation] = now
             elif now - last_needed_at >= MEMORY_S:
+                del self._since_by_incarnation[incarnation]
                 del self._last_needed_at_by_incarnation[incarnation]
--- a/src/coltsfootstair/registry/_view.py
+++ b/src/coltsfootstair/registry/_view.py
@@ -81,13 +81,21 @@
             or data_centre in self._evacuated_until_by_data_centre
         )
 
-    def is_leaving(self, server: BackendServer) -> bool:
+    def is_leaving(self, incarnation: tuple[str, int]) -> bool:
         """Whether this incarnation has said in an answer that it is leaving."""
-        return server.incarnation in self._leaving
+        return incarnation in self._leaving
+
+    def leaving_known_for_s(self, incarnation: tuple[str, int]) -> float | None:
+        """Return for how many seconds an incarnation is known to be leaving, or ``None``."""
+        return self._leaving.known_for_s(incarnation) if self.is_leaving(incarnation) else None
 
     def list_leaving(self) -> list[BackendServer]:
         """Return the servers with an entry that have said in an answer that they leave."""
-        return [server for server in self._server_by_name.values() if self.is_leaving(server)]
+        return [
+            server
+            for server in self._server_by_name.values()
+            if self.is_leaving(server.incarnation)
+        ]
 
     def mark_leaving(self, incarnation: tuple[str, int]) -> None:
         """Record that an incarnation has said in an answer that it is leaving.
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -3,13 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 
 import pytest
 
+from coltsfootstair.clock import ManualClock
 from coltsfootstair.gateway import HeadFacts
-from coltsfootstair.gateway._leaving import is_said_by_named_server
+from coltsfootstair.gateway._leaving import (
+    LeavingOwners,
+    compute_move_wait_s,
+    is_said_by_named_server,
+)
 from coltsfootstair.http1 import Address, Connection
+from coltsfootstair.keyspace import (
+    KeyRange,
+    KeyTable,
+    OwnershipView,
+    encode_table,
+)
+from coltsfootstair.objects import StoredObject
+from coltsfootstair.registry import Registry
+from coltsfootstair.results import ResultCode
 from tests.coltsfootstair_platform.standin import (
     Behaviour,
     ReceivedRequest,
@@ -340,3 +355,109 @@
     prefix = 'coltsfootstair_leaving_backend_servers{'
     lines = running.gateway.metrics.render_page().decode().splitlines()
     return sum(float(line.split()[-1]) for line in lines if line.startswith(prefix))
+
+
+def _answer_leaving_if_asked(server: ServerStandin) -> Behaviour:
+    async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        if request.target == '/x/leave':
+            writer.write(server.build_answer(request, Server_Leaving='1'))
+        else:
+            writer.write(server.build_answer(request))
+        return True
+
+    return answer
+
+
+async def _call_until_owned(running: RunningGateway) -> None:
+    async with asyncio.timeout(8.0):
+        while (await running.call('keyed', X_Shard_Key=7)).status != 200:
+            await asyncio.sleep(0.05)
+
+
+def test_a_key_of_a_leaving_owner_is_refused_at_once_until_it_has_another() -> None:
+    """Guards against requests to an owner that said that it leaves, and against waiting.
+
+    An owner got the requests of its keys for a part of the drain time after its word, and then
+    they waited for half of their target latency.
+    """
+    server = ServerStandin('s1')
+    server.behaviour = _answer_leaving_if_asked(server)
+
+    async def work() -> tuple[ReceivedAnswer, float]:
+        async with run_gateway(('slots', server)) as running:
+            await _call_until_owned(running)
+            assert (await running.call('keyed', '/x/leave', X_Shard_Key=7)).status == 200
+            before = time.monotonic()
+            return await running.call('keyed', X_Shard_Key=7), time.monotonic() - before
+
+    answered, took_s = run_with_time_limit(work())
+    assert answered.status == 503
+    assert b'"ran": "no"' in answered.body
+    assert 0 < float(answered.headers['retry-after']) < 2
+    # Half of the target latency of 0.3 s would be 0.15 s.
+    assert took_s < 0.1
+    assert server.received[-1].target == '/x/leave'
+
+
+def test_a_caller_that_comes_back_as_told_is_served_by_the_next_owner() -> None:
+    """Guards against a Retry-After that does not fit how long a move takes."""
+    servers = [ServerStandin('s1'), ServerStandin('s2')]
+    for server in servers:
+        server.behaviour = _answer_leaving_if_asked(server)
+
+    async def work() -> tuple[list[float], ServerStandin]:
+        async with run_gateway(*(('slots', server) for server in servers)) as running:
+            await _call_until_owned(running)
+            await running.call('keyed', '/x/leave', X_Shard_Key=7)
+            (left,) = [
+                server for server in servers if _list_targets(server)[-1:] == ['/x/leave']
+            ]
+            waits_s = []
+            while (answered := await running.call('keyed', X_Shard_Key=7)).status == 503:
+                waits_s.append(float(answered.headers['retry-after']))
+                await asyncio.sleep(waits_s[-1])
+            assert answered.status == 200
+            return waits_s, left
+
+    waits_s, left = run_with_time_limit(work())
+    assert len(waits_s) <= 2
+    assert sum(waits_s) < 2
+    assert _list_targets(left)[-1] == '/x/leave'
+    paths = [path for path, _ in left.grant_calls]
+    assert '/-/release' in paths, 'the keys are released before another owner gets them'
+
+
+def _list_targets(server: ServerStandin) -> list[str]:
+    return [request.target for request in server.received]
+
+
+@pytest.mark.parametrize(
+    ('known_for_s', 'wait_s'), [(0.0, 0.75), (0.3, 0.45), (0.7, 0.1), (0.8, 0.75), (9.0, 0.75)]
+)
+def test_retry_after_is_what_is_left_of_a_move(known_for_s: float, wait_s: float) -> None:
+    assert compute_move_wait_s(known_for_s, 0.5) == pytest.approx(wait_s)
+
+
+@pytest.mark.parametrize(
+    ('owner', 'is_granted', 'is_refused'),
+    [
+        (('s1', 1), True, True),
+        (('s1', 1), False, True),  # Planned for it before it said so.
+        (('s1', 2), True, False),  # A new life.
+        (('s2', 1), False, False),  # The key has a newer owner and waits for its grant.
+    ],
+)
+def test_keys_are_refused_as_long_as_no_newer_owner_is_known(
+    owner: tuple[str, int], is_granted: bool, is_refused: bool
+) -> None:
+    clock = ManualClock()
+    registry, ownership = Registry(clock), OwnershipView()
+    owners = LeavingOwners(registry, ownership, clock)
+    assert owners.refuse('slots', 7) is None, 'no table is known'
+    table = KeyTable([KeyRange(0, 65535, owner, 2, is_granted)], 2)
+    ownership.apply_object(StoredObject('table-slots', 1, encode_table(table)))
+    assert owners.refuse('slots', 7) is None
+    registry.mark_leaving(('s1', 1))
+    refusal = owners.refuse('slots', 7)
+    assert (refusal is not None) is is_refused
+    assert refusal is None or refusal.code is ResultCode.KEY_MOVING
--- a/tests/registry/test_leaving.py
+++ b/tests/registry/test_leaving.py
@@ -74,10 +74,10 @@
     registry.remove('s1')
     clock.advance(0.9 * MEMORY_S)
     registry.remove_expired()
-    assert registry.is_leaving(SERVER)
+    assert registry.is_leaving(SERVER.incarnation)
     clock.advance(0.2 * MEMORY_S)
     registry.remove_expired()
-    assert not registry.is_leaving(SERVER), 'the memory does not grow without end'
+    assert not registry.is_leaving(SERVER.incarnation), 'the memory does not grow without end'
 
 
 def test_another_server_with_the_same_address_is_found() -> None:
