Read in answers to grant and release calls that a server is leaving

What was seen: a leaving owner that nobody asked for anything kept its keys, since only answers to requests of callers were read.

Cause: the client for grant calls has connections of its own.

Change: it reads the same header in each head, with the same decoding, and the keeper marks the server in its registry. 400 and 421 are answers of another server at the address there, and tell nothing of the named one.

--- a/src/coltsfootstair/keyspace/_grant_client.py
+++ b/src/coltsfootstair/keyspace/_grant_client.py
@@ -7,6 +7,8 @@
 from coltsfootstair.errors import ColtsfootstairError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coltsfootstair.registry import BackendServer
 
 __all__ = ['GrantClient', 'StaleFenceError', 'WrongServerError']
@@ -29,6 +31,9 @@
     ``WrongServerError``.
     """
 
+    def subscribe_leaving(self, listener: Callable[[tuple[str, int]], None]) -> None:
+        """Call ``listener`` with each incarnation that says in an answer that it leaves."""
+
     async def grant(
         self,
         server: BackendServer,
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -145,6 +145,7 @@
         self.unresponsive_servers: list[str] = []
         self._unresponsive_detector = UnresponsiveDetector()
         dependencies.ownership_view.subscribe_lease(self._on_lease_changed)
+        dependencies.grant_client.subscribe_leaving(dependencies.registry.mark_leaving)
         # The keeper is told at once, so that the keys of a leaving server move soon.
         dependencies.registry.subscribe_leaving(self._wake_event.set)
 
--- a/tests/coltsfootstair_platform/test_grant_client.py
+++ b/tests/coltsfootstair_platform/test_grant_client.py
@@ -15,10 +15,16 @@
 import pytest
 
 from coltsfootstair.clock import SystemClock
+from coltsfootstair.errors import ColtsfootstairError
 from coltsfootstair.http1 import Address, BrokenExchangeError
 from coltsfootstair.registry import BackendServer, ServerState
 from coltsfootstair_platform import HttpGrantClient
-from tests.coltsfootstair_platform.standin import encode_answer
+from tests.coltsfootstair_platform.standin import (
+    Listener,
+    ReceivedRequest,
+    encode_answer,
+    run_listeners,
+)
 
 RECEIVE_BUFFER_BYTES = 2048
 FILLER = b'x' * 256
@@ -162,3 +168,53 @@
     received, was_reset = asyncio.run(simulate())
     assert b'/-/grant' not in received
     assert was_reset
+
+
+class AnsweringServer(Listener):
+    """Answers all calls with one status, and says that it is leaving."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__()
+        self._status = status
+
+    async def _serve(
+        self,
+        request: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        writer.write(encode_answer(self._status, Server_Leaving='1'))
+        return True
+
+
+@pytest.mark.parametrize(
+    ('status', 'is_leaving'),
+    [(200, True), (409, True), (503, True), (421, False), (400, False)],
+)
+@pytest.mark.parametrize('is_release', [False, True])
+def test_answers_to_calls_tell_that_a_server_is_leaving(
+    status: int, is_leaving: bool, is_release: bool
+) -> None:
+    """Guards against granting keys again to a server that nobody else asks anything.
+
+    421 and 400 are the answers of another server at the address.
+    """
+
+    async def simulate() -> list[tuple[str, int]]:
+        leaving: list[tuple[str, int]] = []
+        listener = AnsweringServer(status)
+        async with run_listeners(listener):
+            address = Address('127.0.0.1', listener.port)
+            server = BackendServer(
+                's1', 7, 'slots', address, 'north', 4, ServerState.READY, 0.0
+            )
+            client = HttpGrantClient(SystemClock())
+            client.subscribe_leaving(leaving.append)
+            with contextlib.suppress(ColtsfootstairError):
+                if is_release:
+                    await client.release(server, 0, 99, 2, RECEIVE_TIMEOUT_S)
+                else:
+                    await client.grant(server, 0, 99, 2, 2.5, None, RECEIVE_TIMEOUT_S)
+        return leaving
+
+    assert asyncio.run(simulate()) == ([('s1', 7)] if is_leaving else [])
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -108,6 +108,7 @@
     def __init__(self, world: World, server: BackendServer) -> None:
         self.server = server
         self.alive = True
+        self.says_leaving = False
         self._world = world
         count = 65536 // self.KEY_STEP
         self._highest_fence = [0] * count
@@ -153,6 +154,10 @@
     def __init__(self, world: World, daemon: str) -> None:
         self._world = world
         self._daemon = daemon
+        self._on_leaving: Callable[[tuple[str, int]], None] = lambda _incarnation: None
+
+    def subscribe_leaving(self, listener: Callable[[tuple[str, int]], None]) -> None:
+        self._on_leaving = listener
 
     async def grant(
         self,
@@ -211,6 +216,8 @@
             raise BrokenExchangeError('refused', sent=False)
         if model.server.name != server.name:
             raise WrongServerError(server.name)
+        if model.says_leaving:
+            self._on_leaving(server.incarnation)
         return model
 
 
--- a/tests/keyspace/test_leaving.py
+++ b/tests/keyspace/test_leaving.py
@@ -8,6 +8,7 @@
 import pytest
 
 from coltsfootstair.keyspace import _grant_expiry
+from coltsfootstair.keyspace._service import RENEWAL_INTERVAL_S
 from coltsfootstair.peers import Report, decode_message, encode_message
 from tests.keyspace.model import SERVICE, Daemon, ModelServer, World
 from tests.virtual_time import run
@@ -67,6 +68,26 @@
     assert violations == []
 
 
+@pytest.mark.parametrize('seed', range(8))
+def test_keys_move_when_their_owner_says_in_answers_to_the_keeper_that_it_leaves(
+    seed: int,
+) -> None:
+    """Guards against renewing the grants of a leaving server that nobody asks anything."""
+
+    async def simulate() -> tuple[float, list[str]]:
+        world = World(seed)
+        await asyncio.sleep(6.0)
+        model = _pick_owner(world)
+        model.says_leaving = True
+        moved_after_s = await _wait_until_moved(world, model)
+        world.check_owners(range(len(KEYS)))
+        return moved_after_s, world.violations
+
+    moved_after_s, violations = run(simulate())
+    assert moved_after_s < RENEWAL_INTERVAL_S + MOVE_LIMIT_S
+    assert violations == []
+
+
 def test_a_later_keeper_learns_what_was_reported_to_an_earlier_one() -> None:
     """Guards against giving keys to a leaving server when the keeper changes."""
 
