Look leaving servers up by what was said instead of by all entries

Each report went through all entries, a cost that grows with the deployment, for the few servers that leave. No change in what is reported (tests/registry, tests/gateway).

--- a/src/coltsfootstair/registry/_leaving.py
+++ b/src/coltsfootstair/registry/_leaving.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from coltsfootstair.clock import Clock
 
@@ -31,6 +31,10 @@
         """Whether ``incarnation`` is leaving."""
         return incarnation in self._since_by_incarnation
 
+    def __iter__(self) -> Iterator[tuple[str, int]]:
+        """Iterate over the leaving incarnations, in the order in which they became known."""
+        return iter(self._since_by_incarnation)
+
     def known_for_s(self, incarnation: tuple[str, int]) -> float:
         """Return for how long ``incarnation`` is known to be leaving, in seconds."""
         return self._clock.monotonic() - self._since_by_incarnation[incarnation]
--- a/src/coltsfootstair/registry/_view.py
+++ b/src/coltsfootstair/registry/_view.py
@@ -92,9 +92,9 @@
     def list_leaving(self) -> list[BackendServer]:
         """Return the servers with an entry that have said in an answer that they leave."""
         return [
-            server
-            for server in self._server_by_name.values()
-            if self.is_leaving(server.incarnation)
+            self._server_by_name[incarnation[0]]
+            for incarnation in self._leaving
+            if self._is_known(incarnation)
         ]
 
     def mark_leaving(self, incarnation: tuple[str, int]) -> None:
