Tell by its own name which server says that it is leaving

What could be seen: a server that answers 421 and names itself was not believed for a request without a key, and for a request with one its word was taken for that of the server that the request names.

Change: an answer that gives a name counts for that server, if its entry has the address; the earlier rules hold for answers without one, in the gateway and in grant and release calls.

--- a/src/coltsfootstair/gateway/_leaving.py
+++ b/src/coltsfootstair/gateway/_leaving.py
@@ -18,7 +18,7 @@
     'LeavingObserver',
     'LeavingOwners',
     'compute_move_wait_s',
-    'is_said_by_named_server',
+    'find_leaving_server',
 ]
 
 PLAN_DELAY_S = 0.25
@@ -29,21 +29,31 @@
 """Shortest Retry-After of a request whose key is to move, in seconds."""
 
 
-def is_said_by_named_server(
-    facts: HeadFacts, *, has_key: bool, has_other_at_address: bool
-) -> bool:
-    """Whether the server that a request names has said that it is leaving.
+def find_leaving_server(
+    facts: HeadFacts, server: BackendServer, registry: Registry, *, has_key: bool
+) -> BackendServer | None:
+    """Return the server that says in the head of an answer that it is leaving, if any.
 
-    Another server at its address answers that it is the wrong one. So does the named one, but
-    only to a request with a key. If such an answer comes from another server after all, the
-    named incarnation has ended, and holding it back takes nothing from anybody.
+    An answer that gives no name is that of the server that the request names, unless it says
+    that this is the wrong one. The named one says so too, but only of a key. If that answer is
+    another server's after all, the named incarnation has ended, and holding it back takes
+    nothing from anybody.
 
+    :param server: the server that the request names
     :param has_key: whether the request has a key
-    :param has_other_at_address: whether another server is known to have the address
     """
     if not facts.says_leaving:
-        return False
-    return not facts.is_wrong_server or (has_key and not has_other_at_address)
+        return None
+    if facts.server_name is not None and facts.server_name != server.name:
+        other = registry.get(facts.server_name)
+        return other if other is not None and other.address == server.address else None
+    if (
+        facts.server_name is None
+        and facts.is_wrong_server
+        and (not has_key or registry.has_other_at_address(server))
+    ):
+        return None
+    return server
 
 
 class LeavingObserver:
@@ -62,12 +72,9 @@
         :param has_key: whether that request has a key
         """
         facts = self._dialect.parse_head(status, headers)
-        if facts.says_leaving and is_said_by_named_server(
-            facts,
-            has_key=has_key,
-            has_other_at_address=self._registry.has_other_at_address(server),
-        ):
-            self._registry.mark_leaving(server.incarnation)
+        leaving = find_leaving_server(facts, server, self._registry, has_key=has_key)
+        if leaving is not None:
+            self._registry.mark_leaving(leaving.incarnation)
 
 
 def compute_move_wait_s(known_for_s: float, move_s: float) -> float:
--- a/src/coltsfootstair/gateway/_types.py
+++ b/src/coltsfootstair/gateway/_types.py
@@ -58,10 +58,12 @@
 
     :param says_leaving: whether the server at the address says that it is leaving
     :param is_wrong_server: as in ``AnswerFacts``
+    :param server_name: name that the server gives itself; ``None`` if it gives none
     """
 
     says_leaving: bool
     is_wrong_server: bool
+    server_name: str | None = None
 
 
 class Dialect(Protocol):
--- a/tests/coltsfootstair_platform/test_adapter.py
+++ b/tests/coltsfootstair_platform/test_adapter.py
@@ -209,6 +209,11 @@
         assert facts.is_wrong_server is (status == 421)
 
 
+def test_the_name_that_a_server_gives_itself_is_read() -> None:
+    assert DIALECT.parse_head(421, [(b'X-Instance-Id', b'i-1')]).server_name == 'i-1'
+    assert DIALECT.parse_head(421, []).server_name is None
+
+
 def test_a_caller_is_not_told_that_a_server_is_leaving() -> None:
     headers = [(b'Server-Leaving', b'1'), (b'X-Kept', b'1')]
     assert DIALECT.build_answer_headers(headers) == [(b'X-Kept', b'1')]
@@ -217,7 +222,7 @@
 def test_no_wire_name_of_the_platform_occurs_outside_the_adapter() -> None:
     names = re.compile(
         r'X-Upstream-|X-Target-Instance|X-Not-Executed|X-Warmup|X-Handover|X-Shard-Key'
-        r'|X-Request-Deadline|Server-Leaving|delete-pending|weighted-backends|is-sharded',
+        r'|X-Request-Deadline|Server-Leaving|X-Instance-Id|delete-pending|weighted-backends|is-sharded',
         re.IGNORECASE,
     )
     found = [
--- a/tests/coltsfootstair_platform/test_grant_client.py
+++ b/tests/coltsfootstair_platform/test_grant_client.py
@@ -173,9 +173,10 @@
 class AnsweringServer(Listener):
     """Answers all calls with one status, and says that it is leaving."""
 
-    def __init__(self, status: int) -> None:
+    def __init__(self, status: int, **headers: str) -> None:
         super().__init__()
         self._status = status
+        self._headers = headers
 
     async def _serve(
         self,
@@ -183,26 +184,36 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        writer.write(encode_answer(self._status, Server_Leaving='1'))
+        writer.write(encode_answer(self._status, b'', Server_Leaving='1', **self._headers))
         return True
 
 
 @pytest.mark.parametrize(
-    ('status', 'is_leaving'),
-    [(200, True), (409, True), (503, True), (421, False), (400, False)],
+    ('status', 'name', 'is_leaving'),
+    [
+        (200, None, True),
+        (409, None, True),
+        (503, None, True),
+        (421, None, False),
+        (400, None, False),
+        (200, 's1', True),
+        (421, 's1', True),
+        (421, 's2', False),
+        (200, 's2', False),
+    ],
 )
 @pytest.mark.parametrize('is_release', [False, True])
 def test_answers_to_calls_tell_that_a_server_is_leaving(
-    status: int, is_leaving: bool, is_release: bool
+    status: int, name: str | None, is_leaving: bool, is_release: bool
 ) -> None:
     """Guards against granting keys again to a server that nobody else asks anything.
 
-    421 and 400 are the answers of another server at the address.
+    421 and 400 are the answers of another server at the address, unless it names itself.
     """
 
     async def simulate() -> list[tuple[str, int]]:
         leaving: list[tuple[str, int]] = []
-        listener = AnsweringServer(status)
+        listener = AnsweringServer(status, **({} if name is None else {'X_Instance_Id': name}))
         async with run_listeners(listener):
             address = Address('127.0.0.1', listener.port)
             server = BackendServer(
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -13,7 +13,7 @@
 from coltsfootstair.gateway._leaving import (
     LeavingOwners,
     compute_move_wait_s,
-    is_said_by_named_server,
+    find_leaving_server,
 )
 from coltsfootstair.http1 import Address, Connection
 from coltsfootstair.keyspace import (
@@ -23,7 +23,7 @@
     encode_table,
 )
 from coltsfootstair.objects import StoredObject
-from coltsfootstair.registry import Registry
+from coltsfootstair.registry import BackendServer, Registry, ServerState
 from coltsfootstair.results import ResultCode
 from tests.coltsfootstair_platform.standin import (
     Behaviour,
@@ -319,24 +319,63 @@
     assert run_with_time_limit(work()) == [503, 200]
 
 
+SERVER = BackendServer(
+    's1', 1, 'slots', Address('10.0.0.1', 1), 'north', 4, ServerState.READY, 0.0
+)
+OTHER = SERVER._replace(name='s2', started_at_ms=5)
+
+
 @pytest.mark.parametrize(
-    ('facts', 'has_key', 'has_other_at_address', 'expected'),
+    ('facts', 'has_key', 'known', 'expected'),
     [
-        (HeadFacts(False, False), True, False, False),
-        (HeadFacts(True, False), False, False, True),
-        (HeadFacts(True, False), False, True, True),  # It answered a request that names it.
-        (HeadFacts(True, True), False, False, False),
-        (HeadFacts(True, True), True, False, True),  # The named one may not own the key.
-        (HeadFacts(True, True), True, True, False),
+        (HeadFacts(False, False), True, [SERVER], None),
+        (HeadFacts(False, True, 's1'), True, [SERVER], None),
+        (HeadFacts(True, False), False, [SERVER], SERVER),
+        # It answered a request that names it.
+        (HeadFacts(True, False), False, [SERVER, OTHER], SERVER),
+        (HeadFacts(True, True), False, [SERVER], None),
+        # The named one may not own the key.
+        (HeadFacts(True, True), True, [SERVER], SERVER),
+        (HeadFacts(True, True), True, [SERVER, OTHER], None),
+        (HeadFacts(True, True, 's1'), False, [SERVER, OTHER], SERVER),
+        (HeadFacts(True, True, 's2'), True, [SERVER], None),
+        (HeadFacts(True, True, 's2'), True, [SERVER, OTHER], OTHER),
+        (
+            HeadFacts(True, True, 's2'),
+            True,
+            [SERVER, OTHER._replace(address=Address('10.0.0.2', 1))],
+            None,
+        ),
     ],
 )
-def test_which_answers_are_those_of_the_named_server(
-    facts: HeadFacts, has_key: bool, has_other_at_address: bool, expected: bool
+def test_whose_answer_says_that_a_server_is_leaving(
+    facts: HeadFacts,
+    has_key: bool,
+    known: list[BackendServer],
+    expected: BackendServer | None,
 ) -> None:
-    said = is_said_by_named_server(
-        facts, has_key=has_key, has_other_at_address=has_other_at_address
-    )
-    assert said is expected
+    registry = Registry(ManualClock())
+    for server in known:
+        registry.apply_entry(server)
+    assert find_leaving_server(facts, SERVER, registry, has_key=has_key) == expected
+
+
+@pytest.mark.parametrize(('name', 'status'), [('s1', 503), ('another', 200)])
+def test_an_answer_that_names_its_server_tells_of_that_one(name: str, status: int) -> None:
+    """Guards against taking the word of one server for that of another."""
+
+    def build(_server: ServerStandin, _request: ReceivedRequest) -> bytes:
+        return encode_answer(421, X_Request_Id='r1', X_Instance_Id=name, Server_Leaving='1')
+
+    server = _make_leaving_server('s1', build)
+
+    async def work() -> list[int]:
+        async with run_gateway(('calendar', server)) as running:
+            statuses = [(await running.call('lookups')).status]
+            server.behaviour = server.echo
+            return [*statuses, (await running.call('lookups')).status]
+
+    assert run_with_time_limit(work()) == [503, status]
 
 
 def test_the_metrics_count_leaving_servers() -> None:
