Say how long a move takes also after a leaving owner's own refusal

What callers saw: a request that a leaving owner refused with 503 got a Retry-After from the target latency, as if the owner were full (204); one that it answered 421 waited 0.1 s for another table first.

Change: while no newer owner of the key is known, both are refused at once with 303 and the time that is left of the move.

Measured: both cases of the new test fail before (204; 0.115 s) and pass now.

--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -239,7 +239,11 @@
             )
             if not self._try_retry(request, result):
                 return self._finish_failed(request, result)
-            if result.outcome is Outcome.WRONG_SERVER and request.key is not None:
+            if (
+                result.outcome is Outcome.WRONG_SERVER
+                and request.key is not None
+                and self._leaving_owners.refuse(request.service, request.key) is None
+            ):
                 await self._ownership.wait_for_change(OWNERSHIP_UPDATE_WAIT_S)
 
     async def _choose_server(self, request: RequestState) -> Placement | Refusal:
@@ -391,6 +395,10 @@
             return self._refuse(
                 request, Refusal(ResultCode.ANSWER_INCOMPLETE, Ran.UNKNOWN, result.reason)
             )
+        if request.key is not None:
+            refusal = self._leaving_owners.refuse(request.service, request.key)
+            if refusal is not None:
+                return self._refuse(request, refusal)
         retry_after_s = max(0.1, request.route.target_latency_s / 4)
         return self._refuse(
             request, Refusal(ResultCode.SHED, Ran.NO, result.reason, retry_after_s)
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -438,6 +438,38 @@
     assert server.received[-1].target == '/x/leave'
 
 
+@pytest.mark.parametrize('status', [421, 503])
+def test_a_leaving_owners_own_refusal_is_one_of_a_key_that_moves(status: int) -> None:
+    """Guards against a Retry-After of another kind, or a wait, after the owner's refusal."""
+    server = ServerStandin('s1')
+
+    async def refuse(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        writer.write(
+            encode_answer(
+                status,
+                X_Request_Id='r1',
+                X_Not_Executed='1',
+                X_Instance_Id='s1',
+                Server_Leaving='1',
+            )
+        )
+        return True
+
+    async def work() -> tuple[ReceivedAnswer, float]:
+        async with run_gateway(('slots', server)) as running:
+            await _call_until_owned(running)
+            server.behaviour = refuse
+            before = time.monotonic()
+            return await running.call('keyed', X_Shard_Key=7), time.monotonic() - before
+
+    answered, took_s = run_with_time_limit(work())
+    assert answered.status == 503
+    assert answered.headers['coltsfootstair-result'] == '303'
+    assert 0.2 < float(answered.headers['retry-after']) < 2
+    # Nothing is waited for, as the time for a new table of keys, 0.1 s.
+    assert took_s < 0.1
+
+
 def test_a_caller_that_comes_back_as_told_is_served_by_the_next_owner() -> None:
     """Guards against a Retry-After that does not fit how long a move takes."""
     servers = [ServerStandin('s1'), ServerStandin('s2')]
