--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from coltsfootstair.gateway._leaving import LeavingOwners
 from coltsfootstair.gateway._refusals import render_refusal
 from coltsfootstair.gateway._sender import (
     ANSWER_MARGIN_S,
@@ -102,7 +103,7 @@
         self._registry = registry
         self._ownership = ownership
         self._fleet = fleet
-        self._sender = Sender(dialect, fleet, pool, clock)
+        self._sender = Sender(dialect, registry, fleet, pool, clock)
         self._clock = clock
         self._random = random_source
         self._data_centre = data_centre
@@ -111,6 +112,7 @@
         self._timeouts: set[asyncio.Timeout] = set()
         self._active_requests: dict[int, RequestState] = {}
         self._unusable_owner_grace_s = UNUSABLE_OWNER_GRACE_SHARE * drain_s
+        self._leaving_owners = LeavingOwners(registry, ownership, clock)
         self._admission = AdmissionGate(get_admitted_share_by_server, clock)
 
     def find_route(self, incoming: IncomingRequest) -> Route | None:
@@ -242,7 +244,11 @@
             )
             if not self._try_retry(request, result):
                 return self._finish_failed(request, result)
-            if result.outcome is Outcome.WRONG_SERVER and request.key is not None:
+            if (
+                result.outcome is Outcome.WRONG_SERVER
+                and request.key is not None
+                and self._leaving_owners.refuse(request.service, request.key) is None
+            ):
                 await self._ownership.wait_for_change(OWNERSHIP_UPDATE_WAIT_S)
 
     async def _choose_server(self, request: RequestState) -> Placement | Refusal:
@@ -300,6 +306,9 @@
     async def _choose_owner(self, request: RequestState, key: int) -> Placement | Refusal:
         wait_deadline = self._compute_wait_deadline(request)
         while True:
+            refusal = self._leaving_owners.refuse(request.service, key)
+            if refusal is not None:
+                return refusal
             server = self._find_owner(request.service, key)
             remaining_s = wait_deadline - self._clock.monotonic()
             if server is not None:
@@ -432,6 +441,10 @@
             return self._refuse(
                 request, Refusal(ResultCode.ANSWER_INCOMPLETE, Ran.UNKNOWN, result.reason)
             )
+        if request.key is not None:
+            refusal = self._leaving_owners.refuse(request.service, request.key)
+            if refusal is not None:
+                return self._refuse(request, refusal)
         pause_wait_s = self._get_pause_wait_s(request)
         if pause_wait_s > 0:
             return self._refuse(request, self._build_pause_refusal(request, pause_wait_s))
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -307,7 +307,14 @@
         self._probe_pacer.forget_ended(known_incarnations)
         self._pauses.forget_ended(self._clock.monotonic())
         return Report(
-            self._name, epoch, store_reachable, interval_s, revisions, requests, load_by_server
+            self._name,
+            epoch,
+            store_reachable,
+            interval_s,
+            revisions,
+            requests,
+            load_by_server,
+            [server.incarnation for server in self._registry.list_leaving()],
         )
 
     def _get_budget(self, service: str) -> WindowRetryBudget:
--- a/src/coltsfootstair/gateway/_types.py
+++ b/src/coltsfootstair/gateway/_types.py
@@ -14,7 +14,14 @@
     from coltsfootstair.registry import BackendServer
     from coltsfootstair.routes import Configuration
 
-__all__ = ['AnswerFacts', 'CallerFacts', 'Dialect', 'ObjectKinds', 'PlatformPorts']
+__all__ = [
+    'AnswerFacts',
+    'CallerFacts',
+    'Dialect',
+    'HeadFacts',
+    'ObjectKinds',
+    'PlatformPorts',
+]
 
 
 class CallerFacts(NamedTuple):
@@ -51,6 +58,19 @@
     malformed_retry_after: bytes | None = None
 
 
+class HeadFacts(NamedTuple):
+    """What the head of any answer on a connection to a backend server states.
+
+    :param says_leaving: whether the server at the address says that it is leaving
+    :param is_wrong_server: as in ``AnswerFacts``
+    :param server_name: name that the server gives itself; ``None`` if it gives none
+    """
+
+    says_leaving: bool
+    is_wrong_server: bool
+    server_name: str | None = None
+
+
 class Dialect(Protocol):
     """Reads and writes the platform's headers.
 
@@ -70,6 +90,9 @@
         :param remaining_s: time until the caller's deadline, in seconds
         """
 
+    def parse_head(self, status: int, headers: Headers) -> HeadFacts:
+        """Parse the head of an answer, which may be an interim one or have no request."""
+
     def parse_answer(self, answer: Answer) -> AnswerFacts:
         """Parse a backend server's answer."""
 
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import socket
 import sys
@@ -17,6 +18,8 @@
 from coltsfootstair.sockets import finish_on_close, reset_on_close
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coltsfootstair.http1._pool import Address
 
 __all__ = ['Answer', 'BrokenExchangeError', 'Connection']
@@ -104,6 +107,7 @@
         self._transport: asyncio.Transport | None = None
         self._pending_answer: asyncio.Future[Answer] | None = None
         self._expected_id: bytes | None = None
+        self._on_head: Callable[[int, Headers], None] | None = None
         self._is_head_request = False
         self._sent = False
         self._received_bytes = 0
@@ -151,6 +155,7 @@
         body: bytes,
         *,
         expected_id: bytes | None = None,
+        on_head: Callable[[int, Headers], None] | None = None,
     ) -> Answer:
         """Send one request and return its complete answer.
 
@@ -158,6 +163,8 @@
 
         :param expected_id: id of the request; an answer whose id header has another value is
             ignored
+        :param on_head: called with status and headers of each head that arrives from now until
+            the next exchange, also of interim, ignored and unrequested answers
         :raises BrokenExchangeError: the connection ended before the answer was complete, or
             the server violated the protocol
         """
@@ -167,6 +174,7 @@
         pending_answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self._pending_answer = pending_answer
         self._expected_id = expected_id
+        self._on_head = on_head
         self._is_head_request = request_line.startswith(b'HEAD ')
         self._received_bytes = 0
         self._received_body_bytes = 0
@@ -232,6 +240,9 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the server."""
         if self._pending_answer is None or self._pending_answer.done():
+            # Only what its head says of the server itself counts.
+            with contextlib.suppress(httptools.HttpParserError, httptools.HttpParserUpgrade):
+                self._parser.feed_data(data)
             self.close()
             return
         self._received_bytes += len(data)
@@ -297,6 +308,8 @@
     def on_headers_complete(self) -> None:
         """Determine how the end of the answer is recognised."""
         self._status = self._parser.get_status_code()
+        if self._on_head is not None:
+            self._on_head(self._status, self._headers)
         self._in_final_body = self._status >= FIRST_FINAL_STATUS
         length = find_first_value(self._headers, b'content-length')
         coding = find_first_value(self._headers, b'transfer-encoding') or b''
--- a/tests/coltsfootstair_platform/test_grant_client.py
+++ b/tests/coltsfootstair_platform/test_grant_client.py
@@ -12,10 +12,17 @@
 import pytest
 
 from coltsfootstair.clock import SystemClock
+from coltsfootstair.errors import ColtsfootstairError
 from coltsfootstair.http1 import Address, BrokenExchangeError
 from coltsfootstair.registry import BackendServer, ServerState
 from coltsfootstair_platform import HttpGrantClient
-from tests.coltsfootstair_platform.standin import encode_answer, read_request
+from tests.coltsfootstair_platform.standin import (
+    Listener,
+    ReceivedRequest,
+    encode_answer,
+    read_request,
+    run_listeners,
+)
 from tests.held_up import fill_receive_buffer, listen_with_small_buffer, receive_rest
 
 CALL_TIMEOUT_S = 0.2
@@ -136,3 +143,64 @@
     received, was_reset = asyncio.run(simulate())
     assert b'/-/grant' not in received
     assert was_reset
+
+
+class AnsweringServer(Listener):
+    """Answers all calls with one status, and says that it is leaving."""
+
+    def __init__(self, status: int, **headers: str) -> None:
+        super().__init__()
+        self._status = status
+        self._headers = headers
+
+    async def _serve(
+        self,
+        request: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        writer.write(encode_answer(self._status, b'', Server_Leaving='1', **self._headers))
+        return True
+
+
+@pytest.mark.parametrize(
+    ('status', 'name', 'is_leaving'),
+    [
+        (200, None, True),
+        (409, None, True),
+        (503, None, True),
+        (421, None, False),
+        (400, None, False),
+        (200, 's1', True),
+        (421, 's1', True),
+        (421, 's2', False),
+        (200, 's2', False),
+    ],
+)
+@pytest.mark.parametrize('is_release', [False, True])
+def test_answers_to_calls_tell_that_a_server_is_leaving(
+    status: int, name: str | None, is_leaving: bool, is_release: bool
+) -> None:
+    """Guards against granting keys again to a server that nobody else asks anything.
+
+    421 and 400 are the answers of another server at the address, unless it names itself.
+    """
+
+    async def simulate() -> list[tuple[str, int]]:
+        leaving: list[tuple[str, int]] = []
+        listener = AnsweringServer(status, **({} if name is None else {'X_Instance_Id': name}))
+        async with run_listeners(listener):
+            address = Address('127.0.0.1', listener.port)
+            server = BackendServer(
+                's1', 7, 'slots', address, 'north', 4, ServerState.READY, 0.0
+            )
+            client = HttpGrantClient(SystemClock())
+            client.subscribe_leaving(leaving.append)
+            with contextlib.suppress(ColtsfootstairError):
+                if is_release:
+                    await client.release(server, 0, 99, 2, RECEIVE_TIMEOUT_S)
+                else:
+                    await client.grant(server, 0, 99, 2, 2.5, None, RECEIVE_TIMEOUT_S)
+        return leaving
+
+    assert asyncio.run(simulate()) == ([('s1', 7)] if is_leaving else [])
