Check fencing tokens in the soak, and excuse grants after pauses and links only

Cause: the soak reported two servers that have the same keys, but not a grant whose fencing token isn't above all with which other servers had them, and it excused grants for 0.3 s after the end of any fault, kills and drains too.

Change: the checker keeps what each incarnation of a server was granted; a grant must have a higher fencing token than all others had for its keys. Grants are excused for 0.3 s after a pause or a disturbed link has ended, as the rule has it, of whichever daemon they are.

--- a/soak/_bounds.py
+++ b/soak/_bounds.py
@@ -20,8 +20,8 @@
     :param answer_slack_s: how long after the timeout of its route a request may be answered
     :param recovery_s: time after the last fault within which a share of each kind of
         requests must be served again
-    :param grant_excuse_s: how long after the end of a fault overlapping grants are excused,
-        since a pause or a broken link may have delayed them
+    :param thaw_s: how long after a paused process went on or a disturbed link became whole
+        grants are excused, since the pause or the link may have delayed them
     :param max_grant_duration_s: the longest time that keys may be granted for
     :param grant_duration_factor: factor by which a server's grant lasts longer than stated,
         because its clock drifts
@@ -43,7 +43,7 @@
     grace_s: float = 3.0
     answer_slack_s: float = 0.5
     recovery_s: float = 15.0
-    grant_excuse_s: float = 0.3
+    thaw_s: float = 0.3
     max_grant_duration_s: float = 10.0
     grant_duration_factor: float = 1.02
     retry_ratio: float = 0.2
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -87,8 +87,8 @@
     :param last: the last key of the range, inclusive
     :param fence: the fencing token of the grant
     :param expires_at: monotonic seconds
-    :param is_excused: whether a fault may have delayed the grant, so that an overlap with
-        another grant is no violation
+    :param is_excused: whether a pause or a link may have delayed the grant, so that an overlap
+        with another grant is no violation
     """
 
     first: int
@@ -173,6 +173,9 @@
         self._configurations: list[tuple[float, Mapping[str, str]]] = []
         self._sent_at_by_service: dict[str, deque[float]] = defaultdict(deque)
         self._retried_at_by_service: dict[str, deque[float]] = defaultdict(deque)
+        self._former_grants_by_server_by_service: dict[
+            str, dict[ServerRecord, list[Grant]]
+        ] = defaultdict(dict)
 
     def report_violation(self, promise: Promise, detail: str) -> None:
         """Record that ``promise`` is broken."""
@@ -359,28 +362,61 @@
             server.running_keys.remove(key)
 
     def on_keys_granted(self, server: ServerRecord, grant: Grant) -> None:
-        """Check that no other server of the service has a valid grant for the same keys."""
+        """Check that no other server has these keys, or had them with as high a fence.
+
+        Holds for the grants of all daemons, whether they have faults or not.
+        """
         now = self._now()
-        is_excused = now - self._fault_log.last_fault_ended_at <= self._bounds.grant_excuse_s
+        is_excused = now - self._fault_log.last_thaw_or_heal_at <= self._bounds.thaw_s
+        server.grants = [
+            other_grant for other_grant in server.grants if other_grant.expires_at > now
+        ]
+        server.grants.append(grant._replace(is_excused=is_excused))
+        if is_excused:
+            return
+        self._check_other_owners(server, grant, now)
+        former_grants = self._former_grants_by_server_by_service[server.service]
+        for other, grants_of_other in former_grants.items():
+            if other is not server:
+                self._check_fence(server, grant, other, grants_of_other)
+        former_grants[server] = [
+            former
+            for former in former_grants.get(server, [])
+            if former.fence > grant.fence or not _covers(grant, former)
+        ]
+        former_grants[server].append(grant)
+
+    def _check_other_owners(self, server: ServerRecord, grant: Grant, now: float) -> None:
         for other in self.server_by_name.values():
             if other is server or not other.is_up or other.service != server.service:
                 continue
             for other_grant in other.grants:
-                overlaps = other_grant.first <= grant.last and grant.first <= other_grant.last
                 if (
-                    overlaps
+                    _overlap(grant, other_grant)
                     and other_grant.expires_at > now
-                    and not (is_excused or other_grant.is_excused)
+                    and not other_grant.is_excused
                 ):
                     self.report_violation(
                         Promise.SOLE_OWNER,
                         f'{server.name} was granted {grant[:3]} while {other.name} had '
                         f'{other_grant[:3]} for {other_grant.expires_at - now:.2f} s more',
                     )
-        server.grants = [
-            other_grant for other_grant in server.grants if other_grant.expires_at > now
-        ]
-        server.grants.append(grant._replace(is_excused=is_excused))
+
+    def _check_fence(
+        self,
+        server: ServerRecord,
+        grant: Grant,
+        other: ServerRecord,
+        former_grants: list[Grant],
+    ) -> None:
+        """Check that ``other`` had none of the keys with as high a fence."""
+        for former in former_grants:
+            if former.fence >= grant.fence and _overlap(grant, former):
+                self.report_violation(
+                    Promise.SOLE_OWNER,
+                    f'{server.name} was granted {grant[:3]} after {other.name} had had '
+                    f'{former[:3]}',
+                )
 
     def check_late_requests(self) -> None:
         """Check at the end of a run whether too many requests were answered late."""
@@ -463,6 +499,14 @@
             )
 
 
+def _overlap(one: Grant, other: Grant) -> bool:
+    return one.first <= other.last and other.first <= one.last
+
+
+def _covers(outer: Grant, inner: Grant) -> bool:
+    return outer.first <= inner.first and inner.last <= outer.last
+
+
 def _drop_older(times: deque[float], since: float) -> deque[float]:
     while times and times[0] < since:
         times.popleft()
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -245,7 +245,7 @@
         self.send_signal(signal.SIGSTOP)
         await asyncio.sleep(duration_s)
         self.send_signal(signal.SIGCONT)
-        self._fault_log.record_end(self.name)
+        self._fault_log.record_end(self.name, is_thaw_or_heal=True)
 
     async def close(self) -> None:
         """Kill the process and do not restart it."""
--- a/soak/_fault_log.py
+++ b/soak/_fault_log.py
@@ -17,6 +17,8 @@
     :param now: returns the current time in monotonic seconds
     :param fault_free_s: how long a component must have been without faults to count as
         fault-free
+    :ivar last_thaw_or_heal_at: when a paused process last went on or a disturbed link last
+        became whole, in monotonic seconds
     """
 
     def __init__(self, now: Callable[[], float], fault_free_s: float) -> None:
@@ -24,7 +26,7 @@
         self._fault_free_s = fault_free_s
         self._active_count_by_component: dict[str, int] = {}
         self._ended_at_by_component: dict[str, float] = {}
-        self.last_fault_ended_at = -math.inf
+        self.last_thaw_or_heal_at = -math.inf
 
     def record_start(self, *components: str) -> None:
         """Record that a fault begins to affect ``components``."""
@@ -33,10 +35,14 @@
                 self._active_count_by_component.get(component, 0) + 1
             )
 
-    def record_end(self, *components: str) -> None:
-        """Record that a fault that affected ``components`` has ended."""
+    def record_end(self, *components: str, is_thaw_or_heal: bool = False) -> None:
+        """Record that a fault that affected ``components`` has ended.
+
+        :param is_thaw_or_heal: whether a process was paused or a link was disturbed
+        """
         now = self._now()
-        self.last_fault_ended_at = now
+        if is_thaw_or_heal:
+            self.last_thaw_or_heal_at = now
         for component in components:
             self._active_count_by_component[component] -= 1
             self._ended_at_by_component[component] = now
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -197,7 +197,7 @@
         incarnation.proxy.set_state(state)
         await asyncio.sleep(duration_s)
         incarnation.proxy.set_state(type(state).WHOLE)
-        self._fault_log.record_end(name)
+        self._fault_log.record_end(name, is_thaw_or_heal=True)
 
     async def apply_misbehaviour(self, fault: ServerMisbehaviour) -> None:
         """Let one server or all servers of a service misbehave for the time of ``fault``."""
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -234,7 +234,7 @@
         await asyncio.sleep(duration_s)
         for number in affected:
             self.store_links[number].set_state(LinkState.WHOLE)
-        self.fault_log.record_end(*components)
+        self.fault_log.record_end(*components, is_thaw_or_heal=True)
 
     async def _evacuate_data_centre(self, duration_s: float) -> None:
         data_centre = self.random.choice(DATA_CENTRES)
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -165,9 +165,70 @@
     harness.checker.on_keys_granted(first, Grant(0, 199, 4, harness.now + 2.0))
     assert harness.broken_promises == [Promise.SOLE_OWNER]
     harness.fault_log.record_start('d1')
-    harness.fault_log.record_end('d1')
+    harness.fault_log.record_end('d1', is_thaw_or_heal=True)
+    harness.now += BOUNDS.thaw_s - 0.1
     harness.checker.on_keys_granted(second, Grant(0, 199, 5, harness.now + 2.0))
     assert harness.broken_promises == [Promise.SOLE_OWNER]
+    # Only the excused grant is still valid.
+    harness.now += 1.95
+    harness.checker.on_keys_granted(first, Grant(0, 99, 6, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER]
+    harness.checker.on_keys_granted(second, Grant(0, 99, 7, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER] * 2
+
+
+def test_two_owners_are_reported_although_a_daemon_was_killed_or_is_cut_off() -> None:
+    harness = Harness()
+    first, second = (
+        harness.add_server('slots', 'slots-1'),
+        harness.add_server('slots', 'slots-2'),
+    )
+    harness.checker.on_keys_granted(first, Grant(0, 99, 1, harness.now + 2.0))
+    harness.fault_log.record_start('d1', 'd2', STORE, 'slots-1')
+    harness.fault_log.record_end('d1')
+    harness.checker.on_keys_granted(second, Grant(0, 99, 2, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER]
+
+
+def test_a_fence_that_is_not_above_those_of_other_servers_is_reported() -> None:
+    harness = Harness()
+    first, second = (
+        harness.add_server('slots', 'slots-1'),
+        harness.add_server('slots', 'slots-2'),
+    )
+    harness.checker.on_keys_granted(first, Grant(0, 99, 5, harness.now + 2.0))
+    harness.now += 1.0
+    harness.checker.on_keys_granted(first, Grant(0, 99, 5, harness.now + 2.0))
+    harness.now += 100.0
+    harness.checker.on_keys_granted(second, Grant(100, 199, 4, harness.now + 2.0))
+    assert harness.broken_promises == []
+    harness.checker.on_keys_granted(second, Grant(99, 150, 5, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER]
+    # Another incarnation of the same server is another holder of the keys.
+    second.is_up = False
+    successor = harness.add_server('slots', 'slots-2')
+    harness.now += 100.0
+    harness.checker.on_keys_granted(successor, Grant(120, 130, 5, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER] * 2
+    harness.checker.on_keys_granted(successor, Grant(0, 199, 6, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER] * 2
+
+
+def test_a_low_fence_is_excused_shortly_after_a_pause_or_a_cut_only() -> None:
+    harness = Harness()
+    first, second = (
+        harness.add_server('slots', 'slots-1'),
+        harness.add_server('slots', 'slots-2'),
+    )
+    harness.checker.on_keys_granted(first, Grant(0, 99, 5, harness.now + 2.0))
+    harness.now += 100.0
+    harness.fault_log.record_start('d1')
+    harness.fault_log.record_end('d1', is_thaw_or_heal=True)
+    harness.checker.on_keys_granted(second, Grant(0, 99, 4, harness.now + 2.0))
+    assert harness.broken_promises == []
+    harness.now += BOUNDS.thaw_s + 0.1
+    harness.checker.on_keys_granted(second, Grant(0, 99, 4, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER]
 
 
 def test_too_many_requests_to_a_cold_server_are_reported() -> None:
