Cut data centres off in the soak, with bytes held up as by TCP

A silent link lost the bytes that it held back when their sender closed the connection, with a reset or without, and only single servers were cut off.

Change: a proxy can be cut. Bytes on their way in either direction then arrive after the cut, at the time at which the kernel of their sender would send them again (after 0.2 s, 0.6 s, 1.4 s and so on), so that they may arrive seconds after its end. They are dropped if their sender has reset the connection, which poll tells although unread bytes are queued. A new fault cuts all servers of a data centre off for 1 to 6 s, mostly for long, and cuts may overlap. The variant closes-without-reset closes connections as before.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -17,6 +17,7 @@
     'DaemonPause',
     'DaemonReload',
     'DaemonStop',
+    'DataCentreCut',
     'Evacuation',
     'Fault',
     'HistoryLoss',
@@ -103,6 +104,15 @@
     for_s: float
 
 
+class DataCentreCut(NamedTuple):
+    """The network between all daemons and the servers of a data centre is cut for a while.
+
+    Bytes are held up, not lost, unless their sender resets the connection.
+    """
+
+    for_s: float
+
+
 class ServerMisbehaviour(NamedTuple):
     """A server hangs, slows down, loses or duplicates answers, or applies grants late.
 
@@ -137,6 +147,7 @@
     | ServerDrain
     | AddressReuse
     | ServerLink
+    | DataCentreCut
     | ServerMisbehaviour
     | Evacuation
     | ConfigurationChange
@@ -178,7 +189,7 @@
 def _draw_fault(random_source: random.Random) -> Fault:
     for_s = random_source.uniform(0.5, 5.0)
     # The number of cases of a fault is its weight.
-    match random_source.randrange(17):
+    match random_source.randrange(20):
         case 0 | 1:
             return DaemonKill(random_source.uniform(0.1, 3.0))
         case 2 | 3:
@@ -205,5 +216,7 @@
             )
         case 14 | 15:
             return Evacuation(random_source.uniform(1.0, 8.0))
+        case 16 | 17 | 18:
+            return DataCentreCut(random_source.triangular(1.0, 6.0, 6.0))
         case _:
             return ConfigurationChange()
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -199,6 +199,22 @@
         incarnation.proxy.set_state(type(state).WHOLE)
         self._fault_log.record_end(name, is_thaw_or_heal=True)
 
+    async def cut_off(self, data_centre: str, duration_s: float) -> None:
+        """Cut the network between all daemons and the servers of a data centre."""
+        affected = [
+            incarnation
+            for incarnation in self._incarnations
+            if incarnation.server.record.data_centre == data_centre
+        ]
+        names = [incarnation.server.record.name for incarnation in affected]
+        self._fault_log.record_start(*names)
+        for incarnation in affected:
+            incarnation.proxy.cut()
+        await asyncio.sleep(duration_s)
+        for incarnation in affected:
+            incarnation.proxy.heal()
+        self._fault_log.record_end(*names, is_thaw_or_heal=True)
+
     async def apply_misbehaviour(self, fault: ServerMisbehaviour) -> None:
         """Let one server or all servers of a service misbehave for the time of ``fault``."""
         first = self._random.choice(self._incarnations)
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import enum
+import select
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -24,6 +25,10 @@
 LINK_POLL_S = 0.02
 """Time between two checks whether a blocked link forwards again."""
 
+FIRST_RETRANSMISSION_DELAY_S = 0.2
+"""Time after which TCP sends unacknowledged bytes again for the first time; each further wait
+is twice as long."""
+
 BUSY_ANSWER = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -52,13 +57,16 @@
 class Proxy:
     """Forwards connections to a loopback port according to the state of the link.
 
-    Bytes that are held back are lost if their sender closes the connection.
+    Bytes that a link state holds back are lost if their sender closes the connection. Bytes
+    that are held up by a cut of the network arrive after it, when the kernel of their sender
+    would send them again, unless the sender has reset the connection.
     """
 
     def __init__(self, target_port: int, random_source: random.Random) -> None:
         self.port = 0
         self.state = LinkState.WHOLE
         self._target_port = target_port
+        self._cut_count = 0
         self._random = random_source
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -90,6 +98,14 @@
         if state is LinkState.RESET:
             self.reset()
 
+    def cut(self) -> None:
+        """Hold up all bytes until ``heal`` has been called as often as this."""
+        self._cut_count += 1
+
+    def heal(self) -> None:
+        """End one cut."""
+        self._cut_count -= 1
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
@@ -114,10 +130,10 @@
         )
         self._writers.add(server_writer)
         request_copy = asyncio.ensure_future(
-            self._copy_bytes(reader, server_writer, REQUEST_HOLDING_STATES)
+            self._copy_bytes(reader, writer, server_writer, REQUEST_HOLDING_STATES)
         )
         answer_copy = asyncio.ensure_future(
-            self._copy_bytes(server_reader, writer, ANSWER_HOLDING_STATES)
+            self._copy_bytes(server_reader, server_writer, writer, ANSWER_HOLDING_STATES)
         )
         try:
             await asyncio.wait(
@@ -134,10 +150,15 @@
     async def _copy_bytes(
         self,
         reader: asyncio.StreamReader,
+        sender: asyncio.StreamWriter,
         writer: asyncio.StreamWriter,
         holding_states: frozenset[LinkState],
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
+            if self._cut_count:
+                await self._wait_for_retransmission()
+                if reader.exception() is not None or _is_reset(sender):
+                    return
             if self.state is LinkState.DELAYED:
                 await asyncio.sleep(DELAY_S)
             while self.state in holding_states:
@@ -152,3 +173,20 @@
                 return
             writer.write(data)
             await writer.drain()
+
+    async def _wait_for_retransmission(self) -> None:
+        """Wait until the kernel of a sender sends bytes again that it sends now."""
+        delay_s = FIRST_RETRANSMISSION_DELAY_S
+        while self._cut_count:
+            await asyncio.sleep(delay_s)
+            delay_s *= 2
+
+
+def _is_reset(writer: asyncio.StreamWriter) -> bool:
+    """Whether the peer has reset the connection, be there unread bytes or not."""
+    poll = select.poll()
+    descriptor = writer.get_extra_info('socket').fileno()
+    if descriptor < 0:
+        return True
+    poll.register(descriptor, 0)
+    return bool(poll.poll(0))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -25,6 +25,7 @@
     DaemonPause,
     DaemonReload,
     DaemonStop,
+    DataCentreCut,
     Evacuation,
     Fault,
     HistoryLoss,
@@ -213,6 +214,8 @@
                 await self.fleet.reuse_address()
             case ServerLink(state, duration_s):
                 await self.fleet.disturb_link(state, duration_s)
+            case DataCentreCut(duration_s):
+                await self.fleet.cut_off(self.random.choice(DATA_CENTRES), duration_s)
             case ServerMisbehaviour():
                 await self.fleet.apply_misbehaviour(fault)
             case Evacuation(duration_s):
--- a/soak/_variants.py
+++ b/soak/_variants.py
@@ -1,4 +1,4 @@
-"""Deliberately broken variants of the daemon, one for each promise.
+"""Deliberately broken variants of the daemon, at least one for each promise.
 
 The soak must catch each of them. ``python -m soak._variants NAME`` runs one in place of the
 real program.
@@ -22,6 +22,7 @@
 
 PROMISE_BY_VARIANT = {
     'moves-without-release': Promise.SOLE_OWNER,
+    'closes-without-reset': Promise.SOLE_OWNER,
     'repeats-everything': Promise.AT_MOST_ONCE,
     'denies-what-ran': Promise.REFUSED_NOT_RUN,
     'takes-any-answer': Promise.INTACT_ANSWER,
@@ -46,6 +47,10 @@
             from coltsfootstair.keyspace._owner_grants import OwnerGrants
 
             _replace_attribute(OwnerGrants, 'reclaim', _async_returning(None))
+        case 'closes-without-reset':
+            from coltsfootstair.http1 import _client
+
+            _replace_attribute(_client, '_RESET_ON_CLOSE', _client._FINISH_ON_CLOSE)
         case 'repeats-everything':
             from coltsfootstair.gateway._dispatcher import Dispatcher
 
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import random
+import socket
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -81,6 +83,88 @@
     assert run_with_time_limit(work()) == 0
 
 
+def _close(caller: Caller, *, resets: bool) -> None:
+    """Close a connection as its kernel does for a process that closes it or is killed."""
+    raw_socket = caller.writer.get_extra_info('socket')
+    raw_socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', int(resets), 0)
+    )
+    caller.writer.transport.abort()
+
+
+def test_bytes_held_up_by_a_cut_arrive_after_it_when_tcp_sends_them_again() -> None:
+    server = ServerStandin('s1')
+
+    async def work() -> tuple[bool, int, float]:
+        async with _link(server) as proxy:
+            loop = asyncio.get_running_loop()
+            caller = await _connect(proxy)
+            caller.send('lookups')
+            assert await _is_answered(caller)
+            proxy.cut()
+            proxy.cut()
+            caller.send('lookups')
+            sent_at = loop.time()
+            await asyncio.sleep(0.4)
+            proxy.heal()
+            assert not await _is_answered(caller)
+            received = len(server.received)
+            # The kernel sends again 0.2 s and 0.6 s after the first time, then at 1.4 s.
+            proxy.heal()
+            answered = await _is_answered(caller, within_s=2.0)
+            return answered, received, loop.time() - sent_at
+
+    answered, received, delay_s = run_with_time_limit(work())
+    assert (answered, received) == (True, 1)
+    assert 1.35 < delay_s < 1.8
+
+
+@pytest.mark.parametrize('sent_before_the_cut', [0, 1])
+@pytest.mark.parametrize(('resets', 'expected_count'), [(True, 0), (False, 1)])
+def test_a_cut_drops_held_up_bytes_of_a_connection_that_was_reset(
+    sent_before_the_cut: int, expected_count: int, *, resets: bool
+) -> None:
+    server = ServerStandin('s1')
+
+    async def work() -> int:
+        async with _link(server) as proxy:
+            caller = await _connect(proxy)
+            for _ in range(sent_before_the_cut):
+                caller.send('lookups')
+                assert await _is_answered(caller)
+            proxy.cut()
+            caller.send('lookups')
+            await asyncio.sleep(0.1)
+            _close(caller, resets=resets)
+            await asyncio.sleep(0.1)
+            proxy.heal()
+            await asyncio.sleep(0.6)
+            return len(server.received) - sent_before_the_cut
+
+    assert run_with_time_limit(work()) == expected_count
+
+
+def test_a_reset_that_comes_with_the_bytes_drops_them() -> None:
+    """The kernel returns bytes that were received before a reset also after it."""
+    server = ServerStandin('s1')
+
+    async def work() -> int:
+        async with _link(server) as proxy:
+            caller = await _connect(proxy)
+            proxy.cut()
+            await asyncio.sleep(0.1)
+            caller.send('lookups')
+            _close(caller, resets=True)
+            proxy.heal()
+            proxy.cut()
+            await asyncio.sleep(0.1)
+            proxy.heal()
+            await asyncio.sleep(0.6)
+            return len(server.received)
+
+    assert run_with_time_limit(work()) == 0
+
+
 def test_a_one_way_link_holds_answers_only() -> None:
     server = ServerStandin('s1')
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,10 +5,11 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import get_args
 
 import pytest
 from soak._checker import Promise
-from soak._faults import draw_faults
+from soak._faults import Fault, draw_faults
 from soak._proxy import LinkState
 from soak._run import RunOptions, run_soak
 from soak._variants import PROMISE_BY_VARIANT
@@ -25,8 +26,7 @@
 
 def test_all_kinds_of_faults_are_drawn() -> None:
     kinds = {type(fault) for seed in range(40) for _, fault in draw_faults(seed, 60.0)}
-    # The number of classes in ``Fault``.
-    assert len(kinds) == 14
+    assert kinds == set(get_args(Fault))
     states = {
         getattr(fault, 'state', None)
         for seed in range(40)
