Let the store of the soak come back from an older copy of itself

Change: the store goes away (silent, one way, reset or busy) and comes back in the next era from a copy of up to 5 s before: what daemons wrote since is lost, revisions are used again, watches get 410. A configuration, and moves of keys or a change of the keeper, fall into the lost time. The checker also reports a process that handles a request as only an older configuration allows than the one that it has shown to act on, whatever faults there are. Two variants: ignores-store-eras, and takes-restored-configurations.

--- a/soak/_bounds.py
+++ b/soak/_bounds.py
@@ -16,6 +16,9 @@
     :param evacuation_s: the same for the servers of an evacuated data centre
     :param configuration_s: how long a daemon may act on the previous configuration after a
         new version was written
+    :param rollback_s: how long after the effect of a configuration was seen a process may
+        still act on an older one
+    :param slowed_rollback_factor: factor by which that is longer if the daemon had a fault
     :param grace_s: time from SIGTERM to SIGKILL
     :param answer_slack_s: how long after the timeout of its route a request may be answered
     :param recovery_s: time after the last fault within which a share of each kind of
@@ -40,6 +43,8 @@
     drain_s: float = 2.0
     evacuation_s: float = 5.0
     configuration_s: float = 2.0
+    rollback_s: float = 0.25
+    slowed_rollback_factor: float = 8.0
     grace_s: float = 3.0
     answer_slack_s: float = 0.5
     recovery_s: float = 15.0
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -80,6 +80,7 @@
         self._random = random_source
         self._sent_count = 0
         self._daemon: Daemon | None = None
+        self._process = ''
         self._reader: asyncio.StreamReader
         self._writer: asyncio.StreamWriter | None = None
         self._abandoned_checks: set[asyncio.Task[None]] = set()
@@ -103,6 +104,7 @@
         self._daemon = self._choose_daemon()
         if self._daemon is None:
             return False
+        self._process = f'{self._daemon.name} start {self._daemon.start_count}'
         try:
             async with asyncio.timeout(1.0):
                 self._reader, self._writer = await asyncio.open_connection(
@@ -162,6 +164,7 @@
             sent_at=asyncio.get_running_loop().time(),
         )
         request.timeout_s = kind.timeout_s
+        request.process = self._process
         self._checker.on_request_sent(request)
         body = self._random.randbytes(kind.body_bytes)
         target = f'{LONG_WORK_PREFIX if is_long else "/x/"}{request_id}'
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -139,6 +139,7 @@
         self.is_idempotent = is_idempotent
         self.sent_at = sent_at
         self.timeout_s = 1.0
+        self.process = daemon
         self.caller_left_at: float | None = None
         self.ended_at: float | None = None
         self.status: int | None = None
@@ -171,6 +172,7 @@
         self._bounds = bounds
         self._fault_log = fault_log
         self._configurations: list[tuple[float, Mapping[str, str]]] = []
+        self._seen_versions_by_process: dict[str, list[tuple[float, int]]] = defaultdict(list)
         self._sent_at_by_service: dict[str, deque[float]] = defaultdict(deque)
         self._retried_at_by_service: dict[str, deque[float]] = defaultdict(deque)
         self._former_grants_by_server_by_service: dict[
@@ -266,6 +268,7 @@
         if request.arrival_count > 1:
             self._check_retry_budget(server.service, now)
         self._check_service(server, request)
+        self._check_rollback(server, request, now)
         self._check_server_usable(server, request, now)
         self._check_cold_rate(server, now)
 
@@ -286,6 +289,42 @@
                 f'requests: {max_sent_count}',
             )
 
+    def _check_rollback(self, server: ServerRecord, request: SentRequest, now: float) -> None:
+        """Check that the process acts on no older version than its requests have shown.
+
+        Holds whatever faults there are. Versions are counted in the order of their writes.
+        """
+        slack_s = self._bounds.rollback_s
+        if not self._fault_log.is_fault_free(request.daemon):
+            slack_s *= self._bounds.slowed_rollback_factor
+        seen_versions = self._seen_versions_by_process[request.process]
+        oldest = max(
+            (
+                version
+                for seen_at, version in seen_versions
+                if seen_at <= request.sent_at - slack_s
+            ),
+            default=0,
+        )
+        versions = [
+            version
+            for version, (_, services) in enumerate(self._configurations)
+            if services[request.route] == server.service
+        ]
+        if not versions:
+            return  # Reported by ``_check_service``.
+        if versions[-1] >= oldest:
+            shown = min(version for version in versions if version >= oldest)
+            if not seen_versions or shown > seen_versions[-1][1]:
+                seen_versions.append((now, shown))
+            return
+        self.report_violation(
+            Promise.CONFIGURATION_IN_TIME,
+            f'{request.request_id} of {request.route} at {server.service}: '
+            f'{request.process} had already acted on version {oldest} of '
+            f'{len(self._configurations)}',
+        )
+
     def _check_service(self, server: ServerRecord, request: SentRequest) -> None:
         allowed, any_version = self._allowed_services(request)
         if server.service in allowed:
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -112,6 +112,7 @@
         self.ports = DaemonPorts(*find_free_ports(3))
         self.is_in_rotation = False
         self.is_stopping = False
+        self.start_count = 0
         self.log_lines: deque[str] = deque(maxlen=KEPT_LOG_LINES_COUNT)
         self._bounds = bounds
         self._fault_log = fault_log
@@ -138,6 +139,7 @@
         while not self._is_closing:
             await self._may_start.wait()
             self.is_stopping = self._is_end_expected = False
+            self.start_count += 1
             process = self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 *self._command,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -27,6 +27,7 @@
     'ServerLink',
     'ServerMisbehaviour',
     'StoreLink',
+    'StoreRestore',
     'draw_faults',
 ]
 
@@ -82,6 +83,18 @@
     """The store drops its history of changes, so that watches must read all objects again."""
 
 
+class StoreRestore(NamedTuple):
+    """The store goes away and comes back from an older copy of itself, in a new era.
+
+    :param state: state of all links to the store while it is away
+    :param age_s: age of the copy when the store goes away
+    """
+
+    state: LinkState
+    age_s: float
+    away_s: float
+
+
 class ServerCrash(NamedTuple):
     """A server crashes; a cold one starts under the same name or a new one."""
 
@@ -143,6 +156,7 @@
     | KillAll
     | StoreLink
     | HistoryLoss
+    | StoreRestore
     | ServerCrash
     | ServerDrain
     | AddressReuse
@@ -161,6 +175,7 @@
     LinkState.DELAYED,
     LinkState.LOSING_ANSWERS,
 ]
+AWAY_STATES = [LinkState.SILENT, LinkState.ONE_WAY, LinkState.RESET, LinkState.BUSY]
 SERVER_LINK_STATES = [
     LinkState.SILENT,
     LinkState.ONE_WAY,
@@ -182,14 +197,27 @@
         faults.append((starts_at, fault))
         if random_source.random() < REPEATED_SHARE:
             faults.append((starts_at + random_source.uniform(0.0, 0.5), fault))
+        if isinstance(fault, StoreRestore):
+            for lost in _draw_lost_changes(random_source):
+                lost_at = starts_at + random_source.uniform(0.1, 0.8) * fault.age_s
+                faults.append((lost_at, lost))
         starts_at += random_source.expovariate(1.0 / mean_interval_s)
     return sorted(faults, key=lambda item: item[0])
 
 
+def _draw_lost_changes(random_source: random.Random) -> list[Fault]:
+    """Return causes of changes of the store that it loses if it goes back behind them."""
+    if random_source.random() < 0.5:
+        # Moves keys.
+        return [ConfigurationChange(), Evacuation(random_source.uniform(4.0, 8.0))]
+    # Changes the keeper.
+    return [ConfigurationChange(), KillAll(random_source.uniform(0.1, 0.5))]
+
+
 def _draw_fault(random_source: random.Random) -> Fault:
     for_s = random_source.uniform(0.5, 5.0)
     # The number of cases of a fault is its weight.
-    match random_source.randrange(20):
+    match random_source.randrange(22):
         case 0 | 1:
             return DaemonKill(random_source.uniform(0.1, 3.0))
         case 2 | 3:
@@ -218,5 +246,8 @@
             return Evacuation(random_source.uniform(1.0, 8.0))
         case 16 | 17 | 18:
             return DataCentreCut(random_source.triangular(1.0, 6.0, 6.0))
+        case 19 | 20:
+            state = random_source.choice(AWAY_STATES)
+            return StoreRestore(state, random_source.uniform(0.5, 5.0), for_s)
         case _:
             return ConfigurationChange()
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -12,13 +12,12 @@
 if TYPE_CHECKING:
     import random
 
-    from tests.coltsfootstair_platform.standin import StoreStandin
-
     from soak._bounds import Bounds
     from soak._checker import PromiseChecker
     from soak._fault_log import FaultLog
     from soak._faults import ServerMisbehaviour
     from soak._proxy import LinkState
+    from soak._store import RestorableStore
 
 __all__ = ['ServerFleet']
 
@@ -78,7 +77,7 @@
 
     def __init__(
         self,
-        store: StoreStandin,
+        store: RestorableStore,
         checker: PromiseChecker,
         fault_log: FaultLog,
         bounds: Bounds,
@@ -120,7 +119,7 @@
         cold_left_ms = int(COLD_DURATION_S * 1000) if cold else 0
         if cold:
             record.cold_until = asyncio.get_running_loop().time() + COLD_DURATION_S
-        await self._store.put(
+        await self._store.write(
             ENTRY_KIND,
             record.name,
             incarnation.build_entry(**{'warmup-left-ms': cold_left_ms}),
@@ -147,12 +146,12 @@
             return
         record = incarnation.server.record
         await self.start_server(record.service, record.data_centre, cold=True)
-        await self._store.put(
+        await self._store.write(
             ENTRY_KIND, record.name, incarnation.build_entry(state='draining')
         )
         record.draining_at = asyncio.get_running_loop().time()
         await asyncio.sleep(self._bounds.drain_s + DRAIN_MARGIN_S)
-        await self._store.delete(ENTRY_KIND, record.name)
+        await self._store.remove(ENTRY_KIND, record.name)
         self._shut_down(incarnation)
 
     async def reuse_address(self) -> None:
@@ -182,7 +181,7 @@
         successor.proxy.stop()
         incarnation.proxy.retarget(successor.server.port)
         successor.proxy = incarnation.proxy
-        await self._store.put(
+        await self._store.write(
             ENTRY_KIND,
             successor.server.record.name,
             successor.build_entry(**{'warmup-left-ms': int(COLD_DURATION_S * 1000)}),
@@ -289,4 +288,4 @@
         name = incarnation.server.record.name
         current = self._checker.server_by_name.get(name)
         if current is incarnation.server.record:
-            self._tasks.append(asyncio.ensure_future(self._store.delete(ENTRY_KIND, name)))
+            self._tasks.append(asyncio.ensure_future(self._store.remove(ENTRY_KIND, name)))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from tests.coltsfootstair_platform.standin import StoreStandin, build_route, build_service
+from tests.coltsfootstair_platform.standin import build_route, build_service
 
 from soak._bounds import Bounds
 from soak._callers import Caller, RequestKind
@@ -35,10 +35,12 @@
     ServerLink,
     ServerMisbehaviour,
     StoreLink,
+    StoreRestore,
     draw_faults,
 )
 from soak._fleet import ServerFleet
 from soak._proxy import LinkState, Proxy
+from soak._store import RestorableStore
 
 __all__ = ['RunOptions', 'RunResult', 'run_soak']
 
@@ -110,7 +112,7 @@
         self.fault_log = FaultLog(now, self.bounds.fault_free_s)
         self.checker = PromiseChecker(now, self.bounds, self.fault_log)
         self.abandoned_checker = AbandonedRequestChecker(self.checker, self.fault_log)
-        self.store = StoreStandin()
+        self.store = RestorableStore(self.random)
         self.fleet = ServerFleet(
             self.store, self.checker, self.fault_log, self.bounds, KEYED_SERVICES, self.random
         )
@@ -121,6 +123,7 @@
         self._version = 0
         self._upload_service = UPLOAD_SERVICES[0]
         self._evacuated_data_centres: set[str] = set()
+        self._is_copy_in_use = False
 
     async def start(self) -> None:
         """Start the store, backend servers and daemons."""
@@ -178,7 +181,7 @@
             for name in KEYED_SERVICES
         ]
         document = {'version': f'{self._version:08x}', 'resources': resources}
-        await self.store.put('config', 'main', document)
+        await self.store.write('config', 'main', document)
         self.checker.on_configuration_written(service_by_route)
 
     def choose_daemon(self) -> Daemon | None:
@@ -206,6 +209,8 @@
                 self.fault_log.record_start(STORE)
                 self.store.discard_history()
                 self.fault_log.record_end(STORE)
+            case StoreRestore(state, age_s, away_s):
+                await self._restore_store(state, age_s, away_s)
             case ServerCrash(down_s, same_name):
                 await self.fleet.crash_server(down_s, same_name=same_name)
             case ServerDrain():
@@ -239,18 +244,37 @@
             self.store_links[number].set_state(LinkState.WHOLE)
         self.fault_log.record_end(*components, is_thaw_or_heal=True)
 
+    async def _restore_store(self, state: LinkState, age_s: float, away_s: float) -> None:
+        """Let the store go away and come back from a copy that is ``age_s`` seconds older."""
+        if self._is_copy_in_use:
+            return
+        self._is_copy_in_use = True
+        self.store.take_copy()
+        await asyncio.sleep(age_s)
+        self.fault_log.record_start(STORE)
+        self.store.go_away()
+        for link in self.store_links:
+            link.set_state(state)
+        await asyncio.sleep(away_s)
+        await self.store.come_back()
+        for link in self.store_links:
+            link.set_state(LinkState.WHOLE)
+        await self.store.write_again()
+        self.fault_log.record_end(STORE, is_thaw_or_heal=True)
+        self._is_copy_in_use = False
+
     async def _evacuate_data_centre(self, duration_s: float) -> None:
         data_centre = self.random.choice(DATA_CENTRES)
         if self._evacuated_data_centres:
             return
         self._evacuated_data_centres.add(data_centre)
-        await self.store.put('evacuations', data_centre, {})
+        await self.store.write('evacuations', data_centre, {})
         self.checker.evacuated_at_by_data_centre[data_centre] = (
             asyncio.get_running_loop().time()
         )
         await asyncio.sleep(duration_s)
         del self.checker.evacuated_at_by_data_centre[data_centre]
-        await self.store.delete('evacuations', data_centre)
+        await self.store.remove('evacuations', data_centre)
         self._evacuated_data_centres.clear()
 
     async def inject_all(self) -> None:
--- a/soak/_variants.py
+++ b/soak/_variants.py
@@ -30,6 +30,8 @@
     'uses-leaving-servers': Promise.DRAINED,
     'ignores-evacuations': Promise.EVACUATED,
     'keeps-first-configuration': Promise.CONFIGURATION_IN_TIME,
+    'takes-restored-configurations': Promise.CONFIGURATION_IN_TIME,
+    'ignores-store-eras': Promise.SOLE_OWNER,
     'ignores-cold-starts': Promise.COLD_RATE,
     'repeats-without-budget': Promise.RETRY_BUDGET,
     'works-for-nobody': Promise.ABANDONED,
@@ -100,6 +102,14 @@
             from coltsfootstair.gateway._subscribers import ConfigurationSubscriber
 
             _keep_first_table(ConfigurationSubscriber)
+        case 'takes-restored-configurations':
+            from coltsfootstair.gateway._subscribers import ConfigurationSubscriber
+
+            _take_later_eras(ConfigurationSubscriber)
+        case 'ignores-store-eras':
+            from coltsfootstair_platform import HttpObjectStore
+
+            _replace_attribute(HttpObjectStore, '_read_era', lambda *_: 0)
         case 'ignores-cold-starts':
             from coltsfootstair.placement import RequestPacer
 
@@ -162,6 +172,20 @@
     _replace_property(subscriber, 'route_table', property(get_first_table, set_first_table))
 
 
+def _take_later_eras(subscriber: Any) -> None:
+    """Let a subscriber apply any configuration of a later era of the store."""
+    from coltsfootstair.objects import era_of
+
+    apply_newer = subscriber._apply
+
+    def apply_later_era(self: Any, item: Any) -> None:
+        if era_of(item.revision) > self._era:
+            self.route_table = None
+        apply_newer(self, item)
+
+    _replace_attribute(subscriber, '_apply', apply_later_era)
+
+
 def _replace_property(owner: type, name: str, value: property) -> None:
     """Replace an attribute that only the instances of ``owner`` have by a property."""
     setattr(owner, name, value)
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -120,6 +120,51 @@
     assert harness.broken_promises == [Promise.CONFIGURATION_IN_TIME]
 
 
+def test_a_process_that_returns_to_an_older_configuration_is_reported() -> None:
+    harness = Harness()
+    desk, intake = harness.add_server('desk'), harness.add_server('intake')
+    harness.checker.on_configuration_written(SERVICES | {'uploads': 'intake'})
+    harness.checker.on_configuration_written(SERVICES)
+    harness.fault_log.record_start(STORE)
+    for number, server in enumerate([desk, intake, desk]):
+        harness.send('uploads', f'r{number}')
+        harness.run(server, f'r{number}')
+        harness.now += BOUNDS.rollback_s + 0.1
+    assert harness.broken_promises == []
+    harness.send('uploads', 'r3')
+    harness.run(intake, 'r3')
+    assert harness.broken_promises == [Promise.CONFIGURATION_IN_TIME]
+    # The next start of the process knows nothing of before.
+    harness.send('uploads', 'r4').process = 'd1 start 2'
+    harness.run(intake, 'r4')
+    assert harness.broken_promises == [Promise.CONFIGURATION_IN_TIME]
+
+
+def test_requests_that_were_sent_before_a_configuration_was_seen_may_use_an_older_one() -> (
+    None
+):
+    harness = Harness()
+    desk, intake = harness.add_server('desk'), harness.add_server('intake')
+    harness.checker.on_configuration_written(SERVICES | {'uploads': 'intake'})
+    harness.send('uploads', 'early')
+    harness.send('uploads')
+    harness.run(intake)
+    harness.now += BOUNDS.rollback_s - 0.1
+    harness.send('uploads', 'r2')
+    harness.now += 1.0
+    harness.run(desk, 'early')
+    harness.run(desk, 'r2')
+    assert harness.broken_promises == []
+    harness.fault_log.record_start('d1')
+    harness.send('uploads', 'slowed')
+    harness.run(desk, 'slowed')
+    assert harness.broken_promises == []
+    harness.now += BOUNDS.rollback_s * BOUNDS.slowed_rollback_factor
+    harness.send('uploads', 'late')
+    harness.run(desk, 'late')
+    assert harness.broken_promises == [Promise.CONFIGURATION_IN_TIME]
+
+
 def test_a_recent_fault_excuses_a_daemon_from_time_limits() -> None:
     harness = Harness()
     desk = harness.add_server('desk')
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,14 @@
 
 import pytest
 from soak._checker import Promise
-from soak._faults import Fault, draw_faults
+from soak._faults import (
+    ConfigurationChange,
+    Evacuation,
+    Fault,
+    KillAll,
+    StoreRestore,
+    draw_faults,
+)
 from soak._proxy import LinkState
 from soak._run import RunOptions, run_soak
 from soak._variants import PROMISE_BY_VARIANT
@@ -35,6 +42,20 @@
     assert states - {None} == set(LinkState) - {LinkState.WHOLE}
 
 
+def test_a_store_that_comes_back_has_lost_changes() -> None:
+    for seed in range(40):
+        faults = draw_faults(seed, 60.0)
+        for restored_at, fault in faults:
+            if isinstance(fault, StoreRestore):
+                lost = {
+                    type(other)
+                    for at, other in faults
+                    if restored_at - 0.5 < at < restored_at + fault.age_s
+                }
+                assert ConfigurationChange in lost
+                assert lost & {Evacuation, KillAll}
+
+
 def test_every_promise_has_a_broken_variant() -> None:
     assert set(PROMISE_BY_VARIANT.values()) == set(Promise)
 
