Add leaving answers and pauses of servers to the soak, switched off

Cause: daemons are to heed what servers say in their answers: Server-Leaving, and Retry-After with 503.

Change: servers that are leaving say so in all answers, some for seconds before the store does; a request sent later than the drain time after a process has passed such an answer on must not reach the server from that process, whatever faults the store has. Busy servers refuse a share of their requests with 503 and Retry-After; of one process at most two requests may arrive between 0.5 s after that answer and the end of the time. Requests that get 421 don't count. SERVERS_SAY_THAT_THEY_LEAVE and SERVERS_ASK_FOR_PAUSES in soak/_faults.py are False until the daemons do so; setting both to True switches all of it on. The variants overlooks-leaving-answers and overlooks-pauses hide the headers from the daemon and so can be caught only then.

--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -16,6 +16,8 @@
 
 __all__ = [
     'ABANDONED_GRACE_S',
+    'MAX_REQUESTS_IN_PAUSE_COUNT',
+    'PAUSE_TRANSIT_S',
     'AbandonedRequestChecker',
     'Grant',
     'Promise',
@@ -46,6 +48,12 @@
 ABANDONED_GRACE_S = 0.5
 """How long after its caller has left a request may still run or be sent to a server."""
 
+PAUSE_TRANSIT_S = 0.5
+"""How long after a server has asked for a pause requests to it may still arrive."""
+
+MAX_REQUESTS_IN_PAUSE_COUNT = 2
+"""Number of requests of one daemon that may reach a server during the rest of the pause."""
+
 MAX_LATE_SENDS_COUNT = 3
 """Number of abandoned requests that may reach a server after ``ABANDONED_GRACE_S``."""
 
@@ -62,6 +70,7 @@
     EVACUATED = 'an evacuated data centre gets nothing new'
     CONFIGURATION_IN_TIME = 'a configuration is in force in time'
     COLD_RATE = 'a cold server gets what it bears'
+    LEFT_ALONE = 'a server that asks for a pause gets it'
     RETRY_BUDGET = 'repeats stay within their budget'
     ABANDONED = 'what its caller has left is given up'
     ANSWERED_IN_TIME = 'a request is answered by the time of its route'
@@ -127,8 +136,21 @@
         self.running_keys: list[int] = []
 
 
+class _Pause:
+    """Time in which a server asked one process of a daemon to send it nothing."""
+
+    def __init__(self, starts_at: float, ends_at: float) -> None:
+        self.starts_at = starts_at
+        self.ends_at = ends_at
+        self.arrival_count = 0
+
+
 class SentRequest:
-    """A request that a caller sent, and what became of it."""
+    """A request that a caller sent, and what became of it.
+
+    :ivar process: the start of the daemon that the caller is connected to
+    :ivar leaving_server: server that answered last, if it said that it is leaving
+    """
 
     def __init__(
         self, request_id: str, daemon: str, route: str, *, is_idempotent: bool, sent_at: float
@@ -140,6 +162,7 @@
         self.sent_at = sent_at
         self.timeout_s = 1.0
         self.process = daemon
+        self.leaving_server: ServerRecord | None = None
         self.caller_left_at: float | None = None
         self.ended_at: float | None = None
         self.status: int | None = None
@@ -175,6 +198,8 @@
         self._seen_versions_by_process: dict[str, list[tuple[float, int]]] = defaultdict(list)
         self._sent_at_by_service: dict[str, deque[float]] = defaultdict(deque)
         self._retried_at_by_service: dict[str, deque[float]] = defaultdict(deque)
+        self._leaving_since_by_link: dict[tuple[str, ServerRecord], float] = {}
+        self._pauses_by_link: dict[tuple[str, ServerRecord], list[_Pause]] = defaultdict(list)
         self._former_grants_by_server_by_service: dict[
             str, dict[ServerRecord, list[Grant]]
         ] = defaultdict(dict)
@@ -218,7 +243,11 @@
         :param is_intact: whether the answer carries a backend server's signature and exactly
             the body that belongs to the request
         """
-        request.ended_at, request.status = self._now(), status
+        now = self._now()
+        request.ended_at, request.status = now, status
+        if status < 300 and request.leaving_server is not None:
+            link = (request.process, request.leaving_server)
+            self._leaving_since_by_link.setdefault(link, now)
         if status < 300:
             self.served_count += 1
             if not is_intact:
@@ -353,6 +382,59 @@
         if since is not None and now - since > self._bounds.evacuation_s:
             self.report_violation(Promise.EVACUATED, f'{request.request_id} at {server.name}')
 
+    def on_server_answer(
+        self, server: ServerRecord, request_id: str, *, is_leaving: bool, pause_s: float = 0.0
+    ) -> None:
+        """Record an answer that a server is sending.
+
+        :param is_leaving: whether the answer says that the server is leaving
+        :param pause_s: how long the server asks for no further requests, in seconds
+        """
+        request = self.request_by_id.get(request_id)
+        if request is None:
+            return
+        request.leaving_server = server if is_leaving else None
+        if pause_s:
+            now = self._now()
+            self._pauses_by_link[request.process, server].append(
+                _Pause(now + PAUSE_TRANSIT_S, now + pause_s)
+            )
+
+    def on_request_taken(self, server: ServerRecord, request_id: str) -> None:
+        """Check a request that reached a server which has its key, if it has one.
+
+        What the server said in its answers binds a daemon whatever faults the store has.
+        """
+        request = self.request_by_id.get(request_id)
+        if request is None:
+            return
+        is_checked = self._fault_log.is_fault_free(request.daemon, server.name)
+        link = (request.process, server)
+        leaving_since = self._leaving_since_by_link.get(link)
+        if (
+            is_checked
+            and leaving_since is not None
+            and request.sent_at > leaving_since + self._bounds.drain_s
+        ):
+            self.report_violation(
+                Promise.DRAINED,
+                f'{request.request_id} at {server.name}, sent '
+                f'{request.sent_at - leaving_since:.2f} s after {request.process} had passed '
+                f'on that it is leaving',
+            )
+        now = self._now()
+        for pause in self._pauses_by_link[link]:
+            if not pause.starts_at <= now < pause.ends_at:
+                continue
+            pause.arrival_count += 1
+            if is_checked and pause.arrival_count > MAX_REQUESTS_IN_PAUSE_COUNT:
+                self.report_violation(
+                    Promise.LEFT_ALONE,
+                    f'{request.request_id} at {server.name}: {pause.arrival_count} requests '
+                    f'of {request.process} in a pause, {pause.ends_at - now:.2f} s before '
+                    f'its end',
+                )
+
     def _check_cold_rate(self, server: ServerRecord, now: float) -> None:
         if now >= server.cold_until:
             return
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -22,8 +22,10 @@
     'Fault',
     'HistoryLoss',
     'KillAll',
+    'ServerBusy',
     'ServerCrash',
     'ServerDrain',
+    'ServerLeave',
     'ServerLink',
     'ServerMisbehaviour',
     'StoreLink',
@@ -42,6 +44,13 @@
 """Share of the faults that occur again within 0.5 s, so that there are series of faults."""
 
 
+SERVERS_SAY_THAT_THEY_LEAVE = False
+"""Whether leaving servers say so in their answers, some of them long before the store does."""
+
+SERVERS_ASK_FOR_PAUSES = False
+"""Whether busy servers answer with 503 and ``Retry-After``."""
+
+
 class DaemonKill(NamedTuple):
     """A daemon is killed and does not restart for ``down_s`` seconds."""
 
@@ -106,6 +115,23 @@
     """A server is replaced: a new one starts, the old one drains and is shut down."""
 
 
+class ServerLeave(NamedTuple):
+    """A server is replaced and says in its answers that it is leaving.
+
+    The store doesn't say so for ``unsaid_s`` seconds. Then the entry is removed, and the
+    server is shut down after the usual time.
+    """
+
+    unsaid_s: float
+
+
+class ServerBusy(NamedTuple):
+    """A server refuses a share of its requests for ``for_s`` seconds and asks for pauses."""
+
+    pause_s: float
+    for_s: float
+
+
 class AddressReuse(NamedTuple):
     """A server crashes and is replaced; a server of another service gets its address."""
 
@@ -159,6 +185,8 @@
     | StoreRestore
     | ServerCrash
     | ServerDrain
+    | ServerLeave
+    | ServerBusy
     | AddressReuse
     | ServerLink
     | DataCentreCut
@@ -217,7 +245,7 @@
 def _draw_fault(random_source: random.Random) -> Fault:
     for_s = random_source.uniform(0.5, 5.0)
     # The number of cases of a fault is its weight.
-    match random_source.randrange(22):
+    match random_source.randrange(25):
         case 0 | 1:
             return DaemonKill(random_source.uniform(0.1, 3.0))
         case 2 | 3:
@@ -249,5 +277,12 @@
         case 19 | 20:
             state = random_source.choice(AWAY_STATES)
             return StoreRestore(state, random_source.uniform(0.5, 5.0), for_s)
+        case 21:
+            return ServerLeave(for_s) if SERVERS_SAY_THAT_THEY_LEAVE else ServerDrain()
+        case 22:
+            pause_s = random_source.uniform(1.0, 4.0)
+            if SERVERS_ASK_FOR_PAUSES:
+                return ServerBusy(pause_s, for_s)
+            return ServerMisbehaviour('slow', for_s, whole_service=False)
         case _:
             return ConfigurationChange()
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from soak._checker import ServerRecord
+from soak._faults import SERVERS_SAY_THAT_THEY_LEAVE
 from soak._proxy import Proxy
 from soak._servers import SLOT_COUNT, BackendServerStandin
 
@@ -146,6 +147,7 @@
             return
         record = incarnation.server.record
         await self.start_server(record.service, record.data_centre, cold=True)
+        incarnation.server.is_leaving = SERVERS_SAY_THAT_THEY_LEAVE
         await self._store.write(
             ENTRY_KIND, record.name, incarnation.build_entry(state='draining')
         )
@@ -154,6 +156,27 @@
         await self._store.remove(ENTRY_KIND, record.name)
         self._shut_down(incarnation)
 
+    async def let_leave(self, unsaid_s: float) -> None:
+        """Let a server that is replaced say that it is leaving, before its entry does."""
+        incarnation = self._remove_replaceable()
+        if incarnation is None:
+            return
+        record = incarnation.server.record
+        await self.start_server(record.service, record.data_centre, cold=True)
+        incarnation.server.is_leaving = True
+        await asyncio.sleep(unsaid_s)
+        await self._store.remove(ENTRY_KIND, record.name)
+        record.draining_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(self._bounds.drain_s + DRAIN_MARGIN_S)
+        self._shut_down(incarnation)
+
+    async def let_ask_for_pauses(self, pause_s: float, duration_s: float) -> None:
+        """Let a server refuse a share of its requests and ask for a pause each time."""
+        server = self._random.choice(self._incarnations).server
+        server.pause_s = pause_s
+        await asyncio.sleep(duration_s)
+        server.pause_s = 0.0
+
     async def reuse_address(self) -> None:
         """Crash and replace a server, and give its address to one of another service.
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -30,8 +30,10 @@
     Fault,
     HistoryLoss,
     KillAll,
+    ServerBusy,
     ServerCrash,
     ServerDrain,
+    ServerLeave,
     ServerLink,
     ServerMisbehaviour,
     StoreLink,
@@ -215,6 +217,10 @@
                 await self.fleet.crash_server(down_s, same_name=same_name)
             case ServerDrain():
                 await self.fleet.drain_server()
+            case ServerLeave(unsaid_s):
+                await self.fleet.let_leave(unsaid_s)
+            case ServerBusy(pause_s, duration_s):
+                await self.fleet.let_ask_for_pauses(pause_s, duration_s)
             case AddressReuse():
                 await self.fleet.reuse_address()
             case ServerLink(state, duration_s):
--- a/soak/_servers.py
+++ b/soak/_servers.py
@@ -51,6 +51,9 @@
 
     :param record: what the checker knows about this incarnation
     :param divided_by_key: whether the server needs grants for the keys of its requests
+    :ivar is_leaving: whether its answers say that it is leaving
+    :ivar pause_s: if above 0, a share of the requests is answered with 503 and this
+        ``Retry-After``, in seconds
     """
 
     def __init__(
@@ -69,6 +72,8 @@
         self.loses_answers = False
         self.answers_twice = False
         self.applies_grants_late = False
+        self.is_leaving = False
+        self.pause_s = 0.0
         self.slowdown = 1.0
         self._checker = checker
         self._bounds = bounds
@@ -78,6 +83,12 @@
         self._accepted_count = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _encode_answer(self, status: int, body: bytes = b'', **headers: str) -> bytes:
+        """Return the bytes of an answer, which says whether the server is leaving."""
+        if self.is_leaving:
+            headers['Server_Leaving'] = '1'
+        return encode_answer(status, body, **headers)
+
     def shut_down(self) -> None:
         """Stop listening, drop all grants and cancel all work."""
         self.record.is_up = False
@@ -95,7 +106,7 @@
         """Serve one request; return whether the connection stays open."""
         target_name = request.headers.get('x-target-instance')
         if target_name is not None and target_name != self.record.name:
-            writer.write(encode_answer(421, X_Not_Executed='1'))
+            writer.write(self._encode_answer(421, X_Not_Executed='1'))
             return True
         if self.hangs:
             await reader.read()
@@ -109,13 +120,13 @@
     ) -> bool:
         """Serve a grant call or release call; return whether the connection stays open."""
         if not self.divided_by_key:
-            writer.write(encode_answer(400))
+            writer.write(self._encode_answer(400))
             return True
         call = json.loads(request.body)
         arrived_at = asyncio.get_running_loop().time()
         if request.target == '/-/release':
             await self._apply_release(call)
-            writer.write(encode_answer(200, X_Handover='handover'))
+            writer.write(self._encode_answer(200, X_Handover='handover'))
             return True
         if self.applies_grants_late and self._random.random() < MISBEHAVED_SHARE:
             task = asyncio.ensure_future(self._apply_grant_late(call, arrived_at))
@@ -123,7 +134,7 @@
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(LATE_GRANT_DELAY_RANGE_S[1])
             return False
-        writer.write(encode_answer(200 if self._apply_grant(call, arrived_at) else 409))
+        writer.write(self._encode_answer(200 if self._apply_grant(call, arrived_at) else 409))
         return True
 
     async def _apply_grant_late(self, call: dict[str, Any], arrived_at: float) -> None:
@@ -186,10 +197,23 @@
         self._checker.on_request_arrived(self.record, request_id)
         key = int(request.headers['x-shard-key']) if self.divided_by_key else None
         if key is not None and not self._has_grant(key):
-            writer.write(encode_answer(421, X_Not_Executed='1'))
+            writer.write(self._encode_answer(421, X_Not_Executed='1'))
+            return True
+        self._checker.on_request_taken(self.record, request_id)
+        if self.pause_s and self._random.random() < MISBEHAVED_SHARE:
+            self._checker.on_server_answer(
+                self.record, request_id, is_leaving=self.is_leaving, pause_s=self.pause_s
+            )
+            refusal = self._encode_answer(
+                503,
+                X_Not_Executed='1',
+                X_Request_Id=request_id,
+                Retry_After=f'{self.pause_s:.1f}',
+            )
+            writer.write(refusal)
             return True
         if self._accepted_count >= SLOT_COUNT + MAX_QUEUED_COUNT:
-            writer.write(encode_answer(503, X_Not_Executed='1', X_Request_Id=request_id))
+            writer.write(self._encode_answer(503, X_Not_Executed='1', X_Request_Id=request_id))
             return True
         self._accepted_count += 1
         execution = asyncio.ensure_future(self._execute(request, request_id, key))
@@ -199,7 +223,7 @@
             if not execution.done():
                 return False  # The sender closed the connection; the work is cancelled.
             if not execution.result():
-                writer.write(encode_answer(421, X_Not_Executed='1'))
+                writer.write(self._encode_answer(421, X_Not_Executed='1'))
                 return True
             return self._write_answer(request, request_id, writer)
         finally:
@@ -236,12 +260,13 @@
         if self.loses_answers and self._random.random() < MISBEHAVED_SHARE:
             writer.transport.abort()
             return False
+        self._checker.on_server_answer(self.record, request_id, is_leaving=self.is_leaving)
         body = expected_body(request_id, request.method, request.target, request.body)
         load = (
             f'{SLOT_COUNT - self._free_slot_count()},'
             f'{max(0, self._accepted_count - SLOT_COUNT)},{SLOT_COUNT},100'
         )
-        encoded = encode_answer(
+        encoded = self._encode_answer(
             200,
             body,
             X_Request_Id=request_id,
--- a/soak/_variants.py
+++ b/soak/_variants.py
@@ -33,6 +33,8 @@
     'takes-restored-configurations': Promise.CONFIGURATION_IN_TIME,
     'ignores-store-eras': Promise.SOLE_OWNER,
     'ignores-cold-starts': Promise.COLD_RATE,
+    'overlooks-leaving-answers': Promise.DRAINED,
+    'overlooks-pauses': Promise.LEFT_ALONE,
     'repeats-without-budget': Promise.RETRY_BUDGET,
     'works-for-nobody': Promise.ABANDONED,
     'waits-for-ever': Promise.ANSWERED_IN_TIME,
@@ -114,6 +116,10 @@
             from coltsfootstair.placement import RequestPacer
 
             _replace_attribute(RequestPacer, 'get_wait_s', lambda *_: 0.0)
+        case 'overlooks-leaving-answers':
+            _drop_answer_header(b'server-leaving')
+        case 'overlooks-pauses':
+            _drop_answer_header(b'retry-after')
         case 'repeats-without-budget':
             from coltsfootstair.gateway._fleet import Fleet
 
@@ -172,6 +178,19 @@
     _replace_property(subscriber, 'route_table', property(get_first_table, set_first_table))
 
 
+def _drop_answer_header(dropped_name: bytes) -> None:
+    """Let the daemon not see one header of the answers of servers."""
+    from coltsfootstair.http1 import Connection
+
+    on_header = Connection.on_header
+
+    def on_other_header(self: Any, name: bytes, value: bytes) -> None:
+        if name.lower() != dropped_name:
+            on_header(self, name, value)
+
+    _replace_attribute(Connection, 'on_header', on_other_header)
+
+
 def _take_later_eras(subscriber: Any) -> None:
     """Let a subscriber apply any configuration of a later era of the store."""
     from coltsfootstair.objects import era_of
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -4,6 +4,8 @@
 
 from soak._bounds import Bounds
 from soak._checker import (
+    MAX_REQUESTS_IN_PAUSE_COUNT,
+    PAUSE_TRANSIT_S,
     AbandonedRequestChecker,
     Grant,
     Promise,
@@ -181,6 +183,75 @@
     assert harness.broken_promises == [Promise.DRAINED]
 
 
+def test_requests_to_a_server_that_said_it_is_leaving_are_reported() -> None:
+    harness = Harness()
+    calendar = harness.add_server('calendar')
+    told = harness.send('lookups', 'told')
+    harness.checker.on_server_answer(calendar, 'told', is_leaving=True)
+    not_told = harness.send('lookups', 'not told')
+    not_told.process = not_told.daemon = 'd2'
+    harness.checker.on_server_answer(calendar, 'not told', is_leaving=True)
+    harness.now += 100.0
+    # The time runs from the answer that the daemon has passed on, not from that of the server.
+    harness.checker.on_answer(told, 200, is_intact=True)
+    harness.checker.on_answer(not_told, 504, is_intact=False)
+    harness.now += BOUNDS.drain_s - 0.1
+    harness.send('lookups', 'in time')
+    harness.now += 0.2
+    harness.fault_log.record_start(STORE)
+    harness.checker.on_request_taken(calendar, 'in time')
+    for request in (harness.send('lookups', 'd2'), harness.send('lookups', 'restarted')):
+        request.process = request.request_id
+        harness.checker.on_request_taken(calendar, request.request_id)
+    assert harness.broken_promises == []
+    harness.send('lookups', 'late')
+    harness.checker.on_request_taken(calendar, 'late')
+    assert harness.broken_promises == [Promise.DRAINED]
+    harness.fault_log.record_start('calendar-1')
+    harness.checker.on_request_taken(calendar, 'late')
+    assert harness.broken_promises == [Promise.DRAINED]
+
+
+def test_an_answer_of_another_server_does_not_tell_that_a_server_is_leaving() -> None:
+    harness = Harness()
+    first, second = (
+        harness.add_server('calendar'),
+        harness.add_server('calendar', 'calendar-2'),
+    )
+    request = harness.send('lookups')
+    harness.checker.on_server_answer(first, 'r1', is_leaving=True)
+    harness.checker.on_server_answer(second, 'r1', is_leaving=False)
+    harness.checker.on_answer(request, 200, is_intact=True)
+    harness.now += BOUNDS.drain_s + 0.1
+    harness.send('lookups', 'r2')
+    harness.checker.on_request_taken(first, 'r2')
+    assert harness.broken_promises == []
+
+
+def test_more_than_two_requests_in_the_pause_of_a_server_are_reported() -> None:
+    harness = Harness()
+    calendar = harness.add_server('calendar')
+
+    def send_to_calendar(name: str, process: str = 'd1') -> None:
+        harness.send('lookups', name).process = process
+        harness.checker.on_request_taken(calendar, name)
+
+    harness.send('lookups', 'refused')
+    harness.checker.on_server_answer(calendar, 'refused', is_leaving=False, pause_s=2.0)
+    for number in range(5):
+        send_to_calendar(f'in transit {number}')
+    harness.now += PAUSE_TRANSIT_S + 0.1
+    for number in range(MAX_REQUESTS_IN_PAUSE_COUNT):
+        send_to_calendar(f'r{number}')
+        send_to_calendar(f'of another daemon {number}', 'd2')
+    assert harness.broken_promises == []
+    send_to_calendar('too many')
+    assert harness.broken_promises == [Promise.LEFT_ALONE]
+    harness.now += 1.5
+    send_to_calendar('after the pause')
+    assert harness.broken_promises == [Promise.LEFT_ALONE]
+
+
 def test_new_requests_in_an_evacuated_data_centre_are_reported_after_the_time_limit() -> None:
     harness = Harness()
     desk = harness.add_server('desk')
