Give all daemons of a soak different ports

Cause: each daemon drew its ports by itself before any was bound, so that two of a run could get the same one: for 16 daemons in about one run of twenty by calculation. Seen once in a trial was a port that was taken when its daemon started ("cannot bind an address"); whether by this or by another process on the machine is not known.

Change: the ports of a run are drawn together.

--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -100,6 +100,7 @@
         self,
         name: str,
         data_centre: str,
+        ports: DaemonPorts,
         store_port: int,
         folder: Path,
         bounds: Bounds,
@@ -109,7 +110,7 @@
     ) -> None:
         self.name = name
         self.data_centre = data_centre
-        self.ports = DaemonPorts(*find_free_ports(3))
+        self.ports = ports
         self.is_in_rotation = False
         self.is_stopping = False
         self.start_count = 0
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -16,7 +16,7 @@
 from soak._bounds import Bounds
 from soak._callers import Caller, RequestKind
 from soak._checker import AbandonedRequestChecker, Promise, PromiseChecker, Violation
-from soak._daemons import Daemon
+from soak._daemons import Daemon, DaemonPorts, find_free_ports
 from soak._fault_log import STORE, FaultLog
 from soak._faults import (
     AddressReuse,
@@ -138,6 +138,7 @@
                 )
         variant = self.options.variant
         command = ['-m', 'soak._variants', variant] if variant else [PROGRAM]
+        ports = find_free_ports(len(DaemonPorts._fields) * self.options.daemon_count)
         for number in range(self.options.daemon_count):
             link = Proxy(self.store.port, self.random)
             await link.start()
@@ -146,6 +147,7 @@
                 Daemon(
                     f'daemon-{number + 1}',
                     DATA_CENTRES[number % len(DATA_CENTRES)],
+                    DaemonPorts(*ports[number :: self.options.daemon_count]),
                     link.port,
                     self.folder,
                     self.bounds,
