--- a/soak/_bounds.py
+++ b/soak/_bounds.py
@@ -16,12 +16,15 @@
     :param evacuation_s: the same for the servers of an evacuated data centre
     :param configuration_s: how long a daemon may act on the previous configuration after a
         new version was written
+    :param rollback_s: how long after the effect of a configuration was seen a process may
+        still act on an older one
+    :param slowed_rollback_factor: factor by which that is longer if the daemon had a fault
     :param grace_s: time from SIGTERM to SIGKILL
     :param answer_slack_s: how long after the timeout of its route a request may be answered
     :param recovery_s: time after the last fault within which a share of each kind of
         requests must be served again
-    :param grant_excuse_s: how long after the end of a fault overlapping grants are excused,
-        since a pause or a broken link may have delayed them
+    :param thaw_s: how long after a paused process went on or a disturbed link became whole
+        grants are excused, since the pause or the link may have delayed them
     :param max_grant_duration_s: the longest time that keys may be granted for
     :param grant_duration_factor: factor by which a server's grant lasts longer than stated,
         because its clock drifts
@@ -40,10 +43,12 @@
     drain_s: float = 2.0
     evacuation_s: float = 5.0
     configuration_s: float = 2.0
+    rollback_s: float = 0.25
+    slowed_rollback_factor: float = 8.0
     grace_s: float = 3.0
     answer_slack_s: float = 0.5
     recovery_s: float = 15.0
-    grant_excuse_s: float = 0.3
+    thaw_s: float = 0.3
     max_grant_duration_s: float = 10.0
     grant_duration_factor: float = 1.02
     retry_ratio: float = 0.2
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -16,6 +16,8 @@
 
 __all__ = [
     'ABANDONED_GRACE_S',
+    'MAX_REQUESTS_IN_PAUSE_COUNT',
+    'PAUSE_TRANSIT_S',
     'AbandonedRequestChecker',
     'Grant',
     'Promise',
@@ -46,6 +48,12 @@
 ABANDONED_GRACE_S = 0.5
 """How long after its caller has left a request may still run or be sent to a server."""
 
+PAUSE_TRANSIT_S = 0.5
+"""How long after a server has asked for a pause requests to it may still arrive."""
+
+MAX_REQUESTS_IN_PAUSE_COUNT = 2
+"""Number of requests of one daemon that may reach a server during the rest of the pause."""
+
 MAX_LATE_SENDS_COUNT = 3
 """Number of abandoned requests that may reach a server after ``ABANDONED_GRACE_S``."""
 
@@ -62,6 +70,7 @@
     EVACUATED = 'an evacuated data centre gets nothing new'
     CONFIGURATION_IN_TIME = 'a configuration is in force in time'
     COLD_RATE = 'a cold server gets what it bears'
+    LEFT_ALONE = 'a server that asks for a pause gets it'
     RETRY_BUDGET = 'repeats stay within their budget'
     ABANDONED = 'what its caller has left is given up'
     ANSWERED_IN_TIME = 'a request is answered by the time of its route'
@@ -87,8 +96,8 @@
     :param last: the last key of the range, inclusive
     :param fence: the fencing token of the grant
     :param expires_at: monotonic seconds
-    :param is_excused: whether a fault may have delayed the grant, so that an overlap with
-        another grant is no violation
+    :param is_excused: whether a pause or a link may have delayed the grant, so that an overlap
+        with another grant is no violation
     """
 
     first: int
@@ -127,8 +136,21 @@
         self.running_keys: list[int] = []
 
 
+class _Pause:
+    """Time in which a server asked one process of a daemon to send it nothing."""
+
+    def __init__(self, starts_at: float, ends_at: float) -> None:
+        self.starts_at = starts_at
+        self.ends_at = ends_at
+        self.arrival_count = 0
+
+
 class SentRequest:
-    """A request that a caller sent, and what became of it."""
+    """A request that a caller sent, and what became of it.
+
+    :ivar process: the start of the daemon that the caller is connected to
+    :ivar leaving_server: server that answered last, if it said that it is leaving
+    """
 
     def __init__(
         self, request_id: str, daemon: str, route: str, *, is_idempotent: bool, sent_at: float
@@ -139,6 +161,8 @@
         self.is_idempotent = is_idempotent
         self.sent_at = sent_at
         self.timeout_s = 1.0
+        self.process = daemon
+        self.leaving_server: ServerRecord | None = None
         self.caller_left_at: float | None = None
         self.ended_at: float | None = None
         self.status: int | None = None
@@ -171,8 +195,14 @@
         self._bounds = bounds
         self._fault_log = fault_log
         self._configurations: list[tuple[float, Mapping[str, str]]] = []
+        self._seen_versions_by_process: dict[str, list[tuple[float, int]]] = defaultdict(list)
         self._sent_at_by_service: dict[str, deque[float]] = defaultdict(deque)
         self._retried_at_by_service: dict[str, deque[float]] = defaultdict(deque)
+        self._leaving_since_by_link: dict[tuple[str, ServerRecord], float] = {}
+        self._pauses_by_link: dict[tuple[str, ServerRecord], list[_Pause]] = defaultdict(list)
+        self._former_grants_by_server_by_service: dict[
+            str, dict[ServerRecord, list[Grant]]
+        ] = defaultdict(dict)
 
     def report_violation(self, promise: Promise, detail: str) -> None:
         """Record that ``promise`` is broken."""
@@ -213,7 +243,11 @@
         :param is_intact: whether the answer carries a backend server's signature and exactly
             the body that belongs to the request
         """
-        request.ended_at, request.status = self._now(), status
+        now = self._now()
+        request.ended_at, request.status = now, status
+        if status < 300 and request.leaving_server is not None:
+            link = (request.process, request.leaving_server)
+            self._leaving_since_by_link.setdefault(link, now)
         if status < 300:
             self.served_count += 1
             if not is_intact:
@@ -263,6 +297,7 @@
         if request.arrival_count > 1:
             self._check_retry_budget(server.service, now)
         self._check_service(server, request)
+        self._check_rollback(server, request, now)
         self._check_server_usable(server, request, now)
         self._check_cold_rate(server, now)
 
@@ -283,6 +318,42 @@
                 f'requests: {max_sent_count}',
             )
 
+    def _check_rollback(self, server: ServerRecord, request: SentRequest, now: float) -> None:
+        """Check that the process acts on no older version than its requests have shown.
+
+        Holds whatever faults there are. Versions are counted in the order of their writes.
+        """
+        slack_s = self._bounds.rollback_s
+        if not self._fault_log.is_fault_free(request.daemon):
+            slack_s *= self._bounds.slowed_rollback_factor
+        seen_versions = self._seen_versions_by_process[request.process]
+        oldest = max(
+            (
+                version
+                for seen_at, version in seen_versions
+                if seen_at <= request.sent_at - slack_s
+            ),
+            default=0,
+        )
+        versions = [
+            version
+            for version, (_, services) in enumerate(self._configurations)
+            if services[request.route] == server.service
+        ]
+        if not versions:
+            return  # Reported by ``_check_service``.
+        if versions[-1] >= oldest:
+            shown = min(version for version in versions if version >= oldest)
+            if not seen_versions or shown > seen_versions[-1][1]:
+                seen_versions.append((now, shown))
+            return
+        self.report_violation(
+            Promise.CONFIGURATION_IN_TIME,
+            f'{request.request_id} of {request.route} at {server.service}: '
+            f'{request.process} had already acted on version {oldest} of '
+            f'{len(self._configurations)}',
+        )
+
     def _check_service(self, server: ServerRecord, request: SentRequest) -> None:
         allowed, any_version = self._allowed_services(request)
         if server.service in allowed:
@@ -311,6 +382,59 @@
         if since is not None and now - since > self._bounds.evacuation_s:
             self.report_violation(Promise.EVACUATED, f'{request.request_id} at {server.name}')
 
+    def on_server_answer(
+        self, server: ServerRecord, request_id: str, *, is_leaving: bool, pause_s: float = 0.0
+    ) -> None:
+        """Record an answer that a server is sending.
+
+        :param is_leaving: whether the answer says that the server is leaving
+        :param pause_s: how long the server asks for no further requests, in seconds
+        """
+        request = self.request_by_id.get(request_id)
+        if request is None:
+            return
+        request.leaving_server = server if is_leaving else None
+        if pause_s:
+            now = self._now()
+            self._pauses_by_link[request.process, server].append(
+                _Pause(now + PAUSE_TRANSIT_S, now + pause_s)
+            )
+
+    def on_request_taken(self, server: ServerRecord, request_id: str) -> None:
+        """Check a request that reached a server which has its key, if it has one.
+
+        What the server said in its answers binds a daemon whatever faults the store has.
+        """
+        request = self.request_by_id.get(request_id)
+        if request is None:
+            return
+        is_checked = self._fault_log.is_fault_free(request.daemon, server.name)
+        link = (request.process, server)
+        leaving_since = self._leaving_since_by_link.get(link)
+        if (
+            is_checked
+            and leaving_since is not None
+            and request.sent_at > leaving_since + self._bounds.drain_s
+        ):
+            self.report_violation(
+                Promise.DRAINED,
+                f'{request.request_id} at {server.name}, sent '
+                f'{request.sent_at - leaving_since:.2f} s after {request.process} had passed '
+                f'on that it is leaving',
+            )
+        now = self._now()
+        for pause in self._pauses_by_link[link]:
+            if not pause.starts_at <= now < pause.ends_at:
+                continue
+            pause.arrival_count += 1
+            if is_checked and pause.arrival_count > MAX_REQUESTS_IN_PAUSE_COUNT:
+                self.report_violation(
+                    Promise.LEFT_ALONE,
+                    f'{request.request_id} at {server.name}: {pause.arrival_count} requests '
+                    f'of {request.process} in a pause, {pause.ends_at - now:.2f} s before '
+                    f'its end',
+                )
+
     def _check_cold_rate(self, server: ServerRecord, now: float) -> None:
         if now >= server.cold_until:
             return
@@ -359,28 +483,61 @@
             server.running_keys.remove(key)
 
     def on_keys_granted(self, server: ServerRecord, grant: Grant) -> None:
-        """Check that no other server of the service has a valid grant for the same keys."""
+        """Check that no other server has these keys, or had them with as high a fence.
+
+        Holds for the grants of all daemons, whether they have faults or not.
+        """
         now = self._now()
-        is_excused = now - self._fault_log.last_fault_ended_at <= self._bounds.grant_excuse_s
+        is_excused = now - self._fault_log.last_thaw_or_heal_at <= self._bounds.thaw_s
+        server.grants = [
+            other_grant for other_grant in server.grants if other_grant.expires_at > now
+        ]
+        server.grants.append(grant._replace(is_excused=is_excused))
+        if is_excused:
+            return
+        self._check_other_owners(server, grant, now)
+        former_grants = self._former_grants_by_server_by_service[server.service]
+        for other, grants_of_other in former_grants.items():
+            if other is not server:
+                self._check_fence(server, grant, other, grants_of_other)
+        former_grants[server] = [
+            former
+            for former in former_grants.get(server, [])
+            if former.fence > grant.fence or not _covers(grant, former)
+        ]
+        former_grants[server].append(grant)
+
+    def _check_other_owners(self, server: ServerRecord, grant: Grant, now: float) -> None:
         for other in self.server_by_name.values():
             if other is server or not other.is_up or other.service != server.service:
                 continue
             for other_grant in other.grants:
-                overlaps = other_grant.first <= grant.last and grant.first <= other_grant.last
                 if (
-                    overlaps
+                    _overlap(grant, other_grant)
                     and other_grant.expires_at > now
-                    and not (is_excused or other_grant.is_excused)
+                    and not other_grant.is_excused
                 ):
                     self.report_violation(
                         Promise.SOLE_OWNER,
                         f'{server.name} was granted {grant[:3]} while {other.name} had '
                         f'{other_grant[:3]} for {other_grant.expires_at - now:.2f} s more',
                     )
-        server.grants = [
-            other_grant for other_grant in server.grants if other_grant.expires_at > now
-        ]
-        server.grants.append(grant._replace(is_excused=is_excused))
+
+    def _check_fence(
+        self,
+        server: ServerRecord,
+        grant: Grant,
+        other: ServerRecord,
+        former_grants: list[Grant],
+    ) -> None:
+        """Check that ``other`` had none of the keys with as high a fence."""
+        for former in former_grants:
+            if former.fence >= grant.fence and _overlap(grant, former):
+                self.report_violation(
+                    Promise.SOLE_OWNER,
+                    f'{server.name} was granted {grant[:3]} after {other.name} had had '
+                    f'{former[:3]}',
+                )
 
     def check_late_requests(self) -> None:
         """Check at the end of a run whether too many requests were answered late."""
@@ -463,6 +620,14 @@
             )
 
 
+def _overlap(one: Grant, other: Grant) -> bool:
+    return one.first <= other.last and other.first <= one.last
+
+
+def _covers(outer: Grant, inner: Grant) -> bool:
+    return outer.first <= inner.first and inner.last <= outer.last
+
+
 def _drop_older(times: deque[float], since: float) -> deque[float]:
     while times and times[0] < since:
         times.popleft()
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -100,6 +100,7 @@
         self,
         name: str,
         data_centre: str,
+        ports: DaemonPorts,
         store_port: int,
         folder: Path,
         bounds: Bounds,
@@ -109,9 +110,10 @@
     ) -> None:
         self.name = name
         self.data_centre = data_centre
-        self.ports = DaemonPorts(*find_free_ports(3))
+        self.ports = ports
         self.is_in_rotation = False
         self.is_stopping = False
+        self.start_count = 0
         self.log_lines: deque[str] = deque(maxlen=KEPT_LOG_LINES_COUNT)
         self._bounds = bounds
         self._fault_log = fault_log
@@ -138,6 +140,7 @@
         while not self._is_closing:
             await self._may_start.wait()
             self.is_stopping = self._is_end_expected = False
+            self.start_count += 1
             process = self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 *self._command,
@@ -245,7 +248,7 @@
         self.send_signal(signal.SIGSTOP)
         await asyncio.sleep(duration_s)
         self.send_signal(signal.SIGCONT)
-        self._fault_log.record_end(self.name)
+        self._fault_log.record_end(self.name, is_thaw_or_heal=True)
 
     async def close(self) -> None:
         """Kill the process and do not restart it."""
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -17,15 +17,19 @@
     'DaemonPause',
     'DaemonReload',
     'DaemonStop',
+    'DataCentreCut',
     'Evacuation',
     'Fault',
     'HistoryLoss',
     'KillAll',
+    'ServerBusy',
     'ServerCrash',
     'ServerDrain',
+    'ServerLeave',
     'ServerLink',
     'ServerMisbehaviour',
     'StoreLink',
+    'StoreRestore',
     'draw_faults',
 ]
 
@@ -40,6 +44,13 @@
 """Share of the faults that occur again within 0.5 s, so that there are series of faults."""
 
 
+SERVERS_SAY_THAT_THEY_LEAVE = False
+"""Whether leaving servers say so in their answers, some of them long before the store does."""
+
+SERVERS_ASK_FOR_PAUSES = False
+"""Whether busy servers answer with 503 and ``Retry-After``."""
+
+
 class DaemonKill(NamedTuple):
     """A daemon is killed and does not restart for ``down_s`` seconds."""
 
@@ -81,6 +92,18 @@
     """The store drops its history of changes, so that watches must read all objects again."""
 
 
+class StoreRestore(NamedTuple):
+    """The store goes away and comes back from an older copy of itself, in a new era.
+
+    :param state: state of all links to the store while it is away
+    :param age_s: age of the copy when the store goes away
+    """
+
+    state: LinkState
+    age_s: float
+    away_s: float
+
+
 class ServerCrash(NamedTuple):
     """A server crashes; a cold one starts under the same name or a new one."""
 
@@ -92,6 +115,23 @@
     """A server is replaced: a new one starts, the old one drains and is shut down."""
 
 
+class ServerLeave(NamedTuple):
+    """A server is replaced and says in its answers that it is leaving.
+
+    The store doesn't say so for ``unsaid_s`` seconds. Then the entry is removed, and the
+    server is shut down after the usual time.
+    """
+
+    unsaid_s: float
+
+
+class ServerBusy(NamedTuple):
+    """A server refuses a share of its requests for ``for_s`` seconds and asks for pauses."""
+
+    pause_s: float
+    for_s: float
+
+
 class AddressReuse(NamedTuple):
     """A server crashes and is replaced; a server of another service gets its address."""
 
@@ -103,6 +143,15 @@
     for_s: float
 
 
+class DataCentreCut(NamedTuple):
+    """The network between all daemons and the servers of a data centre is cut for a while.
+
+    Bytes are held up, not lost, unless their sender resets the connection.
+    """
+
+    for_s: float
+
+
 class ServerMisbehaviour(NamedTuple):
     """A server hangs, slows down, loses or duplicates answers, or applies grants late.
 
@@ -133,10 +182,14 @@
     | KillAll
     | StoreLink
     | HistoryLoss
+    | StoreRestore
     | ServerCrash
     | ServerDrain
+    | ServerLeave
+    | ServerBusy
     | AddressReuse
     | ServerLink
+    | DataCentreCut
     | ServerMisbehaviour
     | Evacuation
     | ConfigurationChange
@@ -150,6 +203,7 @@
     LinkState.DELAYED,
     LinkState.LOSING_ANSWERS,
 ]
+AWAY_STATES = [LinkState.SILENT, LinkState.ONE_WAY, LinkState.RESET, LinkState.BUSY]
 SERVER_LINK_STATES = [
     LinkState.SILENT,
     LinkState.ONE_WAY,
@@ -171,14 +225,27 @@
         faults.append((starts_at, fault))
         if random_source.random() < REPEATED_SHARE:
             faults.append((starts_at + random_source.uniform(0.0, 0.5), fault))
+        if isinstance(fault, StoreRestore):
+            for lost in _draw_lost_changes(random_source):
+                lost_at = starts_at + random_source.uniform(0.1, 0.8) * fault.age_s
+                faults.append((lost_at, lost))
         starts_at += random_source.expovariate(1.0 / mean_interval_s)
     return sorted(faults, key=lambda item: item[0])
 
 
+def _draw_lost_changes(random_source: random.Random) -> list[Fault]:
+    """Return causes of changes of the store that it loses if it goes back behind them."""
+    if random_source.random() < 0.5:
+        # Moves keys.
+        return [ConfigurationChange(), Evacuation(random_source.uniform(4.0, 8.0))]
+    # Changes the keeper.
+    return [ConfigurationChange(), KillAll(random_source.uniform(0.1, 0.5))]
+
+
 def _draw_fault(random_source: random.Random) -> Fault:
     for_s = random_source.uniform(0.5, 5.0)
     # The number of cases of a fault is its weight.
-    match random_source.randrange(17):
+    match random_source.randrange(25):
         case 0 | 1:
             return DaemonKill(random_source.uniform(0.1, 3.0))
         case 2 | 3:
@@ -205,5 +272,17 @@
             )
         case 14 | 15:
             return Evacuation(random_source.uniform(1.0, 8.0))
+        case 16 | 17 | 18:
+            return DataCentreCut(random_source.triangular(1.0, 6.0, 6.0))
+        case 19 | 20:
+            state = random_source.choice(AWAY_STATES)
+            return StoreRestore(state, random_source.uniform(0.5, 5.0), for_s)
+        case 21:
+            return ServerLeave(for_s) if SERVERS_SAY_THAT_THEY_LEAVE else ServerDrain()
+        case 22:
+            pause_s = random_source.uniform(1.0, 4.0)
+            if SERVERS_ASK_FOR_PAUSES:
+                return ServerBusy(pause_s, for_s)
+            return ServerMisbehaviour('slow', for_s, whole_service=False)
         case _:
             return ConfigurationChange()
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -6,19 +6,19 @@
 from typing import TYPE_CHECKING, Any
 
 from soak._checker import ServerRecord
+from soak._faults import SERVERS_SAY_THAT_THEY_LEAVE
 from soak._proxy import Proxy
 from soak._servers import SLOT_COUNT, BackendServerStandin
 
 if TYPE_CHECKING:
     import random
 
-    from tests.coltsfootstair_platform.standin import StoreStandin
-
     from soak._bounds import Bounds
     from soak._checker import PromiseChecker
     from soak._fault_log import FaultLog
     from soak._faults import ServerMisbehaviour
     from soak._proxy import LinkState
+    from soak._store import RestorableStore
 
 __all__ = ['ServerFleet']
 
@@ -78,7 +78,7 @@
 
     def __init__(
         self,
-        store: StoreStandin,
+        store: RestorableStore,
         checker: PromiseChecker,
         fault_log: FaultLog,
         bounds: Bounds,
@@ -120,7 +120,7 @@
         cold_left_ms = int(COLD_DURATION_S * 1000) if cold else 0
         if cold:
             record.cold_until = asyncio.get_running_loop().time() + COLD_DURATION_S
-        await self._store.put(
+        await self._store.write(
             ENTRY_KIND,
             record.name,
             incarnation.build_entry(**{'warmup-left-ms': cold_left_ms}),
@@ -147,14 +147,36 @@
             return
         record = incarnation.server.record
         await self.start_server(record.service, record.data_centre, cold=True)
-        await self._store.put(
+        incarnation.server.is_leaving = SERVERS_SAY_THAT_THEY_LEAVE
+        await self._store.write(
             ENTRY_KIND, record.name, incarnation.build_entry(state='draining')
         )
         record.draining_at = asyncio.get_running_loop().time()
         await asyncio.sleep(self._bounds.drain_s + DRAIN_MARGIN_S)
-        await self._store.delete(ENTRY_KIND, record.name)
+        await self._store.remove(ENTRY_KIND, record.name)
         self._shut_down(incarnation)
 
+    async def let_leave(self, unsaid_s: float) -> None:
+        """Let a server that is replaced say that it is leaving, before its entry does."""
+        incarnation = self._remove_replaceable()
+        if incarnation is None:
+            return
+        record = incarnation.server.record
+        await self.start_server(record.service, record.data_centre, cold=True)
+        incarnation.server.is_leaving = True
+        await asyncio.sleep(unsaid_s)
+        await self._store.remove(ENTRY_KIND, record.name)
+        record.draining_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(self._bounds.drain_s + DRAIN_MARGIN_S)
+        self._shut_down(incarnation)
+
+    async def let_ask_for_pauses(self, pause_s: float, duration_s: float) -> None:
+        """Let a server refuse a share of its requests and ask for a pause each time."""
+        server = self._random.choice(self._incarnations).server
+        server.pause_s = pause_s
+        await asyncio.sleep(duration_s)
+        server.pause_s = 0.0
+
     async def reuse_address(self) -> None:
         """Crash and replace a server, and give its address to one of another service.
 
@@ -182,7 +204,7 @@
         successor.proxy.stop()
         incarnation.proxy.retarget(successor.server.port)
         successor.proxy = incarnation.proxy
-        await self._store.put(
+        await self._store.write(
             ENTRY_KIND,
             successor.server.record.name,
             successor.build_entry(**{'warmup-left-ms': int(COLD_DURATION_S * 1000)}),
@@ -197,7 +219,23 @@
         incarnation.proxy.set_state(state)
         await asyncio.sleep(duration_s)
         incarnation.proxy.set_state(type(state).WHOLE)
-        self._fault_log.record_end(name)
+        self._fault_log.record_end(name, is_thaw_or_heal=True)
+
+    async def cut_off(self, data_centre: str, duration_s: float) -> None:
+        """Cut the network between all daemons and the servers of a data centre."""
+        affected = [
+            incarnation
+            for incarnation in self._incarnations
+            if incarnation.server.record.data_centre == data_centre
+        ]
+        names = [incarnation.server.record.name for incarnation in affected]
+        self._fault_log.record_start(*names)
+        for incarnation in affected:
+            incarnation.proxy.cut()
+        await asyncio.sleep(duration_s)
+        for incarnation in affected:
+            incarnation.proxy.heal()
+        self._fault_log.record_end(*names, is_thaw_or_heal=True)
 
     async def apply_misbehaviour(self, fault: ServerMisbehaviour) -> None:
         """Let one server or all servers of a service misbehave for the time of ``fault``."""
@@ -273,4 +311,4 @@
         name = incarnation.server.record.name
         current = self._checker.server_by_name.get(name)
         if current is incarnation.server.record:
-            self._tasks.append(asyncio.ensure_future(self._store.delete(ENTRY_KIND, name)))
+            self._tasks.append(asyncio.ensure_future(self._store.remove(ENTRY_KIND, name)))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -11,12 +11,12 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from tests.coltsfootstair_platform.standin import StoreStandin, build_route, build_service
+from tests.coltsfootstair_platform.standin import build_route, build_service
 
 from soak._bounds import Bounds
 from soak._callers import Caller, RequestKind
 from soak._checker import AbandonedRequestChecker, Promise, PromiseChecker, Violation
-from soak._daemons import Daemon
+from soak._daemons import Daemon, DaemonPorts, find_free_ports
 from soak._fault_log import STORE, FaultLog
 from soak._faults import (
     AddressReuse,
@@ -25,19 +25,24 @@
     DaemonPause,
     DaemonReload,
     DaemonStop,
+    DataCentreCut,
     Evacuation,
     Fault,
     HistoryLoss,
     KillAll,
+    ServerBusy,
     ServerCrash,
     ServerDrain,
+    ServerLeave,
     ServerLink,
     ServerMisbehaviour,
     StoreLink,
+    StoreRestore,
     draw_faults,
 )
 from soak._fleet import ServerFleet
 from soak._proxy import LinkState, Proxy
+from soak._store import RestorableStore
 
 __all__ = ['RunOptions', 'RunResult', 'run_soak']
 
@@ -85,9 +90,10 @@
 class RunResult(NamedTuple):
     """Observations of a run.
 
+    :param violations: their times are in seconds from the start of the faults
     :param served_count: number of requests answered with a status below 300
     :param statuses: number of requests by status; ``None`` for those without an answer
-    :param faults: the injected faults with their times, in seconds from the start
+    :param faults: the injected faults with their times, in seconds from their start
     """
 
     violations: list[Violation]
@@ -109,7 +115,7 @@
         self.fault_log = FaultLog(now, self.bounds.fault_free_s)
         self.checker = PromiseChecker(now, self.bounds, self.fault_log)
         self.abandoned_checker = AbandonedRequestChecker(self.checker, self.fault_log)
-        self.store = StoreStandin()
+        self.store = RestorableStore(self.random)
         self.fleet = ServerFleet(
             self.store, self.checker, self.fault_log, self.bounds, KEYED_SERVICES, self.random
         )
@@ -117,9 +123,11 @@
         self.store_links: list[Proxy] = []
         self.daemons: list[Daemon] = []
         self.faults = draw_faults(options.seed, options.duration_s)
+        self.faults_started_at = now()
         self._version = 0
         self._upload_service = UPLOAD_SERVICES[0]
         self._evacuated_data_centres: set[str] = set()
+        self._is_copy_in_use = False
 
     async def start(self) -> None:
         """Start the store, backend servers and daemons."""
@@ -132,6 +140,7 @@
                 )
         variant = self.options.variant
         command = ['-m', 'soak._variants', variant] if variant else [PROGRAM]
+        ports = find_free_ports(len(DaemonPorts._fields) * self.options.daemon_count)
         for number in range(self.options.daemon_count):
             link = Proxy(self.store.port, self.random)
             await link.start()
@@ -140,6 +149,7 @@
                 Daemon(
                     f'daemon-{number + 1}',
                     DATA_CENTRES[number % len(DATA_CENTRES)],
+                    DaemonPorts(*ports[number :: self.options.daemon_count]),
                     link.port,
                     self.folder,
                     self.bounds,
@@ -152,9 +162,10 @@
     async def write_next_configuration(self) -> None:
         """Write the next version of the configuration.
 
-        Its number decides which of the services in ``UPLOAD_SERVICES`` gets the uploads.
+        Its number decides which of the services in ``UPLOAD_SERVICES`` gets the uploads: with
+        each version the next one.
         """
-        self._version += self.random.randint(1, 5)
+        self._version += self.random.choice([1, 3, 5])
         index = self._version % len(UPLOAD_SERVICES)
         self._upload_service = UPLOAD_SERVICES[index]
         service_by_route = {
@@ -177,7 +188,7 @@
             for name in KEYED_SERVICES
         ]
         document = {'version': f'{self._version:08x}', 'resources': resources}
-        await self.store.put('config', 'main', document)
+        await self.store.write('config', 'main', document)
         self.checker.on_configuration_written(service_by_route)
 
     def choose_daemon(self) -> Daemon | None:
@@ -205,14 +216,22 @@
                 self.fault_log.record_start(STORE)
                 self.store.discard_history()
                 self.fault_log.record_end(STORE)
+            case StoreRestore(state, age_s, away_s):
+                await self._restore_store(state, age_s, away_s)
             case ServerCrash(down_s, same_name):
                 await self.fleet.crash_server(down_s, same_name=same_name)
             case ServerDrain():
                 await self.fleet.drain_server()
+            case ServerLeave(unsaid_s):
+                await self.fleet.let_leave(unsaid_s)
+            case ServerBusy(pause_s, duration_s):
+                await self.fleet.let_ask_for_pauses(pause_s, duration_s)
             case AddressReuse():
                 await self.fleet.reuse_address()
             case ServerLink(state, duration_s):
                 await self.fleet.disturb_link(state, duration_s)
+            case DataCentreCut(duration_s):
+                await self.fleet.cut_off(self.random.choice(DATA_CENTRES), duration_s)
             case ServerMisbehaviour():
                 await self.fleet.apply_misbehaviour(fault)
             case Evacuation(duration_s):
@@ -234,25 +253,44 @@
         await asyncio.sleep(duration_s)
         for number in affected:
             self.store_links[number].set_state(LinkState.WHOLE)
-        self.fault_log.record_end(*components)
+        self.fault_log.record_end(*components, is_thaw_or_heal=True)
+
+    async def _restore_store(self, state: LinkState, age_s: float, away_s: float) -> None:
+        """Let the store go away and come back from a copy that is ``age_s`` seconds older."""
+        if self._is_copy_in_use:
+            return
+        self._is_copy_in_use = True
+        self.store.take_copy()
+        await asyncio.sleep(age_s)
+        self.fault_log.record_start(STORE)
+        self.store.go_away()
+        for link in self.store_links:
+            link.set_state(state)
+        await asyncio.sleep(away_s)
+        await self.store.come_back()
+        for link in self.store_links:
+            link.set_state(LinkState.WHOLE)
+        await self.store.write_again()
+        self.fault_log.record_end(STORE, is_thaw_or_heal=True)
+        self._is_copy_in_use = False
 
     async def _evacuate_data_centre(self, duration_s: float) -> None:
         data_centre = self.random.choice(DATA_CENTRES)
         if self._evacuated_data_centres:
             return
         self._evacuated_data_centres.add(data_centre)
-        await self.store.put('evacuations', data_centre, {})
+        await self.store.write('evacuations', data_centre, {})
         self.checker.evacuated_at_by_data_centre[data_centre] = (
             asyncio.get_running_loop().time()
         )
         await asyncio.sleep(duration_s)
         del self.checker.evacuated_at_by_data_centre[data_centre]
-        await self.store.delete('evacuations', data_centre)
+        await self.store.remove('evacuations', data_centre)
         self._evacuated_data_centres.clear()
 
     async def inject_all(self) -> None:
         """Inject all faults at their times and wait until they have ended."""
-        started_at = asyncio.get_running_loop().time()
+        started_at = self.faults_started_at = asyncio.get_running_loop().time()
         async with asyncio.TaskGroup() as group:
             for at, fault in self.faults:
                 now = asyncio.get_running_loop().time() - started_at
@@ -332,7 +370,10 @@
                 await task
     requests = run.checker.request_by_id.values()
     return RunResult(
-        run.checker.violations,
+        [
+            violation._replace(at=violation.at - run.faults_started_at)
+            for violation in run.checker.violations
+        ],
         len(requests),
         run.checker.served_count,
         Counter(request.status for request in requests),
--- a/soak/_variants.py
+++ b/soak/_variants.py
@@ -1,4 +1,4 @@
-"""Deliberately broken variants of the daemon, one for each promise.
+"""Deliberately broken variants of the daemon, at least one for each promise.
 
 The soak must catch each of them. ``python -m soak._variants NAME`` runs one in place of the
 real program.
@@ -22,6 +22,7 @@
 
 PROMISE_BY_VARIANT = {
     'moves-without-release': Promise.SOLE_OWNER,
+    'closes-without-reset': Promise.SOLE_OWNER,
     'repeats-everything': Promise.AT_MOST_ONCE,
     'denies-what-ran': Promise.REFUSED_NOT_RUN,
     'takes-any-answer': Promise.INTACT_ANSWER,
@@ -29,7 +30,12 @@
     'uses-leaving-servers': Promise.DRAINED,
     'ignores-evacuations': Promise.EVACUATED,
     'keeps-first-configuration': Promise.CONFIGURATION_IN_TIME,
+    'takes-restored-configurations': Promise.CONFIGURATION_IN_TIME,
+    'takes-restored-tables': Promise.SOLE_OWNER,
+    'ignores-store-eras': Promise.SOLE_OWNER,
     'ignores-cold-starts': Promise.COLD_RATE,
+    'overlooks-leaving-answers': Promise.DRAINED,
+    'overlooks-pauses': Promise.LEFT_ALONE,
     'repeats-without-budget': Promise.RETRY_BUDGET,
     'works-for-nobody': Promise.ABANDONED,
     'waits-for-ever': Promise.ANSWERED_IN_TIME,
@@ -46,6 +52,10 @@
             from coltsfootstair.keyspace._owner_grants import OwnerGrants
 
             _replace_attribute(OwnerGrants, 'reclaim', _async_returning(None))
+        case 'closes-without-reset':
+            from coltsfootstair.http1 import _client
+
+            _replace_attribute(_client, '_RESET_ON_CLOSE', _client._FINISH_ON_CLOSE)
         case 'repeats-everything':
             from coltsfootstair.gateway._dispatcher import Dispatcher
 
@@ -95,10 +105,26 @@
             from coltsfootstair.gateway._subscribers import ConfigurationSubscriber
 
             _keep_first_table(ConfigurationSubscriber)
+        case 'takes-restored-configurations':
+            from coltsfootstair.gateway._subscribers import ConfigurationSubscriber
+
+            _take_later_eras(ConfigurationSubscriber)
+        case 'takes-restored-tables':
+            from coltsfootstair.keyspace._service import ServiceKeeper
+
+            _replace_attribute(ServiceKeeper, '_recover_table', _async_identity)
+        case 'ignores-store-eras':
+            from coltsfootstair_platform import HttpObjectStore
+
+            _replace_attribute(HttpObjectStore, '_read_era', lambda *_: 0)
         case 'ignores-cold-starts':
             from coltsfootstair.placement import RequestPacer
 
             _replace_attribute(RequestPacer, 'get_wait_s', lambda *_: 0.0)
+        case 'overlooks-leaving-answers':
+            _drop_answer_header(b'server-leaving')
+        case 'overlooks-pauses':
+            _drop_answer_header(b'retry-after')
         case 'repeats-without-budget':
             from coltsfootstair.gateway._fleet import Fleet
 
@@ -144,6 +170,10 @@
     return replacement
 
 
+async def _async_identity(_: object, value: object) -> object:
+    return value
+
+
 def _keep_first_table(subscriber: type) -> None:
     """Let a subscriber keep its first table and ignore later ones."""
 
@@ -157,6 +187,33 @@
     _replace_property(subscriber, 'route_table', property(get_first_table, set_first_table))
 
 
+def _drop_answer_header(dropped_name: bytes) -> None:
+    """Let the daemon not see one header of the answers of servers."""
+    from coltsfootstair.http1 import Connection
+
+    on_header = Connection.on_header
+
+    def on_other_header(self: Any, name: bytes, value: bytes) -> None:
+        if name.lower() != dropped_name:
+            on_header(self, name, value)
+
+    _replace_attribute(Connection, 'on_header', on_other_header)
+
+
+def _take_later_eras(subscriber: Any) -> None:
+    """Let a subscriber apply any configuration of a later era of the store."""
+    from coltsfootstair.objects import era_of
+
+    apply_newer = subscriber._apply
+
+    def apply_later_era(self: Any, item: Any) -> None:
+        if era_of(item.revision) > self._era:
+            self.route_table = None
+        apply_newer(self, item)
+
+    _replace_attribute(subscriber, '_apply', apply_later_era)
+
+
 def _replace_property(owner: type, name: str, value: property) -> None:
     """Replace an attribute that only the instances of ``owner`` have by a property."""
     setattr(owner, name, value)
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -4,6 +4,8 @@
 
 from soak._bounds import Bounds
 from soak._checker import (
+    MAX_REQUESTS_IN_PAUSE_COUNT,
+    PAUSE_TRANSIT_S,
     AbandonedRequestChecker,
     Grant,
     Promise,
@@ -120,6 +122,51 @@
     assert harness.broken_promises == [Promise.CONFIGURATION_IN_TIME]
 
 
+def test_a_process_that_returns_to_an_older_configuration_is_reported() -> None:
+    harness = Harness()
+    desk, intake = harness.add_server('desk'), harness.add_server('intake')
+    harness.checker.on_configuration_written(SERVICES | {'uploads': 'intake'})
+    harness.checker.on_configuration_written(SERVICES)
+    harness.fault_log.record_start(STORE)
+    for number, server in enumerate([desk, intake, desk]):
+        harness.send('uploads', f'r{number}')
+        harness.run(server, f'r{number}')
+        harness.now += BOUNDS.rollback_s + 0.1
+    assert harness.broken_promises == []
+    harness.send('uploads', 'r3')
+    harness.run(intake, 'r3')
+    assert harness.broken_promises == [Promise.CONFIGURATION_IN_TIME]
+    # The next start of the process knows nothing of before.
+    harness.send('uploads', 'r4').process = 'd1 start 2'
+    harness.run(intake, 'r4')
+    assert harness.broken_promises == [Promise.CONFIGURATION_IN_TIME]
+
+
+def test_requests_that_were_sent_before_a_configuration_was_seen_may_use_an_older_one() -> (
+    None
+):
+    harness = Harness()
+    desk, intake = harness.add_server('desk'), harness.add_server('intake')
+    harness.checker.on_configuration_written(SERVICES | {'uploads': 'intake'})
+    harness.send('uploads', 'early')
+    harness.send('uploads')
+    harness.run(intake)
+    harness.now += BOUNDS.rollback_s - 0.1
+    harness.send('uploads', 'r2')
+    harness.now += 1.0
+    harness.run(desk, 'early')
+    harness.run(desk, 'r2')
+    assert harness.broken_promises == []
+    harness.fault_log.record_start('d1')
+    harness.send('uploads', 'slowed')
+    harness.run(desk, 'slowed')
+    assert harness.broken_promises == []
+    harness.now += BOUNDS.rollback_s * BOUNDS.slowed_rollback_factor
+    harness.send('uploads', 'late')
+    harness.run(desk, 'late')
+    assert harness.broken_promises == [Promise.CONFIGURATION_IN_TIME]
+
+
 def test_a_recent_fault_excuses_a_daemon_from_time_limits() -> None:
     harness = Harness()
     desk = harness.add_server('desk')
@@ -136,6 +183,75 @@
     assert harness.broken_promises == [Promise.DRAINED]
 
 
+def test_requests_to_a_server_that_said_it_is_leaving_are_reported() -> None:
+    harness = Harness()
+    calendar = harness.add_server('calendar')
+    told = harness.send('lookups', 'told')
+    harness.checker.on_server_answer(calendar, 'told', is_leaving=True)
+    not_told = harness.send('lookups', 'not told')
+    not_told.process = not_told.daemon = 'd2'
+    harness.checker.on_server_answer(calendar, 'not told', is_leaving=True)
+    harness.now += 100.0
+    # The time runs from the answer that the daemon has passed on, not from that of the server.
+    harness.checker.on_answer(told, 200, is_intact=True)
+    harness.checker.on_answer(not_told, 504, is_intact=False)
+    harness.now += BOUNDS.drain_s - 0.1
+    harness.send('lookups', 'in time')
+    harness.now += 0.2
+    harness.fault_log.record_start(STORE)
+    harness.checker.on_request_taken(calendar, 'in time')
+    for request in (harness.send('lookups', 'd2'), harness.send('lookups', 'restarted')):
+        request.process = request.request_id
+        harness.checker.on_request_taken(calendar, request.request_id)
+    assert harness.broken_promises == []
+    harness.send('lookups', 'late')
+    harness.checker.on_request_taken(calendar, 'late')
+    assert harness.broken_promises == [Promise.DRAINED]
+    harness.fault_log.record_start('calendar-1')
+    harness.checker.on_request_taken(calendar, 'late')
+    assert harness.broken_promises == [Promise.DRAINED]
+
+
+def test_an_answer_of_another_server_does_not_tell_that_a_server_is_leaving() -> None:
+    harness = Harness()
+    first, second = (
+        harness.add_server('calendar'),
+        harness.add_server('calendar', 'calendar-2'),
+    )
+    request = harness.send('lookups')
+    harness.checker.on_server_answer(first, 'r1', is_leaving=True)
+    harness.checker.on_server_answer(second, 'r1', is_leaving=False)
+    harness.checker.on_answer(request, 200, is_intact=True)
+    harness.now += BOUNDS.drain_s + 0.1
+    harness.send('lookups', 'r2')
+    harness.checker.on_request_taken(first, 'r2')
+    assert harness.broken_promises == []
+
+
+def test_more_than_two_requests_in_the_pause_of_a_server_are_reported() -> None:
+    harness = Harness()
+    calendar = harness.add_server('calendar')
+
+    def send_to_calendar(name: str, process: str = 'd1') -> None:
+        harness.send('lookups', name).process = process
+        harness.checker.on_request_taken(calendar, name)
+
+    harness.send('lookups', 'refused')
+    harness.checker.on_server_answer(calendar, 'refused', is_leaving=False, pause_s=2.0)
+    for number in range(5):
+        send_to_calendar(f'in transit {number}')
+    harness.now += PAUSE_TRANSIT_S + 0.1
+    for number in range(MAX_REQUESTS_IN_PAUSE_COUNT):
+        send_to_calendar(f'r{number}')
+        send_to_calendar(f'of another daemon {number}', 'd2')
+    assert harness.broken_promises == []
+    send_to_calendar('too many')
+    assert harness.broken_promises == [Promise.LEFT_ALONE]
+    harness.now += 1.5
+    send_to_calendar('after the pause')
+    assert harness.broken_promises == [Promise.LEFT_ALONE]
+
+
 def test_new_requests_in_an_evacuated_data_centre_are_reported_after_the_time_limit() -> None:
     harness = Harness()
     desk = harness.add_server('desk')
@@ -165,9 +281,70 @@
     harness.checker.on_keys_granted(first, Grant(0, 199, 4, harness.now + 2.0))
     assert harness.broken_promises == [Promise.SOLE_OWNER]
     harness.fault_log.record_start('d1')
-    harness.fault_log.record_end('d1')
+    harness.fault_log.record_end('d1', is_thaw_or_heal=True)
+    harness.now += BOUNDS.thaw_s - 0.1
     harness.checker.on_keys_granted(second, Grant(0, 199, 5, harness.now + 2.0))
     assert harness.broken_promises == [Promise.SOLE_OWNER]
+    # Only the excused grant is still valid.
+    harness.now += 1.95
+    harness.checker.on_keys_granted(first, Grant(0, 99, 6, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER]
+    harness.checker.on_keys_granted(second, Grant(0, 99, 7, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER] * 2
+
+
+def test_two_owners_are_reported_although_a_daemon_was_killed_or_is_cut_off() -> None:
+    harness = Harness()
+    first, second = (
+        harness.add_server('slots', 'slots-1'),
+        harness.add_server('slots', 'slots-2'),
+    )
+    harness.checker.on_keys_granted(first, Grant(0, 99, 1, harness.now + 2.0))
+    harness.fault_log.record_start('d1', 'd2', STORE, 'slots-1')
+    harness.fault_log.record_end('d1')
+    harness.checker.on_keys_granted(second, Grant(0, 99, 2, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER]
+
+
+def test_a_fence_that_is_not_above_those_of_other_servers_is_reported() -> None:
+    harness = Harness()
+    first, second = (
+        harness.add_server('slots', 'slots-1'),
+        harness.add_server('slots', 'slots-2'),
+    )
+    harness.checker.on_keys_granted(first, Grant(0, 99, 5, harness.now + 2.0))
+    harness.now += 1.0
+    harness.checker.on_keys_granted(first, Grant(0, 99, 5, harness.now + 2.0))
+    harness.now += 100.0
+    harness.checker.on_keys_granted(second, Grant(100, 199, 4, harness.now + 2.0))
+    assert harness.broken_promises == []
+    harness.checker.on_keys_granted(second, Grant(99, 150, 5, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER]
+    # Another incarnation of the same server is another holder of the keys.
+    second.is_up = False
+    successor = harness.add_server('slots', 'slots-2')
+    harness.now += 100.0
+    harness.checker.on_keys_granted(successor, Grant(120, 130, 5, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER] * 2
+    harness.checker.on_keys_granted(successor, Grant(0, 199, 6, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER] * 2
+
+
+def test_a_low_fence_is_excused_shortly_after_a_pause_or_a_cut_only() -> None:
+    harness = Harness()
+    first, second = (
+        harness.add_server('slots', 'slots-1'),
+        harness.add_server('slots', 'slots-2'),
+    )
+    harness.checker.on_keys_granted(first, Grant(0, 99, 5, harness.now + 2.0))
+    harness.now += 100.0
+    harness.fault_log.record_start('d1')
+    harness.fault_log.record_end('d1', is_thaw_or_heal=True)
+    harness.checker.on_keys_granted(second, Grant(0, 99, 4, harness.now + 2.0))
+    assert harness.broken_promises == []
+    harness.now += BOUNDS.thaw_s + 0.1
+    harness.checker.on_keys_granted(second, Grant(0, 99, 4, harness.now + 2.0))
+    assert harness.broken_promises == [Promise.SOLE_OWNER]
 
 
 def test_too_many_requests_to_a_cold_server_are_reported() -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,10 +5,22 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import get_args
 
 import pytest
 from soak._checker import Promise
-from soak._faults import draw_faults
+from soak._faults import (
+    SERVERS_ASK_FOR_PAUSES,
+    SERVERS_SAY_THAT_THEY_LEAVE,
+    ConfigurationChange,
+    Evacuation,
+    Fault,
+    KillAll,
+    ServerBusy,
+    ServerLeave,
+    StoreRestore,
+    draw_faults,
+)
 from soak._proxy import LinkState
 from soak._run import RunOptions, run_soak
 from soak._variants import PROMISE_BY_VARIANT
@@ -25,8 +37,15 @@
 
 def test_all_kinds_of_faults_are_drawn() -> None:
     kinds = {type(fault) for seed in range(40) for _, fault in draw_faults(seed, 60.0)}
-    # The number of classes in ``Fault``.
-    assert len(kinds) == 14
+    switched_off = {
+        kind
+        for kind, is_on in (
+            (ServerLeave, SERVERS_SAY_THAT_THEY_LEAVE),
+            (ServerBusy, SERVERS_ASK_FOR_PAUSES),
+        )
+        if not is_on
+    }
+    assert kinds == set(get_args(Fault)) - switched_off
     states = {
         getattr(fault, 'state', None)
         for seed in range(40)
@@ -35,14 +54,28 @@
     assert states - {None} == set(LinkState) - {LinkState.WHOLE}
 
 
+def test_a_store_that_comes_back_has_lost_changes() -> None:
+    for seed in range(40):
+        faults = draw_faults(seed, 60.0)
+        for restored_at, fault in faults:
+            if isinstance(fault, StoreRestore):
+                lost = {
+                    type(other)
+                    for at, other in faults
+                    if restored_at - 0.5 < at < restored_at + fault.age_s
+                }
+                assert ConfigurationChange in lost
+                assert lost & {Evacuation, KillAll}
+
+
 def test_every_promise_has_a_broken_variant() -> None:
     assert set(PROMISE_BY_VARIANT.values()) == set(Promise)
 
 
-def test_a_short_run_breaks_no_promise() -> None:
-    result = run_soak(
-        RunOptions(seed=11, duration_s=RUN_DURATION_S, daemon_count=DAEMON_COUNT)
-    )
+@pytest.mark.parametrize(('seed', 'duration_s'), [(11, RUN_DURATION_S), (23, 30.0)])
+def test_a_short_run_breaks_no_promise(seed: int, duration_s: float) -> None:
+    """Seed 23 has cuts and a store that comes back from an older copy."""
+    result = run_soak(RunOptions(seed=seed, duration_s=duration_s, daemon_count=DAEMON_COUNT))
     assert result.violations == []
     assert result.served_count > 0
 
