--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -44,13 +44,6 @@
 """Share of the faults that occur again within 0.5 s, so that there are series of faults."""
 
 
-SERVERS_SAY_THAT_THEY_LEAVE = False
-"""Whether leaving servers say so in their answers, some of them long before the store does."""
-
-SERVERS_ASK_FOR_PAUSES = False
-"""Whether busy servers answer with 503 and ``Retry-After``."""
-
-
 class DaemonKill(NamedTuple):
     """A daemon is killed and does not restart for ``down_s`` seconds."""
 
@@ -278,11 +271,8 @@
             state = random_source.choice(AWAY_STATES)
             return StoreRestore(state, random_source.uniform(0.5, 5.0), for_s)
         case 21:
-            return ServerLeave(for_s) if SERVERS_SAY_THAT_THEY_LEAVE else ServerDrain()
+            return ServerLeave(for_s)
         case 22:
-            pause_s = random_source.uniform(1.0, 4.0)
-            if SERVERS_ASK_FOR_PAUSES:
-                return ServerBusy(pause_s, for_s)
-            return ServerMisbehaviour('slow', for_s, whole_service=False)
+            return ServerBusy(random_source.uniform(1.0, 4.0), for_s)
         case _:
             return ConfigurationChange()
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 from soak._checker import ServerRecord
-from soak._faults import SERVERS_SAY_THAT_THEY_LEAVE
 from soak._proxy import Proxy
 from soak._servers import SLOT_COUNT, BackendServerStandin
 
@@ -147,7 +146,7 @@
             return
         record = incarnation.server.record
         await self.start_server(record.service, record.data_centre, cold=True)
-        incarnation.server.is_leaving = SERVERS_SAY_THAT_THEY_LEAVE
+        incarnation.server.is_leaving = True
         await self._store.write(
             ENTRY_KIND, record.name, incarnation.build_entry(state='draining')
         )
--- a/soak/_variants.py
+++ b/soak/_variants.py
@@ -54,8 +54,9 @@
             _replace_attribute(OwnerGrants, 'reclaim', _async_returning(None))
         case 'closes-without-reset':
             from coltsfootstair.http1 import _client
+            from coltsfootstair.sockets import finish_on_close
 
-            _replace_attribute(_client, '_RESET_ON_CLOSE', _client._FINISH_ON_CLOSE)
+            _replace_attribute(_client, 'reset_on_close', finish_on_close)
         case 'repeats-everything':
             from coltsfootstair.gateway._dispatcher import Dispatcher
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,14 +10,10 @@
 import pytest
 from soak._checker import Promise
 from soak._faults import (
-    SERVERS_ASK_FOR_PAUSES,
-    SERVERS_SAY_THAT_THEY_LEAVE,
     ConfigurationChange,
     Evacuation,
     Fault,
     KillAll,
-    ServerBusy,
-    ServerLeave,
     StoreRestore,
     draw_faults,
 )
@@ -37,15 +33,7 @@
 
 def test_all_kinds_of_faults_are_drawn() -> None:
     kinds = {type(fault) for seed in range(40) for _, fault in draw_faults(seed, 60.0)}
-    switched_off = {
-        kind
-        for kind, is_on in (
-            (ServerLeave, SERVERS_SAY_THAT_THEY_LEAVE),
-            (ServerBusy, SERVERS_ASK_FOR_PAUSES),
-        )
-        if not is_on
-    }
-    assert kinds == set(get_args(Fault)) - switched_off
+    assert kinds == set(get_args(Fault))
     states = {
         getattr(fault, 'state', None)
         for seed in range(40)
