--- a/tests/coltsfootstair_platform/test_store.py
+++ b/tests/coltsfootstair_platform/test_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 
@@ -19,9 +20,18 @@
 from tests.coltsfootstair_platform.standin import StoreStandin
 
 
-def _run(scenario: Callable[[StoreStandin, HttpObjectStore], Awaitable[None]]) -> None:
+class _StandinWithLostWatchAnswers(StoreStandin):
+    async def _watch(self, kind: str, after: int, wait_s: float) -> dict[str, Any]:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+
+def _run(
+    scenario: Callable[[StoreStandin, HttpObjectStore], Awaitable[None]],
+    standin_type: type[StoreStandin] = StoreStandin,
+) -> None:
     async def run() -> None:
-        standin = StoreStandin()
+        standin = standin_type()
         await standin.start()
         store = HttpObjectStore(Address('127.0.0.1', standin.port), SystemClock())
         try:
@@ -86,6 +96,24 @@
     _run(scenario)
 
 
+def test_a_waiting_watch_of_an_earlier_era_ends_when_another_call_tells_of_a_later_one() -> (
+    None
+):
+    """Its answer was lost, and a daemon knew no new configuration for 12 s."""
+
+    async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
+        await standin.put('kind', 'o', {})
+        revision = (await store.list('kind')).revision
+        watch = asyncio.create_task(store.watch('kind', revision, 60.0))
+        await asyncio.sleep(0.1)
+        standin.answered_era = 2
+        await store.get('kind', 'o')
+        with pytest.raises(RevisionTooOldError):
+            await asyncio.wait_for(watch, 1.0)
+
+    _run(scenario, _StandinWithLostWatchAnswers)
+
+
 def test_a_late_answer_of_an_earlier_era_is_dropped() -> None:
     async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
         await standin.restore()
