Give restarted daemons no retry slack for one window

Change: a daemon that is not of the first start of the system has no slack during its first window; the share by the ratio of its own requests stays.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -157,6 +157,7 @@
             lambda: self._keeper.unresponsive_servers,
             random_source,
             self.metrics.count_pause,
+            is_first_start=settings.is_first_start,
         )
         self._keeper = Keeper(
             settings.name, settings.inner, self._build_keeper_dependencies(random_source)
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import structlog
@@ -37,8 +38,7 @@
 
 RETRY_SLACK_SHARE = 0.6
 """Share of the configured slack that daemons use. The rest covers errors of the division: the
-known number of daemons may be out of date, and a daemon that restarts has its full share
-again."""
+known number of daemons may be out of date."""
 
 CONNECTION_SHARE = 0.8
 """Share of a server's connections that daemons use for requests; grant calls and idle
@@ -63,6 +63,8 @@
     :param get_cold_requests_per_s: returns the requests a second that a cold server of a
         service accepts from all daemons together
     :param count_pause: counts what a server says of a pause, by outcome
+    :param is_first_start: whether no earlier process of this daemon can have used its share of
+        the slack of retries
     """
 
     def __init__(
@@ -77,6 +79,8 @@
         get_unresponsive_servers: Callable[[], list[str]],
         random_source: random.Random,
         count_pause: Callable[[str], None] = lambda _: None,
+        *,
+        is_first_start: bool = True,
     ) -> None:
         self._name = name
         self._registry = registry
@@ -92,6 +96,9 @@
         self._probe_pacer = RequestPacer()
         self._get_unresponsive_servers = get_unresponsive_servers
         self._count_pause = count_pause
+        self._has_slack_from = (
+            -math.inf if is_first_start else clock.monotonic() + retries.window_s
+        )
         self._pauses = ServerPauses()
         # So that equal malformed values of one server are logged once.
         self._malformed_retry_after_by_incarnation: dict[tuple[str, int], bytes] = {}
@@ -265,8 +272,13 @@
 
     def try_spend_retry(self, service: str) -> bool:
         """Spend one retry of the service's budget; return false if there is none."""
-        slack = RETRY_SLACK_SHARE * self._retries.slack / self.daemon_count
-        return self._get_budget(service).try_spend(self._clock.monotonic(), slack)
+        now = self._clock.monotonic()
+        slack = (
+            RETRY_SLACK_SHARE * self._retries.slack / self.daemon_count
+            if now >= self._has_slack_from
+            else 0.0
+        )
+        return self._get_budget(service).try_spend(now, slack)
 
     def collect_report(
         self, epoch: int, store_reachable: bool, interval_s: float, revisions: dict[str, int]
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -97,6 +97,32 @@
     assert not fleet.try_spend_retry('slots')
 
 
+def test_daemons_that_restart_again_and_again_keep_to_one_retry_slack() -> None:
+    """Each start had the full share again; three starts in a window broke the budget."""
+    clock = ManualClock()
+    retries = RetrySettings()
+    retry_count = 0
+    for is_first_start in (True, False, False, False):
+        fleet = Fleet(
+            'd1',
+            Registry(clock),
+            clock,
+            retries,
+            lambda: 1,
+            lambda _: 0.0,  # Requests a second of a cold server; none is cold here.
+            lambda _: 0.18,  # Expected service time, in seconds.
+            list,  # No server is unresponsive.
+            random.Random(1),
+            is_first_start=is_first_start,
+        )
+        while fleet.try_spend_retry('slots'):
+            retry_count += 1
+        clock.advance(retries.window_s / 5)
+    assert 0 < retry_count <= retries.slack
+    clock.advance(retries.window_s)
+    assert fleet.try_spend_retry('slots')
+
+
 def test_hundreds_of_daemons_do_not_come_back_from_a_pause_at_the_same_moment() -> None:
     """Guards against a crowd at a server that told all daemons the same time."""
     clock = ManualClock()
