--- a/src/coltsfootstair/gateway/_leaving.py
+++ b/src/coltsfootstair/gateway/_leaving.py
@@ -34,10 +34,11 @@
 ) -> BackendServer | None:
     """Return the server that says in the head of an answer that it is leaving, if any.
 
-    An answer that gives no name is that of the server that the request names, unless it says
-    that this is the wrong one. The named one says so too, but only of a key. If that answer is
-    another server's after all, the named incarnation has ended, and holding it back takes
-    nothing from anybody.
+    An answer that names its server counts for that one, if it is known at the address. One
+    without a name counts for the server that the request names, unless it says that the server
+    is the wrong one: without a key it then comes from another server at the address. With a
+    key it may also come from the named server, which does not own the key; it counts unless
+    another server is known at the address.
 
     :param server: the server that the request names
     :param has_key: whether the request has a key
--- a/src/coltsfootstair/placement/_pauses.py
+++ b/src/coltsfootstair/placement/_pauses.py
@@ -86,8 +86,9 @@
 
 
 class Pause:
-    """One pause and the return after it, one request at once at first and twice as many in
-    each further step.
+    """One pause, and the return after it in steps.
+
+    The first step allows one request at once, each further one twice as many.
 
     :param retry_after_s: duration that the server asked for, in seconds
     :param started_at: monotonic time at which the answer that asked for it came
