Log and count the limits that backend servers name

The head of each answer is read now, with the same rule for whose word it is as for leaving servers; a change of a limit gets a log line, and a counter has the answers that name, end or garble one and the requests sent to limited servers. What is sent does not change.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -157,6 +157,7 @@
             lambda: self._keeper.unresponsive_servers,
             random_source,
             self.metrics.count_pause,
+            self.metrics.count_limit,
             is_first_start=settings.is_first_start,
         )
         self._keeper = Keeper(
@@ -352,6 +353,12 @@
             },
             'service',
         )
+        self.metrics.add_gauge(
+            'coltsfootstair.limited_servers',
+            'Backend servers whose answers name a limit for all daemons together, by service',
+            self._count_limited_servers,
+            'service',
+        )
         self.metrics.add_gauge(
             'coltsfootstair.leaving_backend_servers',
             'Backend servers with an entry that have said in an answer that they leave',
@@ -371,6 +378,10 @@
             'reason',
         )
 
+    def _count_limited_servers(self) -> dict[str, int]:
+        servers = [self._registry.get(name) for name, _ in self._fleet.limits.list_limited()]
+        return Counter(server.service for server in servers if server is not None)
+
     def _read_state(self) -> dict[str, float]:
         route_table = self._configuration_subscriber.route_table
         return {
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from coltsfootstair.limits import NamedLimits
 from coltsfootstair.peers import LoadFigures, Report
 from coltsfootstair.placement import (
     Candidate,
@@ -63,6 +64,8 @@
     :param get_cold_requests_per_s: returns the requests a second that a cold server of a
         service accepts from all daemons together
     :param count_pause: counts what a server says of a pause, by outcome
+    :param count_limit: counts what a server says of a limit, and the requests that are sent to
+        limited servers, by outcome
     :param is_first_start: whether no earlier process of this daemon can have used its share of
         the slack of retries
     """
@@ -79,6 +82,7 @@
         get_unresponsive_servers: Callable[[], list[str]],
         random_source: random.Random,
         count_pause: Callable[[str], None] = lambda _: None,
+        count_limit: Callable[[str], None] = lambda _: None,
         *,
         is_first_start: bool = True,
     ) -> None:
@@ -96,6 +100,8 @@
         self._probe_pacer = RequestPacer()
         self._get_unresponsive_servers = get_unresponsive_servers
         self._count_pause = count_pause
+        self._count_limit = count_limit
+        self.limits = NamedLimits(clock, count_limit)
         self._has_slack_from = (
             -math.inf if is_first_start else clock.monotonic() + retries.window_s
         )
@@ -256,6 +262,8 @@
             self._cold_pacer.on_request_sent(
                 server.incarnation, now, requests_per_s, self.daemon_count
             )
+        if self.limits.get(server.incarnation) is not None:
+            self._count_limit('sent')
         return self._pauses.on_request_chosen(server.incarnation)
 
     def record_ended(self, server: BackendServer, counted_in: Pause | None) -> None:
@@ -301,6 +309,7 @@
             ) and not estimate.in_flight:
                 del self._estimate_by_incarnation[incarnation]
                 self._malformed_retry_after_by_incarnation.pop(incarnation, None)
+                self.limits.forget(incarnation)
                 continue
             known_incarnations.add(incarnation)
             pause_left_s = self.get_pause_wait_s(server) if server is not None else 0.0
--- a/src/coltsfootstair/gateway/_leaving.py
+++ b/src/coltsfootstair/gateway/_leaving.py
@@ -1,4 +1,4 @@
-"""Takes from answers which backend servers leave, and refuses requests for their keys."""
+"""Takes from answers what servers say of themselves; refuses requests for keys that move."""
 
 from __future__ import annotations
 
@@ -12,12 +12,14 @@
     from coltsfootstair.gateway._types import Dialect, HeadFacts
     from coltsfootstair.http1 import Headers
     from coltsfootstair.keyspace import OwnershipView
+    from coltsfootstair.limits import NamedLimits
     from coltsfootstair.registry import BackendServer, Registry
 
 __all__ = [
-    'LeavingObserver',
+    'HeadObserver',
     'LeavingOwners',
     'compute_move_wait_s',
+    'find_answering_server',
     'find_leaving_server',
 ]
 
@@ -32,7 +34,16 @@
 def find_leaving_server(
     facts: HeadFacts, server: BackendServer, registry: Registry, *, has_key: bool
 ) -> BackendServer | None:
-    """Return the server that says in the head of an answer that it is leaving, if any.
+    """Return the server that says in the head of an answer that it is leaving, if any."""
+    if not facts.says_leaving:
+        return None
+    return find_answering_server(facts, server, registry, has_key=has_key)
+
+
+def find_answering_server(
+    facts: HeadFacts, server: BackendServer, registry: Registry, *, has_key: bool
+) -> BackendServer | None:
+    """Return the server that what an answer's head says of its server counts for, if any.
 
     An answer that names its server counts for that one, if it is known at the address. One
     without a name counts for the server that the request names, unless it says that the server
@@ -43,8 +54,6 @@
     :param server: the server that the request names
     :param has_key: whether the request has a key
     """
-    if not facts.says_leaving:
-        return None
     if facts.server_name is not None and facts.server_name != server.name:
         other = registry.get(facts.server_name)
         return other if other is not None and other.address == server.address else None
@@ -57,12 +66,16 @@
     return server
 
 
-class LeavingObserver:
-    """Marks servers in the registry that say in the head of an answer that they leave."""
+class HeadObserver:
+    """Records what servers say of themselves in the heads of answers.
+
+    Those that say that they leave are marked in the registry, limits go to ``limits``.
+    """
 
-    def __init__(self, dialect: Dialect, registry: Registry) -> None:
+    def __init__(self, dialect: Dialect, registry: Registry, limits: NamedLimits) -> None:
         self._dialect = dialect
         self._registry = registry
+        self._limits = limits
 
     def on_head(
         self, server: BackendServer, has_key: bool, status: int, headers: Headers
@@ -76,6 +89,15 @@
         leaving = find_leaving_server(facts, server, self._registry, has_key=has_key)
         if leaving is not None:
             self._registry.mark_leaving(leaving.incarnation)
+        if facts.limit_per_s is None and facts.malformed_limit is None:
+            return
+        answering = find_answering_server(facts, server, self._registry, has_key=has_key)
+        if answering is None:
+            return
+        if facts.limit_per_s is not None:
+            self._limits.name(answering.incarnation, facts.limit_per_s)
+        if facts.malformed_limit is not None:
+            self._limits.refuse_malformed(answering.incarnation, facts.malformed_limit)
 
 
 def compute_move_wait_s(known_for_s: float, move_s: float) -> float:
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -7,7 +7,7 @@
 import functools
 from typing import TYPE_CHECKING, NamedTuple
 
-from coltsfootstair.gateway._leaving import LeavingObserver
+from coltsfootstair.gateway._leaving import HeadObserver
 from coltsfootstair.http1 import Answer, BrokenExchangeError, find_first_value
 from coltsfootstair.routes import RequestKind
 
@@ -148,7 +148,8 @@
         self._pool = pool
         self._clock = clock
         self._registry = registry
-        self._leaving_observer = LeavingObserver(dialect, registry)
+        self._limits = fleet.limits
+        self._head_observer = HeadObserver(dialect, registry, fleet.limits)
 
     async def send(self, request: RequestState, server: BackendServer) -> AttemptResult:
         """Send a request to ``server`` and return the outcome."""
@@ -195,7 +196,7 @@
                 incoming.body,
                 expected_id=request.request_id,
                 on_head=functools.partial(
-                    self._leaving_observer.on_head, server, request.key is not None
+                    self._head_observer.on_head, server, request.key is not None
                 ),
             )
         except asyncio.CancelledError:
@@ -242,6 +243,12 @@
             estimate.apply_report(facts.load, now)
         estimate.on_any_answer(now)
         self._fleet.apply_retry_after(server, facts)
+        if (
+            (facts.has_signature_header or facts.says_not_run)
+            and not facts.is_wrong_server
+            and not facts.names_limit
+        ):
+            self._limits.end(server.incarnation)
         if facts.is_wrong_server:
             return AttemptResult(Outcome.WRONG_SERVER, answer, f'status {answer.status}')
         if facts.says_not_run:
--- a/src/coltsfootstair/gateway/_types.py
+++ b/src/coltsfootstair/gateway/_types.py
@@ -48,6 +48,7 @@
     :param retry_after_s: for how long the server wants no further request from this daemon, in
         seconds; ``None`` if it does not say so
     :param malformed_retry_after: the value that stands in its place if it can't be read
+    :param names_limit: whether it names a limit, as in ``HeadFacts``, readable or not
     """
 
     has_signature_header: bool
@@ -56,6 +57,7 @@
     load: LoadReport | None
     retry_after_s: float | None = None
     malformed_retry_after: bytes | None = None
+    names_limit: bool = False
 
 
 class HeadFacts(NamedTuple):
@@ -64,11 +66,16 @@
     :param says_leaving: whether the server at the address says that it is leaving
     :param is_wrong_server: as in ``AnswerFacts``
     :param server_name: name that the server gives itself; ``None`` if it gives none
+    :param limit_per_s: requests a second that the server takes from all daemons together;
+        ``None`` if it does not say so
+    :param malformed_limit: the value that stands in its place if it can't be read
     """
 
     says_leaving: bool
     is_wrong_server: bool
     server_name: str | None = None
+    limit_per_s: float | None = None
+    malformed_limit: bytes | None = None
 
 
 class Dialect(Protocol):
--- /dev/null
+++ b/src/coltsfootstair/limits/__init__.py
@@ -0,0 +1,7 @@
+"""Request rates that backend servers name as their limit for all daemons together."""
+
+from __future__ import annotations
+
+from coltsfootstair.limits._named import LimitObservation, NamedLimits
+
+__all__ = ['LimitObservation', 'NamedLimits']
--- a/src/coltsfootstair/metrics/_gateway.py
+++ b/src/coltsfootstair/metrics/_gateway.py
@@ -39,6 +39,11 @@
             'coltsfootstair.pauses',
             description='Answers of backend servers that ask for a pause, by outcome',
         )
+        self._limits = self._meter.create_counter(
+            'coltsfootstair.limits',
+            description='Answers that name a limit of all daemons together, and requests sent '
+            'to limited servers, by outcome',
+        )
         self._labelled_routes: set[str] = set()
 
     def count_request(self, route: str, outcome: str, duration_s: float) -> None:
@@ -62,3 +67,7 @@
     def count_pause(self, outcome: str) -> None:
         """Count one answer that asks for a pause."""
         self._pauses.add(1, {'outcome': outcome})
+
+    def count_limit(self, outcome: str) -> None:
+        """Count one answer that states something of a limit, or a request under a limit."""
+        self._limits.add(1, {'outcome': outcome})
--- a/tests/coltsfootstair_platform/test_adapter.py
+++ b/tests/coltsfootstair_platform/test_adapter.py
@@ -240,6 +240,35 @@
         assert facts.is_wrong_server is (status == 421)
 
 
+@pytest.mark.parametrize(
+    ('value', 'limit_per_s'),
+    [
+        (b'2.4', 2.4),
+        (b' 12 ', 12.0),
+        (b'0', 0.0),
+        (b'0.001', 0.001),
+        (b'-1', None),
+        (b'1e3', None),
+        (b'.5', None),
+        (b'many', None),
+        (b'', None),
+        (b'1' * 10, None),
+    ],
+)
+def test_a_limit_is_a_decimal_number_of_requests_a_second(
+    value: bytes, limit_per_s: float | None
+) -> None:
+    facts = DIALECT.parse_head(200, [(b'Server-Limit', value)])
+    assert facts.limit_per_s == limit_per_s
+    assert facts.malformed_limit == (value if limit_per_s is None else None)
+
+
+def test_an_answer_without_a_limit_names_none() -> None:
+    facts = DIALECT.parse_head(200, [])
+    assert facts.limit_per_s is None
+    assert facts.malformed_limit is None
+
+
 def test_the_name_that_a_server_gives_itself_is_read() -> None:
     assert DIALECT.parse_head(421, [(b'X-Instance-Id', b'i-1')]).server_name == 'i-1'
     assert DIALECT.parse_head(421, []).server_name is None
@@ -253,7 +282,7 @@
 def test_no_wire_name_of_the_platform_occurs_outside_the_adapter() -> None:
     names = re.compile(
         r'X-Upstream-|X-Target-Instance|X-Not-Executed|X-Warmup|X-Handover|X-Shard-Key'
-        r'|X-Request-Deadline|Server-Leaving|X-Instance-Id|delete-pending|weighted-backends|is-sharded',
+        r'|X-Request-Deadline|Server-Leaving|Server-Limit|X-Instance-Id|delete-pending|weighted-backends|is-sharded',
         re.IGNORECASE,
     )
     found = [
