--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -31,7 +31,14 @@
     run_listeners,
 )
 
-__all__ = ['Caller', 'ReceivedAnswer', 'RunningGateway', 'run_gateway', 'run_with_time_limit']
+__all__ = [
+    'Caller',
+    'ReceivedAnswer',
+    'RunningGateway',
+    'run_gateway',
+    'run_gateways',
+    'run_with_time_limit',
+]
 
 T = TypeVar('T')
 
@@ -123,6 +130,19 @@
 ) -> AsyncIterator[RunningGateway]:
     """Run a gateway until the block ends.
 
+    :param servers: service and stand-in of each backend server
+    :param limits: limits for callers in the configuration
+    """
+    async with run_gateways(1, *servers, grace_s=grace_s, **limits) as gateways:
+        yield gateways[0]
+
+
+@contextlib.asynccontextmanager
+async def run_gateways(
+    count: int, *servers: tuple[str, ServerStandin], grace_s: float = 6.0, **limits: int
+) -> AsyncIterator[list[RunningGateway]]:
+    """Run several gateways that share a store until the block ends.
+
     :param servers: service and stand-in of each backend server
     :param limits: limits for callers in the configuration
     """
@@ -131,39 +151,48 @@
         await store.put('config', 'main', build_configuration(**limits))
         for service, server in servers:
             await store.put('servers', server.name, server.build_entry(service))
-        clock = SystemClock()
-        store_address = Address('127.0.0.1', store.port)
-        settings = GatewaySettings(
-            'd1',
-            'north',
-            Address('127.0.0.1', 0),
-            None,
-            Address('127.0.0.1', _find_free_udp_port()),
-            StoreSettings(store_address),
-            grace_s=grace_s,
-            is_first_start=True,
-            retries=RetrySettings(slack=500.0),  # The retry budget never limits these tests.
-        )
-        ports = PlatformPorts(
-            KINDS,
-            HeaderDialect(),
-            HttpObjectStore(store_address, clock),
-            HttpGrantClient(clock),
-            PlatformDecoder(),
-        )
-        gateway = Gateway(settings, ports, clock)
-        task = asyncio.create_task(gateway.run())
+        gateways = [
+            _build_gateway(f'd{number}', Address('127.0.0.1', store.port), grace_s)
+            for number in range(1, count + 1)
+        ]
+        tasks = [asyncio.create_task(gateway.run()) for gateway in gateways]
         try:
             async with asyncio.timeout(5.0):
-                while not gateway.is_ready:
+                while not all(gateway.is_ready for gateway in gateways):
                     await asyncio.sleep(0.01)
                 # Until the servers' entries are listed.
                 await asyncio.sleep(0.05)
-            yield RunningGateway(gateway, store, gateway.callers_address)
+            yield [
+                RunningGateway(gateway, store, gateway.callers_address) for gateway in gateways
+            ]
         finally:
-            gateway.stop()
-            task.cancel()
-            await asyncio.wait({task})
+            for gateway, task in zip(gateways, tasks, strict=True):
+                gateway.stop()
+                task.cancel()
+            await asyncio.wait(tasks)
+
+
+def _build_gateway(name: str, store_address: Address, grace_s: float) -> Gateway:
+    clock = SystemClock()
+    settings = GatewaySettings(
+        name,
+        'north',
+        Address('127.0.0.1', 0),
+        None,
+        Address('127.0.0.1', _find_free_udp_port()),
+        StoreSettings(store_address),
+        grace_s=grace_s,
+        is_first_start=True,
+        retries=RetrySettings(slack=500.0),  # The retry budget never limits these tests.
+    )
+    ports = PlatformPorts(
+        KINDS,
+        HeaderDialect(),
+        HttpObjectStore(store_address, clock),
+        HttpGrantClient(clock),
+        PlatformDecoder(),
+    )
+    return Gateway(settings, ports, clock)
 
 
 def run_with_time_limit(work: Coroutine[Any, Any, T]) -> T:
