Issue permits for the requests that limited servers take

Cause: no daemon read the limit, and nothing bounds what all daemons together send to a server by anything but equal shares.

The keeper now issues a permit for each request to a limited server, at the rate of the limit, to whichever daemon asks; a daemon without an answer of the keeper uses a small equal share. The permit is checked again before the bytes are sent. Plans of keys count a limit as capacity. Ruled out: equal shares, which keep the rule only by leaving the server idle (docs/design/platform.md).

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -158,6 +158,7 @@
             random_source,
             self.metrics.count_pause,
             self.metrics.count_limit,
+            lambda request: self._keeper.request_permits(request),
             is_first_start=settings.is_first_start,
         )
         self._keeper = Keeper(
@@ -479,6 +480,8 @@
             self._fleet.collect_report,
             self._settings.is_first_start,
             self.metrics.count_grant_call,
+            self._fleet.limits,
+            self._fleet.limit_gate.on_answer,
         )
 
     def _compute_keeper_capacity(self) -> float:
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from coltsfootstair.gateway._leaving import LeavingOwners
@@ -16,7 +17,9 @@
 )
 from coltsfootstair.gateway._trace import RequestLog, RequestTrace
 from coltsfootstair.http1 import Answer, Reply, find_first_value
+from coltsfootstair.limits import Denial
 from coltsfootstair.placement import (
+    MIN_RETRY_AFTER_S,
     AdmissionGate,
     Placement,
     PlacementRefusal,
@@ -217,6 +220,12 @@
                 choice = await self._choose_server(request)
             else:
                 choice = await self._choose_owner(request, request.key)
+            if not isinstance(choice, Refusal):
+                denial = await self._acquire_permit(request, choice.candidate.server)
+                if denial is not None and request.key is None:
+                    # Another server may take it; the denied one is left out now.
+                    continue
+                choice = denial or choice
             if isinstance(choice, Refusal):
                 if request.may_have_run:
                     # An earlier attempt may have run it, so no "not run" may be promised.
@@ -299,6 +308,28 @@
                 )
             await asyncio.sleep(min(wait_deadline - now, CAPACITY_POLL_S))
 
+    async def _acquire_permit(
+        self, request: RequestState, server: BackendServer
+    ) -> Refusal | None:
+        """Get a permit if the server has named a limit; return the refusal if there is none.
+
+        A request that only this server may run waits for a permit that begins soon.
+        """
+        max_wait_s = 0.0
+        if request.key is not None:
+            max_wait_s = MAX_WAIT_SHARE * request.route.target_latency_s
+        acquired = await self._fleet.limit_gate.acquire(server.incarnation, max_wait_s)
+        if isinstance(acquired, Denial):
+            request.permit = None
+            return Refusal(
+                ResultCode.LIMITED,
+                Ran.NO,
+                f'{server.name} has named a limit of requests a second',
+                max(MIN_RETRY_AFTER_S, acquired.retry_after_s),
+            )
+        request.permit = acquired
+        return None
+
     def _compute_wait_deadline(self, request: RequestState) -> float:
         wait_s = MAX_WAIT_SHARE * request.route.target_latency_s
         return self._clock.monotonic() + wait_s
@@ -404,6 +435,8 @@
             request.route.target_latency_s,
             request.times_out_at - now,
             len(request.incoming.body),
+            # Only its owner may run a request with a key; its limit is checked last.
+            0.0 if request.key is None else math.inf,
         )
 
     def _try_retry(self, request: RequestState, result: AttemptResult) -> bool:
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from coltsfootstair.limits import NamedLimits
+from coltsfootstair.limits import LimitGate, NamedLimits
 from coltsfootstair.peers import LoadFigures, Report
 from coltsfootstair.placement import (
     Candidate,
@@ -27,6 +27,7 @@
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._settings import RetrySettings
     from coltsfootstair.gateway._types import AnswerFacts
+    from coltsfootstair.peers import PermitAnswer, PermitRequest
     from coltsfootstair.placement import Pause
     from coltsfootstair.registry import BackendServer, Registry
 
@@ -66,6 +67,10 @@
     :param count_pause: counts what a server says of a pause, by outcome
     :param count_limit: counts what a server says of a limit, and the requests that are sent to
         limited servers, by outcome
+    :param request_permits: asks the keeper for permits to send requests to a limited server;
+        returns the answer if this daemon is the keeper
+    :ivar limits: limits that backend servers have named
+    :ivar limit_gate: permits for this daemon's requests to limited servers
     :param is_first_start: whether no earlier process of this daemon can have used its share of
         the slack of retries
     """
@@ -83,6 +88,7 @@
         random_source: random.Random,
         count_pause: Callable[[str], None] = lambda _: None,
         count_limit: Callable[[str], None] = lambda _: None,
+        request_permits: Callable[[PermitRequest], PermitAnswer | None] = lambda _: None,
         *,
         is_first_start: bool = True,
     ) -> None:
@@ -102,6 +108,15 @@
         self._count_pause = count_pause
         self._count_limit = count_limit
         self.limits = NamedLimits(clock, count_limit)
+        self.limit_gate = LimitGate(
+            name,
+            clock,
+            self.limits,
+            request_permits,
+            lambda: self.daemon_count,
+            random_source,
+            count_limit,
+        )
         self._has_slack_from = (
             -math.inf if is_first_start else clock.monotonic() + retries.window_s
         )
@@ -189,6 +204,7 @@
             max_in_flight,
             is_unresponsive,
             self.get_pause_wait_s(server),
+            self.limit_gate.get_wait_s(server.incarnation),
         )
 
     @property
@@ -309,7 +325,6 @@
             ) and not estimate.in_flight:
                 del self._estimate_by_incarnation[incarnation]
                 self._malformed_retry_after_by_incarnation.pop(incarnation, None)
-                self.limits.forget(incarnation)
                 continue
             known_incarnations.add(incarnation)
             pause_left_s = self.get_pause_wait_s(server) if server is not None else 0.0
@@ -327,6 +342,8 @@
         self._cold_pacer.forget_ended(known_incarnations)
         self._probe_pacer.forget_ended(known_incarnations)
         self._pauses.forget_ended(self._clock.monotonic())
+        self.limits.forget_ended(self._has_entry)
+        self.limit_gate.forget_ended()
         return Report(
             self._name,
             epoch,
@@ -336,8 +353,13 @@
             requests,
             load_by_server,
             [server.incarnation for server in self._registry.list_leaving()],
+            self.limits.list_recent(),
         )
 
+    def _has_entry(self, incarnation: tuple[str, int]) -> bool:
+        server = self._registry.get(incarnation[0])  # The name of the incarnation.
+        return server is not None and server.incarnation == incarnation
+
     def _get_budget(self, service: str) -> WindowRetryBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -17,6 +17,7 @@
     from coltsfootstair.gateway._trace import RequestTrace
     from coltsfootstair.gateway._types import Dialect
     from coltsfootstair.http1 import Connection, ConnectionPool, IncomingRequest
+    from coltsfootstair.limits import Permit
     from coltsfootstair.placement import Pause
     from coltsfootstair.registry import BackendServer, Registry
     from coltsfootstair.routes import Route, RouteTable, ServicePolicy
@@ -92,6 +93,7 @@
     :ivar failed_connect_count: number of attempts for which no connection could be opened
     :ivar may_have_run: whether a backend server may have run it
     :ivar abandoned: whether its caller has left
+    :ivar permit: allows the next attempt if its server has named a limit
     :ivar times_out_at: monotonic time at which it times out here, ``ANSWER_MARGIN_S`` before
         the caller's deadline
     """
@@ -103,6 +105,7 @@
         'incoming',
         'key',
         'may_have_run',
+        'permit',
         'policy',
         'request_id',
         'route',
@@ -125,6 +128,7 @@
         self.failed_connect_count = 0
         self.may_have_run = False
         self.abandoned = False
+        self.permit: Permit | None = None
         self.times_out_at = 0.0
         self.route_table: RouteTable
         self.route: Route
@@ -149,6 +153,7 @@
         self._clock = clock
         self._registry = registry
         self._limits = fleet.limits
+        self._limit_gate = fleet.limit_gate
         self._head_observer = HeadObserver(dialect, registry, fleet.limits)
 
     async def send(self, request: RequestState, server: BackendServer) -> AttemptResult:
@@ -173,6 +178,10 @@
             # The pause began while the connection was being opened.
             self._pool.release(connection)
             return AttemptResult(Outcome.NOT_SENT, None, 'the server has asked for a pause')
+        if not self._limit_gate.may_send(server.incarnation, request.permit):
+            # The limit was named or lowered, or the permit expired, while it was opened.
+            self._pool.release(connection)
+            return AttemptResult(Outcome.NOT_SENT, None, 'the server has named a limit')
         if self._registry.is_leaving(server.incarnation):
             # It said so while the connection was opened.
             connection.close()
--- a/src/coltsfootstair/keyspace/_dependencies.py
+++ b/src/coltsfootstair/keyspace/_dependencies.py
@@ -9,8 +9,9 @@
 from coltsfootstair.clock import Clock
 from coltsfootstair.keyspace._grant_client import GrantClient
 from coltsfootstair.keyspace._view import OwnershipView
+from coltsfootstair.limits import NamedLimits
 from coltsfootstair.objects import ObjectStore, Relay, RelayedChanges
-from coltsfootstair.peers import Report
+from coltsfootstair.peers import PermitAnswer, Report
 from coltsfootstair.registry import Registry
 
 if TYPE_CHECKING:
@@ -57,6 +58,8 @@
     :param count_grant_call: called with the outcome of each grant call: ``accepted``,
         ``refused``, ``other server``, ``not answered``, or ``held up`` if the server's TCP had
         not acknowledged the whole call when it was given up
+    :param limits: limits that backend servers have named; ``None`` if they name none
+    :param on_permit_answer: called with the keeper's answer to a request for permits
     """
 
     store: ObjectStore
@@ -78,3 +81,5 @@
     collect_report: Callable[[int, bool, float, dict[str, int]], Report]
     is_first_start: bool = False
     count_grant_call: Callable[[str], None] = lambda _outcome: None
+    limits: NamedLimits | None = None
+    on_permit_answer: Callable[[PermitAnswer], None] = lambda _answer: None
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -28,10 +28,14 @@
 from coltsfootstair.keyspace._services import ServiceKeepers
 from coltsfootstair.keyspace._unresponsive import UnresponsiveDetector
 from coltsfootstair.keyspace._view import LEASE_NAME, OWNERSHIP_KIND
+from coltsfootstair.limits import PermitIssuer
 from coltsfootstair.peers import (
     Heartbeat,
+    LimitStatement,
     Message,
     ObjectsUpdate,
+    PermitAnswer,
+    PermitRequest,
     Report,
     TableUpdate,
 )
@@ -93,6 +97,10 @@
 """How long a former keeper that took over in a new era of the store waits for the reports of a
 majority, in seconds. They show whether another daemon was keeper after it."""
 
+SOLE_KEEPER_DELAY_S = LEASE_CHECK_INTERVAL_S + MAX_UNCONFIRMED_RENEWAL_S
+"""Seconds after a takeover until a former keeper issues no more permits. Until then, the new
+one issues the share of the daemons that report to it."""
+
 GRANT_DURATION_S = 2.5
 """Grant duration, in seconds. A grant is renewed about three times before it expires, so that
 it outlasts a change of the keeper; requests for the keys of an ended owner wait until the
@@ -146,6 +154,10 @@
         self.admitted_share_by_server: dict[str, float] = {}
         self.unresponsive_servers: list[str] = []
         self._unresponsive_detector = UnresponsiveDetector()
+        self._permit_issuer = PermitIssuer(dependencies.clock)
+        if dependencies.limits is not None:
+            # The keeper is told at once, so that all daemons know soon.
+            dependencies.limits.subscribe(self._wake_event.set)
         dependencies.ownership_view.subscribe_lease(self._on_lease_changed)
         dependencies.grant_client.subscribe_leaving(dependencies.registry.mark_leaving)
         # The keeper is told at once, so that the keys of a leaving server move soon.
@@ -331,6 +343,60 @@
                     self._dependencies.on_relayed_changes(read_objects_update(message))
             case TableUpdate():
                 self._handle_table_update(message, now)
+            case PermitRequest():
+                answer = self._issue_permits(message)
+                if answer is not None:
+                    self._broadcaster.send(answer, sender)
+            case PermitAnswer():
+                self._dependencies.on_permit_answer(message)
+
+    def request_permits(self, request: PermitRequest) -> PermitAnswer | None:
+        """Ask the keeper for permits; return the answer if this daemon is the keeper."""
+        lease = self._dependencies.ownership_view.lease
+        if self._own_lease is None and lease is not None and lease.holder:
+            self._broadcaster.send(request, lease.address)
+        return self._issue_permits(request)
+
+    def _issue_permits(self, request: PermitRequest) -> PermitAnswer | None:
+        limits = self._dependencies.limits
+        if self._own_lease is None or limits is None or self.grant_duration_s is None:
+            return None
+        limits.apply([LimitStatement(request.incarnation, request.limit_per_s, request.age_s)])
+        limit_per_s = limits.get(request.incarnation)
+        if limit_per_s is None:
+            # It has ended; the sender learns it from the next heartbeat.
+            return PermitAnswer(request.number, [0.0] * request.count, 0.0, 0.0)
+        issued = self._permit_issuer.issue(
+            request.incarnation,
+            limit_per_s,
+            self._compute_permit_share(),
+            request.count,
+            request.max_wait_s,
+        )
+        return PermitAnswer(request.number, *issued)
+
+    def _compute_permit_share(self) -> float:
+        """Return the share of each limit that this keeper may issue.
+
+        While another daemon may believe that it is the keeper, each of them issues the share
+        of the daemons that report to it.
+        """
+        now = self._dependencies.clock.monotonic()
+        if (
+            now - self._took_over_at > SOLE_KEEPER_DELAY_S
+            and now - self._lease_confirmed_at <= LEASE_CHECK_INTERVAL_S + LEASE_RETRY_DELAY_S
+        ):
+            return 1.0
+        return min(
+            1.0, len(self._latest_reports.list_recent()) / max(1, self.known_daemon_count)
+        )
+
+    def _list_limit_statements(self) -> list[LimitStatement]:
+        limits = self._dependencies.limits
+        if limits is None:
+            return []
+        self._permit_issuer.forget_ended(set(limits.list_limited()))
+        return limits.list_next()
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         known_lease = self._dependencies.ownership_view.lease
@@ -349,6 +415,8 @@
         self._dependencies.relay.set_keeper_revisions(heartbeat.revision_by_kind)
         self.admitted_share_by_server = heartbeat.admitted_share_by_server
         self._set_unresponsive_servers(heartbeat.unresponsive_servers)
+        if self._dependencies.limits is not None:
+            self._dependencies.limits.apply(heartbeat.limit_statements)
         if heartbeat.store_reachable:
             self._keeper_store_unreachable_since = None
         elif self._keeper_store_unreachable_since is None:
@@ -370,6 +438,7 @@
             self.admitted_share_by_server,
             self.unresponsive_servers,
             self._dependencies.get_revision_by_kind(),
+            self._list_limit_statements(),
         )
         self._broadcaster.send(heartbeat, sender)
         self._services.send_missed_updates(report, sender, now)
@@ -397,6 +466,8 @@
         self._unresponsive_detector.apply_report(report, now)
         self._set_unresponsive_servers(self._unresponsive_detector.list_unresponsive(now))
         self._services.apply_report(report, now)
+        if self._dependencies.limits is not None:
+            self._dependencies.limits.apply(report.limit_statements)
         for incarnation in report.leaving_incarnations:
             self._dependencies.registry.mark_leaving(incarnation)
 
@@ -512,6 +583,7 @@
         self._takeover_blocked_until = now + ISOLATED_TAKEOVER_PAUSE_S
         self._latest_reports.clear()
         self._unresponsive_detector = UnresponsiveDetector()
+        self._permit_issuer = PermitIssuer(self._dependencies.clock)
         self._keeper_task = asyncio.create_task(self._run_as_keeper(lease, previous_lease))
 
     def _step_down(self, reason: str) -> None:
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -26,6 +26,7 @@
     encode_table,
 )
 from coltsfootstair.keyspace._view import OWNERSHIP_KIND, TABLE_PREFIX
+from coltsfootstair.limits import MIN_LIMIT_PER_S
 from coltsfootstair.objects import era_of
 
 if TYPE_CHECKING:
@@ -343,6 +344,13 @@
                 server.name, self._dependencies.get_default_service_time_s(self.service)
             )
             service_time_s *= self.paused_owners.compute_slowdown(server.name, now)
+            limits = self._dependencies.limits
+            limit_per_s = None if limits is None else limits.get(server.incarnation)
+            if limit_per_s is not None:
+                # The service time at which the server would serve no more than its limit.
+                service_time_s = max(
+                    service_time_s, server.slots / max(MIN_LIMIT_PER_S, limit_per_s)
+                )
             if is_cold:
                 # The service time at which the server would serve no more than its cold limit;
                 # the lower bound of the limit avoids a division by zero.
--- a/src/coltsfootstair/limits/_named.py
+++ b/src/coltsfootstair/limits/_named.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
 
+from coltsfootstair.peers import LimitStatement
+
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from coltsfootstair.clock import Clock
 
@@ -15,6 +18,17 @@
 
 logger = structlog.get_logger()
 
+MEMORY_S = 60.0
+"""How long the limit of an incarnation is remembered after its entry is gone, in seconds, in
+case the entry comes back."""
+
+REPEAT_S = 1.0
+"""For how long after an answer its statement is told in each message, in seconds, so that the
+loss of some messages does not matter."""
+
+MAX_STATEMENTS = 100
+"""Most statements in one message; further ones follow in the next."""
+
 
 class LimitObservation(NamedTuple):
     """What an answer of a backend server stated.
@@ -42,27 +56,56 @@
         self._newest_by_incarnation: dict[tuple[str, int], LimitObservation] = {}
         # So that equal malformed values of one server are logged once.
         self._malformed_by_incarnation: dict[tuple[str, int], bytes] = {}
+        self._gone_since_by_incarnation: dict[tuple[str, int], float] = {}
+        self._on_change: list[Callable[[], None]] = []
+        self._told_count = 0
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether no server has ever named a limit."""
-        return not self._newest_by_incarnation
+    def subscribe(self, on_change: Callable[[], None]) -> None:
+        """Call ``on_change`` when an answer to this daemon changes a limit."""
+        self._on_change.append(on_change)
 
     def get(self, incarnation: tuple[str, int]) -> float | None:
         """Return the limit in force, in requests per second; ``None`` if there is none."""
         newest = self._newest_by_incarnation.get(incarnation)
         return None if newest is None else newest.limit_per_s
 
+    def get_age_s(self, incarnation: tuple[str, int]) -> float:
+        """Return the seconds since the answer that decides; infinite if there is none."""
+        newest = self._newest_by_incarnation.get(incarnation)
+        return math.inf if newest is None else self._clock.monotonic() - newest.observed_at
+
     def name(self, incarnation: tuple[str, int], limit_per_s: float) -> None:
         """Record that an answer has just named a limit."""
         self._count_observation('named')
-        self._put(incarnation, limit_per_s)
+        self._observe(incarnation, limit_per_s)
 
     def end(self, incarnation: tuple[str, int]) -> None:
         """Record that an answer without a limit has just come."""
         if self.get(incarnation) is not None:
             self._count_observation('ended')
-            self._put(incarnation, None)
+            self._observe(incarnation, None)
+
+    def apply(self, statements: Iterable[LimitStatement]) -> None:
+        """Apply what answers to other daemons stated, where it is newer."""
+        now = self._clock.monotonic()
+        for statement in statements:
+            newest = self._newest_by_incarnation.get(statement.incarnation)
+            observed_at = now - statement.age_s
+            if newest is None or observed_at > newest.observed_at:
+                self._put(statement.incarnation, statement.limit_per_s, observed_at)
+
+    def list_recent(self) -> list[LimitStatement]:
+        """Return the newest statements of the last ``REPEAT_S``, for the keeper."""
+        return self._list_statements(REPEAT_S)[:MAX_STATEMENTS]
+
+    def list_next(self) -> list[LimitStatement]:
+        """Return the recent statements and limits in force, in turn, for other daemons."""
+        statements = self._list_statements(math.inf)
+        if len(statements) <= MAX_STATEMENTS:
+            return statements
+        start = self._told_count % len(statements)
+        self._told_count += MAX_STATEMENTS
+        return (statements[start:] + statements[:start])[:MAX_STATEMENTS]
 
     def refuse_malformed(self, incarnation: tuple[str, int], value: bytes) -> None:
         """Record a limit that can't be read; the one in force stays."""
@@ -83,15 +126,47 @@
             if newest.limit_per_s is not None
         ]
 
-    def forget(self, incarnation: tuple[str, int]) -> None:
-        """Drop what is known of an incarnation that has ended."""
-        self._newest_by_incarnation.pop(incarnation, None)
-        self._malformed_by_incarnation.pop(incarnation, None)
+    def forget_ended(self, is_known: Callable[[tuple[str, int]], bool]) -> None:
+        """Forget the incarnations whose entries have been gone for ``MEMORY_S``.
 
-    def _put(self, incarnation: tuple[str, int], limit_per_s: float | None) -> None:
-        previous = self.get(incarnation)
+        :param is_known: returns whether an incarnation has an entry
+        """
+        now = self._clock.monotonic()
+        for incarnation in list(self._newest_by_incarnation):
+            if is_known(incarnation):
+                self._gone_since_by_incarnation.pop(incarnation, None)
+                continue
+            gone_since = self._gone_since_by_incarnation.setdefault(incarnation, now)
+            if now - gone_since >= MEMORY_S:
+                del self._newest_by_incarnation[incarnation]
+                del self._gone_since_by_incarnation[incarnation]
+                self._malformed_by_incarnation.pop(incarnation, None)
+
+    def _list_statements(self, max_age_s: float) -> list[LimitStatement]:
         now = self._clock.monotonic()
-        self._newest_by_incarnation[incarnation] = LimitObservation(limit_per_s, now)
+        newest_first = sorted(
+            self._newest_by_incarnation.items(),
+            key=lambda item: item[1].observed_at,
+            reverse=True,
+        )
+        return [
+            LimitStatement(incarnation, newest.limit_per_s, round(now - newest.observed_at, 3))
+            for incarnation, newest in newest_first
+            if now - newest.observed_at <= max_age_s
+        ]
+
+    def _observe(self, incarnation: tuple[str, int], limit_per_s: float | None) -> None:
+        is_changed = self.get(incarnation) != limit_per_s
+        self._put(incarnation, limit_per_s, self._clock.monotonic())
+        if is_changed:
+            for on_change in self._on_change:
+                on_change()
+
+    def _put(
+        self, incarnation: tuple[str, int], limit_per_s: float | None, observed_at: float
+    ) -> None:
+        previous = self.get(incarnation)
+        self._newest_by_incarnation[incarnation] = LimitObservation(limit_per_s, observed_at)
         if limit_per_s != previous:
             logger.info(
                 'backend server limited'
--- a/src/coltsfootstair/peers/__init__.py
+++ b/src/coltsfootstair/peers/__init__.py
@@ -5,9 +5,12 @@
 from coltsfootstair.peers._channel import PeerChannel
 from coltsfootstair.peers._messages import (
     Heartbeat,
+    LimitStatement,
     LoadFigures,
     Message,
     ObjectsUpdate,
+    PermitAnswer,
+    PermitRequest,
     Report,
     TableUpdate,
     decode_message,
@@ -16,10 +19,13 @@
 
 __all__ = [
     'Heartbeat',
+    'LimitStatement',
     'LoadFigures',
     'Message',
     'ObjectsUpdate',
     'PeerChannel',
+    'PermitAnswer',
+    'PermitRequest',
     'Report',
     'TableUpdate',
     'decode_message',
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -10,9 +10,12 @@
 
 __all__ = [
     'Heartbeat',
+    'LimitStatement',
     'LoadFigures',
     'Message',
     'ObjectsUpdate',
+    'PermitAnswer',
+    'PermitRequest',
     'Report',
     'TableUpdate',
     'decode_message',
@@ -20,6 +23,20 @@
 ]
 
 
+class LimitStatement(msgspec.Struct, array_like=True):
+    """What the newest answer of a backend server stated of its limit.
+
+    :param incarnation: name and start time of the server, in Unix milliseconds
+    :param limit_per_s: requests a second that it takes from all daemons together; ``None`` if
+        its limit has ended
+    :param age_s: time since the answer, in seconds
+    """
+
+    incarnation: tuple[str, int]
+    limit_per_s: float | None
+    age_s: float
+
+
 class LoadFigures(msgspec.Struct, array_like=True):
     """One daemon's figures of one backend server since its last report.
 
@@ -52,6 +69,7 @@
         report, whose answers are overdue, or that have asked for a pause
     :param leaving_incarnations: names and start times, in Unix milliseconds, of the backend
         servers that have said in an answer that they leave and still have an entry
+    :param limit_statements: what recent answers to the daemon stated of limits
     """
 
     daemon: str
@@ -62,6 +80,7 @@
     request_counts_by_service: dict[str, dict[int, int]]
     figures_by_server: dict[str, LoadFigures]
     leaving_incarnations: list[tuple[str, int]] = []
+    limit_statements: list[LimitStatement] = []
 
 
 class Heartbeat(msgspec.Struct, tag='beat', array_like=True):
@@ -74,6 +93,7 @@
     :param admitted_share_by_server: share of its requests that each overloaded owner can serve
     :param unresponsive_servers: backend servers that answer no daemon
     :param revision_by_kind: up to which revision the keeper has read each kind of objects
+    :param limit_statements: limits of backend servers, a part in turn if there are many
     """
 
     keeper: str
@@ -83,6 +103,44 @@
     admitted_share_by_server: dict[str, float]
     unresponsive_servers: list[str]
     revision_by_kind: dict[str, int]
+    limit_statements: list[LimitStatement] = []
+
+
+class PermitRequest(msgspec.Struct, tag='ask', array_like=True):
+    """Asks the keeper for permits to send requests to a limited backend server.
+
+    :param daemon: name of the sender
+    :param number: identifies the request at its sender
+    :param incarnation: name and start time of the server, in Unix milliseconds
+    :param limit_per_s: limit that the sender knows, in requests a second
+    :param age_s: time since the answer that named it, in seconds
+    :param count: number of permits that the sender can use
+    :param max_wait_s: time within which they must begin, in seconds
+    """
+
+    daemon: str
+    number: int
+    incarnation: tuple[str, int]
+    limit_per_s: float
+    age_s: float
+    count: int
+    max_wait_s: float
+
+
+class PermitAnswer(msgspec.Struct, tag='permits', array_like=True):
+    """The keeper's answer to a ``PermitRequest``.
+
+    :param number: as in the request
+    :param delays_s: time until each permit begins, in seconds; fewer than asked for if not all
+        begin in time
+    :param next_wait_s: time until the next free permit begins, in seconds
+    :param retry_after_s: when a caller that got no permit may be served, in seconds
+    """
+
+    number: int
+    delays_s: list[float]
+    next_wait_s: float
+    retry_after_s: float
 
 
 class TableUpdate(msgspec.Struct, tag='table', array_like=True):
@@ -125,7 +183,7 @@
     changes: list[tuple[str, int, Any, bool]]
 
 
-Message = Report | Heartbeat | TableUpdate | ObjectsUpdate
+Message = Report | Heartbeat | TableUpdate | ObjectsUpdate | PermitRequest | PermitAnswer
 """Any message between daemons."""
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/coltsfootstair/placement/__init__.py
+++ b/src/coltsfootstair/placement/__init__.py
@@ -4,6 +4,7 @@
 
 from coltsfootstair.placement._admission import AdmissionGate
 from coltsfootstair.placement._choose import (
+    MIN_RETRY_AFTER_S,
     Candidate,
     Placement,
     PlacementRefusal,
@@ -22,6 +23,7 @@
 from coltsfootstair.placement._request_pacer import RequestPacer
 
 __all__ = [
+    'MIN_RETRY_AFTER_S',
     'AdmissionGate',
     'Candidate',
     'LoadEstimate',
--- a/src/coltsfootstair/placement/_choose.py
+++ b/src/coltsfootstair/placement/_choose.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     'MAX_REQUESTS_PER_SLOT',
+    'MIN_RETRY_AFTER_S',
     'Candidate',
     'Placement',
     'PlacementRefusal',
@@ -65,6 +66,7 @@
     :param is_unresponsive: whether the keeper found, from the reports of all daemons, that it
         answers none of them
     :param pause_wait_s: seconds until the end of a pause that it has asked for; 0 if none
+    :param limit_wait_s: seconds until the limit that it has named allows another request
     """
 
     server: BackendServer
@@ -73,6 +75,7 @@
     max_in_flight: float = math.inf
     is_unresponsive: bool = False
     pause_wait_s: float = 0.0
+    limit_wait_s: float = 0.0
 
     @property
     def has_room(self) -> bool:
@@ -88,12 +91,14 @@
     :param target_latency_s: target latency, in seconds from the start of the request
     :param time_left_s: time until the request times out, in seconds
     :param body_bytes: size of its body
+    :param max_limit_wait_s: longest wait for a server that has named a limit, in seconds
     """
 
     data_centre: str
     target_latency_s: float
     time_left_s: float
     body_bytes: int = 0
+    max_limit_wait_s: float = 0.0
 
 
 class Placement(NamedTuple):
@@ -147,6 +152,9 @@
         if candidate.pause_wait_s > 0:
             retry_after_s = min(retry_after_s, candidate.pause_wait_s)
             continue
+        if candidate.limit_wait_s > constraints.max_limit_wait_s:
+            retry_after_s = min(retry_after_s, candidate.limit_wait_s)
+            continue
         if candidate.cold_wait_s > 0:
             retry_after_s = min(retry_after_s, candidate.cold_wait_s)
             continue
--- a/tests/gateway/test_named_limits.py
+++ b/tests/gateway/test_named_limits.py
@@ -38,8 +38,7 @@
 
     async def _answer(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
         self.received_at.append(time.monotonic())
-        headers = {'Server_Limit': self.limit} if self.limit else {}
-        writer.write(self.build_answer(request, **headers))
+        writer.write(self.build_answer(request, Server_Limit=self.limit))
         return True
 
 
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -17,6 +17,7 @@
     StaleFenceError,
     WrongServerError,
 )
+from coltsfootstair.limits import LimitGate, NamedLimits
 from coltsfootstair.objects import (
     Listing,
     Relay,
@@ -36,6 +37,9 @@
     from coltsfootstair.clock import Clock
 
 SERVICE = 'lookups'
+ASSUMED_DAEMON_COUNT = 100
+"""Number of daemons that one assumes while the real number is unknown."""
+
 CLOCK_DRIFT_FACTOR = 1.02
 """Factor by which the clock of a backend server may be slow, as the platform states."""
 
@@ -292,6 +296,15 @@
         self.registry = Registry(clock)
         self.view = OwnershipView()
         self.relay = Relay()
+        self.limits = NamedLimits(clock)
+        self.limit_gate = LimitGate(
+            name,
+            clock,
+            self.limits,
+            lambda request: self.keeper.request_permits(request),
+            lambda: self.keeper.known_daemon_count or ASSUMED_DAEMON_COUNT,
+            world.random,
+        )
         dependencies = KeeperDependencies(
             store=ModelStore(world, name),
             grant_client=ModelGrantClient(world, name),
@@ -311,6 +324,8 @@
             on_relayed_changes=lambda _changes: None,
             collect_report=self._collect_report,
             is_first_start=world.is_first_start,
+            limits=self.limits,
+            on_permit_answer=lambda answer: self.limit_gate.on_answer(answer),
         )
         self._random = world.random
         self.keeper = Keeper(name, Address(name, 1), dependencies)
@@ -336,6 +351,7 @@
             {SERVICE: request_count_by_key},
             {},
             [server.incarnation for server in self.registry.list_leaving()],
+            self.limits.list_recent(),
         )
 
 
