--- /dev/null
+++ b/tests/gateway/test_crashing_requests.py
@@ -0,0 +1,108 @@
+"""Tests of requests that end each backend server that begins to run them.
+
+The routes are those of ``test_path``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from tests.coltsfootstair_platform.standin import ReceivedRequest, ServerStandin, StoreStandin
+from tests.gateway.harness import RunningGateway, run_gateways, run_with_time_limit
+
+DAEMON_COUNT = 3
+SERVER_COUNT = 3
+CRASHING_PATH = '/x/crashing'
+CRASH_COUNT = 3
+KNOWN_AFTER_S = 3.0
+"""Time after the third crash from which further sends count, in seconds."""
+
+MAX_LATER_SENDS = 3
+LOAD_S = 12.0
+
+
+class CrashingServer(ServerStandin):
+    """A backend server that ends while it runs one request, and is back a second later."""
+
+    def __init__(self, name: str, service: str, crashes_at: list[float]) -> None:
+        super().__init__(name, self._answer)
+        self._service = service
+        self._crashes_at = crashes_at
+        self._born = 1700000000000
+        self.store: StoreStandin | None = None
+
+    async def _answer(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        await asyncio.sleep(0.03)
+        if request.target == CRASHING_PATH:
+            self._crashes_at.append(time.monotonic())
+            self._restart = asyncio.create_task(self._end_and_start_again())
+            await asyncio.sleep(60.0)
+        writer.write(self.build_answer(request))
+        return True
+
+    async def _end_and_start_again(self) -> None:
+        port = self.port
+        self.stop()
+        await asyncio.sleep(0.6)
+        assert self.store is not None
+        await self.store.delete('servers', self.name)
+        await asyncio.sleep(0.4)
+        await self.start(port)
+        self._born += 1000
+        entry = self.build_entry(self._service, born=self._born)
+        await self.store.put('servers', self.name, entry)
+
+
+async def _repeat(
+    gateways: list[RunningGateway], route: str, path: str, pause_s: float, **headers: int
+) -> list[int]:
+    """Send a request again and again through the daemons in turn; return the statuses."""
+    statuses: list[int] = []
+    ends_at = time.monotonic() + LOAD_S
+    while time.monotonic() < ends_at:
+        gateway = gateways[len(statuses) % len(gateways)]
+        statuses.append((await gateway.call(route, path, **headers)).status)
+        await asyncio.sleep(pause_s)
+    return statuses
+
+
+@pytest.mark.parametrize(
+    ('route', 'service', 'headers'),
+    [
+        ('lookups', 'calendar', {}),
+        ('bookings', 'desk', {}),
+        ('keyed', 'slots', {'X_Shard_Key': 7}),
+    ],
+    ids=['lookups', 'bookings', 'keyed'],
+)
+def test_a_request_that_ends_its_servers_is_not_sent_on_and_on(
+    route: str, service: str, headers: dict[str, int]
+) -> None:
+    """Guards against repeats that end one server after the other through any daemon."""
+    crashes_at: list[float] = []
+    servers = [CrashingServer(f's{n}', service, crashes_at) for n in range(SERVER_COUNT)]
+    bystander_statuses: list[int] = []
+
+    async def play() -> None:
+        async with run_gateways(
+            DAEMON_COUNT, *((service, server) for server in servers)
+        ) as gateways:
+            for server in servers:
+                server.store = gateways[0].store
+            while (await gateways[0].call(route, **headers)).status != 200:
+                await asyncio.sleep(0.1)
+            _, statuses = await asyncio.gather(
+                _repeat(gateways, route, CRASHING_PATH, 0.5, **headers),
+                _repeat(gateways, route, '/x/popular', 0.05, **headers),
+            )
+            bystander_statuses.extend(statuses)
+
+    run_with_time_limit(play())
+    known_at = crashes_at[CRASH_COUNT - 1] + KNOWN_AFTER_S
+    assert sum(at > known_at for at in crashes_at) <= MAX_LATER_SENDS
+    # A popular request in flight at each server that ended is no suspect for long.
+    served_share = bystander_statuses[-40:].count(200) / 40
+    assert served_share >= 0.9
