Hold back requests under which three servers have ended

Cause: no daemon remembered what ran at a server that ended, so each repeat was a new request to all.

A request under which three servers have ended, one after the other, is refused by all daemons; the keeper lets it be tried alone, and one more end convicts it for an hour, while a run to its end clears it. A daemon's own retries of one request stop after two ended exchanges, or one if a server had ended under it before. Ruled out: conviction without a trial, which would have refused a popular request that was in flight at the same three servers.

--- a/src/coltsfootstair/crashes/_suspects.py
+++ b/src/coltsfootstair/crashes/_suspects.py
@@ -180,10 +180,12 @@
             return 0.0
         return max(0.0, suspect.last_crash_at + CONVICTION_S - self._clock.monotonic())
 
-    def count_crashes(self, fingerprint: bytes) -> int:
-        """Return how many servers ended under a request, one after the other."""
-        suspect = self._suspect_by_fingerprint.get(fingerprint)
-        return 0 if suspect is None else suspect.count_crashes()
+    def has_crashes(self, fingerprints: Iterable[bytes]) -> bool:
+        """Whether any server ended under a request after its last run to the end."""
+        return any(
+            suspect is not None and bool(suspect.crash_by_incarnation)
+            for suspect in map(self._suspect_by_fingerprint.get, fingerprints)
+        )
 
     def record_crash(
         self,
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -6,6 +6,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from coltsfootstair.crashes import TRIAL_INTERVAL_S, Verdict
 from coltsfootstair.gateway._leaving import LeavingOwners
 from coltsfootstair.gateway._refusals import render_refusal
 from coltsfootstair.gateway._sender import (
@@ -70,6 +71,9 @@
 """Number of attempts after which a request is no longer retried at its key's owner when the
 owner sheds it although it has free slots."""
 
+MAX_ENDED_EXCHANGES = 2
+"""Number of servers that may close the connection on one request before its retries end."""
+
 OWNERSHIP_UPDATE_WAIT_S = 0.1
 """How long a request waits for a new key table, in seconds, after the server that it was sent
 to has answered that it doesn't own the key."""
@@ -216,7 +220,10 @@
     async def _send_until_final(self, request: RequestState) -> Reply:
         """Make attempts until one is answered or no further one is allowed."""
         while True:
-            if request.key is None:
+            choice: Placement | Refusal | None = await self._judge_suspect(request)
+            if choice is not None:
+                pass
+            elif request.key is None:
                 choice = await self._choose_server(request)
             else:
                 choice = await self._choose_owner(request, request.key)
@@ -313,6 +320,31 @@
                 )
             await asyncio.sleep(min(wait_deadline - now, CAPACITY_POLL_S))
 
+    async def _judge_suspect(self, request: RequestState) -> Refusal | None:
+        """Return the refusal of a request under which several servers ended, if it is one.
+
+        It is tried alone, when the keeper allows it, before it is refused for long.
+        """
+        suspects = self._fleet.suspects
+        if suspects.is_empty or request.is_trial:
+            return None
+        match suspects.judge(request.fingerprints):
+            case Verdict.FREE:
+                return None
+            case Verdict.CONVICTED:
+                retry_after_s = suspects.get_conviction_left_s(request.fingerprints)
+            case Verdict.HELD:
+                request.is_trial = await self._fleet.trials.ask(request.fingerprints[0])
+                if request.is_trial:
+                    return None
+                retry_after_s = TRIAL_INTERVAL_S
+        return Refusal(
+            ResultCode.ENDS_SERVERS,
+            Ran.NO,
+            f'backend servers ended under request {request.fingerprints[0].hex()}',
+            retry_after_s,
+        )
+
     async def _acquire_permit(
         self, request: RequestState, server: BackendServer
     ) -> Refusal | None:
@@ -464,6 +496,11 @@
             )
         if request.attempt_count >= request.route.max_attempts:
             return False
+        if result.is_server_ended and (
+            request.ended_exchange_count >= MAX_ENDED_EXCHANGES
+            or self._fleet.suspects.has_crashes(request.fingerprints)
+        ):
+            return False
         if result.outcome in (Outcome.UNKNOWN, Outcome.FAILED):
             if request.route.kind is not RequestKind.IDEMPOTENT:
                 return False
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -83,11 +83,15 @@
 
 
 class AttemptResult(NamedTuple):
-    """Outcome of one attempt, with the answer if there is one and the reason of a failure."""
+    """Outcome of one attempt, with the answer if there is one and the reason of a failure.
+
+    :param is_server_ended: whether the server closed the connection without an answer
+    """
 
     outcome: Outcome
     answer: Answer | None
     reason: str = ''
+    is_server_ended: bool = False
 
 
 class RequestState:
@@ -95,6 +99,7 @@
 
     :ivar tried_servers: names of the backend servers that it has been sent to
     :ivar attempt_count: number of attempts for which a connection was idle or could be opened
+    :ivar ended_exchange_count: number of attempts in which the server closed the connection
     :ivar failed_connect_count: number of attempts for which no connection could be opened
     :ivar may_have_run: whether a backend server may have run it
     :ivar abandoned: whether its caller has left
@@ -108,6 +113,7 @@
         '_fingerprints',
         'abandoned',
         'attempt_count',
+        'ended_exchange_count',
         'failed_connect_count',
         'incoming',
         'is_trial',
@@ -136,6 +142,7 @@
         self.failed_connect_count = 0
         self.may_have_run = False
         self.abandoned = False
+        self.ended_exchange_count = 0
         self.is_trial = False
         self.permit: Permit | None = None
         self.times_out_at = 0.0
@@ -249,9 +256,13 @@
             if not error.sent:
                 request.may_have_run = may_have_run_before
                 return AttemptResult(Outcome.NOT_SENT, None, str(error))
-            if error.closed_by_server and self._registry.is_usable(server.name):
-                self._hold_ended_exchange(request, server, started_at)
-            return AttemptResult(Outcome.UNKNOWN, None, str(error))
+            if error.closed_by_server:
+                request.ended_exchange_count += 1
+                if self._registry.is_usable(server.name):
+                    self._hold_ended_exchange(request, server, started_at)
+            return AttemptResult(
+                Outcome.UNKNOWN, None, str(error), is_server_ended=error.closed_by_server
+            )
         self._pool.release(connection)
         result = self._classify_answer(request, answer, server, started_at)
         if result.outcome in OUTCOMES_NOT_RUN:
--- a/src/coltsfootstair/results/_codes.py
+++ b/src/coltsfootstair/results/_codes.py
@@ -37,6 +37,7 @@
     COLD = 205
     PAUSED = 206
     LIMITED = 207
+    ENDS_SERVERS = 208
     NO_OWNER = 300
     COORDINATOR_UNREACHABLE = 301
     NOT_COORDINATOR = 302
@@ -88,6 +89,7 @@
     ResultCode.COLD: (503, 'The backend server is in a cold start'),
     ResultCode.PAUSED: (503, 'The backend server has asked for a pause'),
     ResultCode.LIMITED: (503, 'The backend server takes no more requests a second'),
+    ResultCode.ENDS_SERVERS: (503, 'Backend servers ended while they ran this request'),
     ResultCode.NO_OWNER: (503, 'The key has no owner at present'),
     ResultCode.COORDINATOR_UNREACHABLE: (503, 'The coordinator can not be reached'),
     ResultCode.NOT_COORDINATOR: (503, 'The coordinator has changed'),
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+from coltsfootstair.crashes import SuspectRequests, TrialClient
 from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
 from coltsfootstair.http1 import Address, BrokenExchangeError
 from coltsfootstair.keyspace import (
@@ -296,6 +297,9 @@
         self.registry = Registry(clock)
         self.view = OwnershipView()
         self.relay = Relay()
+        self.suspects = SuspectRequests(clock)
+        self.trials = TrialClient(name, lambda request: self.keeper.request_trial(request))
+        self._reported_epoch = 0
         self.limits = NamedLimits(clock)
         self.limit_gate = LimitGate(
             name,
@@ -326,6 +330,8 @@
             is_first_start=world.is_first_start,
             limits=self.limits,
             on_permit_answer=lambda answer: self.limit_gate.on_answer(answer),
+            suspects=self.suspects,
+            on_trial_answer=lambda answer: self.trials.on_answer(answer),
         )
         self._random = world.random
         self.keeper = Keeper(name, Address(name, 1), dependencies)
@@ -342,6 +348,9 @@
             self._random.randrange(65536): 2,
             self._random.randrange(65536): 2,
         }
+        if epoch != self._reported_epoch:
+            self._reported_epoch = epoch
+            self.suspects.tell_again()
         return Report(
             self.name,
             epoch,
@@ -352,6 +361,7 @@
             {},
             [server.incarnation for server in self.registry.list_leaving()],
             self.limits.list_recent(),
+            self.suspects.list_changed(),
         )
 
 
