Bound what heartbeats and the keeper do for thousands of limits

Found by reading: with thousands of limited servers each heartbeat, several hundred a second at 200 VMs, sorted all known limits and carried 100 of them. A heartbeat now has the changes of the last second and 30 others in turn, and the keeper forgets ended limits once a report of its own. The choice of a server and its permit are one function in the dispatcher. Not measured at a site: by reading, and a test of 1,000 limits that bounds the messages.

--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -220,19 +220,7 @@
     async def _send_until_final(self, request: RequestState) -> Reply:
         """Make attempts until one is answered or no further one is allowed."""
         while True:
-            choice: Placement | Refusal | None = await self._judge_suspect(request)
-            if choice is not None:
-                pass
-            elif request.key is None:
-                choice = await self._choose_server(request)
-            else:
-                choice = await self._choose_owner(request, request.key)
-            if not isinstance(choice, Refusal):
-                denial = await self._acquire_permit(request, choice.candidate.server)
-                if denial is not None and request.key is None:
-                    # Another server may take it; the denied one is left out now.
-                    continue
-                choice = denial or choice
+            choice = await self._judge_suspect(request) or await self._choose(request)
             if isinstance(choice, Refusal):
                 if request.may_have_run:
                     # An earlier attempt may have run it, so no "not run" may be promised.
@@ -272,6 +260,23 @@
             ):
                 await self._ownership.wait_for_change(OWNERSHIP_UPDATE_WAIT_S)
 
+    async def _choose(self, request: RequestState) -> Placement | Refusal:
+        """Choose a server, and get a permit for it if it has named a limit."""
+        while True:
+            choice = (
+                await self._choose_server(request)
+                if request.key is None
+                else await self._choose_owner(request, request.key)
+            )
+            if isinstance(choice, Refusal):
+                return choice
+            denial = await self._acquire_permit(request, choice.candidate.server)
+            if denial is None:
+                return choice
+            if request.key is not None:
+                return denial
+            # Another server may take it; the denied one is left out now.
+
     async def _choose_server(self, request: RequestState) -> Placement | Refusal:
         wait_deadline = self._compute_wait_deadline(request)
         while True:
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -421,7 +421,6 @@
         limits = self._dependencies.limits
         if limits is None:
             return []
-        self._permit_issuer.forget_ended(set(limits.list_limited()))
         return limits.list_next()
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
@@ -527,6 +526,8 @@
         )
         now = self._dependencies.clock.monotonic()
         if self._own_lease is not None:
+            if self._dependencies.limits is not None:
+                self._permit_issuer.forget_ended(set(self._dependencies.limits.list_limited()))
             self._latest_reports.put(report, self._address)
             self._apply_report(report, now)
             self.admitted_share_by_server = self._services.compute_admitted_shares(now)
--- a/src/coltsfootstair/limits/_named.py
+++ b/src/coltsfootstair/limits/_named.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -26,8 +27,14 @@
 """For how long after an answer its statement is told in each message, in seconds, so that the
 loss of some messages does not matter."""
 
-MAX_STATEMENTS = 100
-"""Most statements in one message; further ones follow in the next."""
+MAX_RECENT_STATEMENTS = 60
+"""Most recent statements in one message; further ones follow in the next."""
+
+MAX_CHANGED = 600
+"""Most changes among which heartbeats take turns."""
+
+MAX_REPEATED_STATEMENTS = 30
+"""Most older statements in one heartbeat, for daemons that have missed them."""
 
 
 class LimitObservation(NamedTuple):
@@ -58,7 +65,10 @@
         self._malformed_by_incarnation: dict[tuple[str, int], bytes] = {}
         self._gone_since_by_incarnation: dict[tuple[str, int], float] = {}
         self._on_change: list[Callable[[], None]] = []
-        self._told_count = 0
+        self._turn = 0
+        self._known: list[tuple[str, int]] = []
+        # The last change comes last.
+        self._changed_at_by_incarnation: dict[tuple[str, int], float] = {}
 
     def subscribe(self, on_change: Callable[[], None]) -> None:
         """Call ``on_change`` when an answer to this daemon changes a limit."""
@@ -95,17 +105,28 @@
                 self._put(statement.incarnation, statement.limit_per_s, observed_at)
 
     def list_recent(self) -> list[LimitStatement]:
-        """Return the newest statements of the last ``REPEAT_S``, for the keeper."""
-        return self._list_statements(REPEAT_S)[:MAX_STATEMENTS]
+        """Return statements of the last ``REPEAT_S``, for the keeper; in turn if many."""
+        now = self._clock.monotonic()
+        recent = [
+            incarnation
+            for incarnation, newest in self._newest_by_incarnation.items()
+            if now - newest.observed_at <= REPEAT_S
+        ]
+        return self._state(self._take_turn(recent, MAX_RECENT_STATEMENTS))
 
     def list_next(self) -> list[LimitStatement]:
-        """Return the recent statements and limits in force, in turn, for other daemons."""
-        statements = self._list_statements(math.inf)
-        if len(statements) <= MAX_STATEMENTS:
-            return statements
-        start = self._told_count % len(statements)
-        self._told_count += MAX_STATEMENTS
-        return (statements[start:] + statements[:start])[:MAX_STATEMENTS]
+        """Return recent changes, and all other statements in turn, for other daemons."""
+        now = self._clock.monotonic()
+        while self._changed_at_by_incarnation:
+            oldest = next(iter(self._changed_at_by_incarnation))
+            if now - self._changed_at_by_incarnation[oldest] <= REPEAT_S:
+                break
+            del self._changed_at_by_incarnation[oldest]
+        changed = list(itertools.islice(self._changed_at_by_incarnation, MAX_CHANGED))
+        others = self._take_turn(self._known, MAX_REPEATED_STATEMENTS)
+        return self._state(
+            dict.fromkeys(self._take_turn(changed, MAX_RECENT_STATEMENTS) + others)
+        )
 
     def refuse_malformed(self, incarnation: tuple[str, int], value: bytes) -> None:
         """Record a limit that can't be read; the one in force stays."""
@@ -139,22 +160,32 @@
             gone_since = self._gone_since_by_incarnation.setdefault(incarnation, now)
             if now - gone_since >= MEMORY_S:
                 del self._newest_by_incarnation[incarnation]
+                self._known.remove(incarnation)
                 del self._gone_since_by_incarnation[incarnation]
                 self._malformed_by_incarnation.pop(incarnation, None)
 
-    def _list_statements(self, max_age_s: float) -> list[LimitStatement]:
-        now = self._clock.monotonic()
-        newest_first = sorted(
-            self._newest_by_incarnation.items(),
-            key=lambda item: item[1].observed_at,
-            reverse=True,
-        )
+    def _take_turn(
+        self, incarnations: list[tuple[str, int]], count: int
+    ) -> list[tuple[str, int]]:
+        if len(incarnations) <= count:
+            return incarnations
+        self._turn += 1
+        start = self._turn * count % len(incarnations)
         return [
-            LimitStatement(incarnation, newest.limit_per_s, round(now - newest.observed_at, 3))
-            for incarnation, newest in newest_first
-            if now - newest.observed_at <= max_age_s
+            *incarnations[start : start + count],
+            *incarnations[: max(0, start + count - len(incarnations))],
         ]
 
+    def _state(self, incarnations: Iterable[tuple[str, int]]) -> list[LimitStatement]:
+        now = self._clock.monotonic()
+        statements = []
+        for incarnation in incarnations:
+            newest = self._newest_by_incarnation.get(incarnation)
+            if newest is not None:
+                age_s = round(now - newest.observed_at, 3)
+                statements.append(LimitStatement(incarnation, newest.limit_per_s, age_s))
+        return statements
+
     def _observe(self, incarnation: tuple[str, int], limit_per_s: float | None) -> None:
         is_changed = self.get(incarnation) != limit_per_s
         self._put(incarnation, limit_per_s, self._clock.monotonic())
@@ -166,8 +197,12 @@
         self, incarnation: tuple[str, int], limit_per_s: float | None, observed_at: float
     ) -> None:
         previous = self.get(incarnation)
+        if incarnation not in self._newest_by_incarnation:
+            self._known.append(incarnation)
         self._newest_by_incarnation[incarnation] = LimitObservation(limit_per_s, observed_at)
         if limit_per_s != previous:
+            self._changed_at_by_incarnation.pop(incarnation, None)
+            self._changed_at_by_incarnation[incarnation] = self._clock.monotonic()
             logger.info(
                 'backend server limited'
                 if limit_per_s is not None
--- a/tests/limits/test_named.py
+++ b/tests/limits/test_named.py
@@ -7,6 +7,12 @@
 
 from coltsfootstair.clock import ManualClock
 from coltsfootstair.limits import NamedLimits
+from coltsfootstair.limits._named import (
+    MAX_RECENT_STATEMENTS,
+    MAX_REPEATED_STATEMENTS,
+    MEMORY_S,
+    REPEAT_S,
+)
 
 SERVER = ('s1', 1)
 
@@ -55,3 +61,43 @@
         ('backend server limited', 1.0),
         ('limit of backend server ended', None),
     ]
+
+
+def test_messages_stay_bounded_and_tell_of_thousands_of_limits_in_turn() -> None:
+    clock = ManualClock()
+    limits, other = NamedLimits(clock), NamedLimits(clock)
+    for number in range(1000):
+        limits.name((f's{number}', 1), 2.5)
+    assert len(limits.list_recent()) <= MAX_RECENT_STATEMENTS
+    clock.advance(REPEAT_S + 0.1)
+    for _ in range(1000 // MAX_REPEATED_STATEMENTS + 1):
+        statements = limits.list_next()
+        assert len(statements) <= MAX_RECENT_STATEMENTS + MAX_REPEATED_STATEMENTS
+        other.apply(statements)
+    assert len(other.list_limited()) == 1000
+
+
+def test_the_newer_answer_counts_whichever_daemon_got_it() -> None:
+    clock = ManualClock()
+    limits, other = NamedLimits(clock), NamedLimits(clock)
+    limits.name(SERVER, 2.5)
+    clock.advance(0.1)
+    other.apply(limits.list_next())
+    assert other.get(SERVER) == 2.5
+    other.end(SERVER)
+    clock.advance(0.1)
+    other.apply(limits.list_next())
+    assert other.get(SERVER) is None
+    limits.apply(other.list_recent())
+    assert limits.get(SERVER) is None
+
+
+def test_a_limit_outlasts_a_missing_entry_for_a_while() -> None:
+    clock = ManualClock()
+    limits = NamedLimits(clock)
+    limits.name(SERVER, 2.5)
+    limits.forget_ended(lambda _: False)
+    assert limits.get(SERVER) == 2.5
+    clock.advance(MEMORY_S)
+    limits.forget_ended(lambda _: False)
+    assert limits.get(SERVER) is None
