Bound what heartbeats tell of suspects, and tell a restarted keeper again

Heartbeats now have the changes of the last 2 s and six repeated suspects in turn. Daemons now tell again at the first heartbeat of another epoch.

--- a/src/coltsfootstair/crashes/_suspects.py
+++ b/src/coltsfootstair/crashes/_suspects.py
@@ -43,11 +43,20 @@
 """Number of crashes that are remembered of one suspect, the newest ones."""
 
 MAX_STATEMENTS = 60
-"""Most statements in one message; further ones follow in the next."""
+"""Most statements of changes in one message; further ones follow in the next."""
+
+MAX_REPEATED_STATEMENTS = 6
+"""Most older statements in one heartbeat, for daemons that have missed them."""
 
 REPEAT_COUNT = 3
 """Number of reports that tell of a change, since datagrams may be lost."""
 
+CHANGE_MEMORY_S = 2.0
+"""For how long heartbeats tell of a change, in seconds."""
+
+UNTOLD_S = 10.0
+"""Age up to which a new keeper is told of a suspect with one crash, in seconds."""
+
 
 class Verdict(enum.Enum):
     """What may be done with a request.
@@ -82,12 +91,11 @@
     :ivar run_at: monotonic time of its last run to the end, which clears it of crashes before
     """
 
-    __slots__ = ('crash_by_incarnation', 'run_at', 'told_count')
+    __slots__ = ('crash_by_incarnation', 'run_at')
 
     def __init__(self) -> None:
         self.crash_by_incarnation: dict[tuple[str, int], _Crash] = {}
         self.run_at = -math.inf
-        self.told_count = 0
 
     @property
     def last_crash_at(self) -> float:
@@ -139,7 +147,13 @@
         self._count = count
         self._suspect_by_fingerprint: dict[bytes, _Suspect] = {}
         self._on_change: list[Callable[[], None]] = []
-        self._next_offset = 0
+        self._turn = 0
+        # Number of reports that have told of a change.
+        self._told_count_by_fingerprint: dict[bytes, int] = {}
+        # The last change comes last.
+        self._changed_at_by_fingerprint: dict[bytes, float] = {}
+        # Suspects with several crashes, as an ordered set: the values are ``None``.
+        self._repeated: dict[bytes, None] = {}
         self._verdict_by_fingerprint: dict[bytes, Verdict] = {}
 
     @property
@@ -202,6 +216,7 @@
             self._merge(
                 fingerprint, [_Crash(incarnation, sent_at, ended_at, is_trial)], -math.inf
             )
+            self._told_count_by_fingerprint[fingerprint] = 0
         self._notify()
 
     def record_run(self, fingerprints: Iterable[bytes]) -> None:
@@ -211,6 +226,7 @@
             suspect = self._suspect_by_fingerprint.get(fingerprint)
             if suspect is not None and suspect.crash_by_incarnation:
                 self._merge(fingerprint, [], self._clock.monotonic())
+                self._told_count_by_fingerprint[fingerprint] = 0
                 is_changed = True
         if is_changed:
             self._count('cleared')
@@ -234,42 +250,53 @@
 
     def list_changed(self) -> list[SuspectStatement]:
         """Return what the keeper may not know yet, the most crashes first."""
-        changed = [
-            (fingerprint, suspect)
-            for fingerprint, suspect in self._suspect_by_fingerprint.items()
-            if suspect.told_count < REPEAT_COUNT
-        ]
-        changed.sort(key=lambda item: (item[1].told_count, -len(item[1].crash_by_incarnation)))
-        for _, suspect in changed[:MAX_STATEMENTS]:
-            suspect.told_count += 1
-        return [self._state(*item) for item in changed[:MAX_STATEMENTS]]
+        self._forget_old()
+        untold = sorted(
+            self._told_count_by_fingerprint.items(),
+            key=lambda item: (item[1], -self._count_known_crashes(item[0])),
+        )[:MAX_STATEMENTS]
+        for fingerprint, told_count in untold:
+            if told_count + 1 < REPEAT_COUNT:
+                self._told_count_by_fingerprint[fingerprint] = told_count + 1
+            else:
+                del self._told_count_by_fingerprint[fingerprint]
+        return [self._state(fingerprint) for fingerprint, _ in untold]
 
     def list_next(self) -> list[SuspectStatement]:
-        """Return what other daemons may not know, in turn; repeated suspects come first."""
-        self._forget_old()
-        repeated: list[tuple[bytes, _Suspect]] = []
-        others: list[tuple[bytes, _Suspect]] = []
-        for item in self._suspect_by_fingerprint.items():
-            (repeated if len(item[1].crash_by_incarnation) > 1 else others).append(item)
-        repeated_part = self._take_turn(repeated, MAX_STATEMENTS // 2)
-        others_part = self._take_turn(others, MAX_STATEMENTS - len(repeated_part))
-        self._next_offset += 1
-        return [self._state(*item) for item in repeated_part + others_part]
+        """Return recent changes, and repeated suspects in turn, for other daemons."""
+        now = self._clock.monotonic()
+        changed = self._changed_at_by_fingerprint
+        while changed:
+            oldest = next(iter(changed))
+            if now - changed[oldest] <= CHANGE_MEMORY_S:
+                break
+            del changed[oldest]
+        repeated = list(self._repeated)
+        changed_now = sorted(changed, key=lambda one: one not in self._repeated)
+        chosen = self._take_turn(repeated, MAX_REPEATED_STATEMENTS) + self._take_turn(
+            changed_now, MAX_STATEMENTS
+        )
+        self._turn += 1
+        return [self._state(fingerprint) for fingerprint in dict.fromkeys(chosen)]
 
     def tell_again(self) -> None:
-        """Tell a new keeper of everything that is known."""
-        for suspect in self._suspect_by_fingerprint.values():
-            suspect.told_count = 0
-
-    def _take_turn(
-        self, items: list[tuple[bytes, _Suspect]], count: int
-    ) -> list[tuple[bytes, _Suspect]]:
-        if len(items) <= count:
-            return items
-        start = self._next_offset * count % len(items)
-        return (items[start:] + items[:start])[:count]
-
-    def _state(self, fingerprint: bytes, suspect: _Suspect) -> SuspectStatement:
+        """Tell a new keeper, which may know nothing, of repeated suspects and new ones."""
+        now = self._clock.monotonic()
+        for fingerprint, suspect in self._suspect_by_fingerprint.items():
+            if fingerprint in self._repeated or now - suspect.last_change_at <= UNTOLD_S:
+                self._told_count_by_fingerprint[fingerprint] = 0
+
+    def _take_turn(self, fingerprints: list[bytes], count: int) -> list[bytes]:
+        if len(fingerprints) <= count:
+            return fingerprints
+        start = self._turn * count % len(fingerprints)
+        return (fingerprints[start:] + fingerprints[:start])[:count]
+
+    def _count_known_crashes(self, fingerprint: bytes) -> int:
+        return len(self._suspect_by_fingerprint[fingerprint].crash_by_incarnation)
+
+    def _state(self, fingerprint: bytes) -> SuspectStatement:
+        suspect = self._suspect_by_fingerprint[fingerprint]
         now = self._clock.monotonic()
         return SuspectStatement(
             fingerprint,
@@ -288,8 +315,8 @@
     def _merge(self, fingerprint: bytes, crashes: list[_Crash], run_at: float) -> None:
         suspect = self._suspect_by_fingerprint.get(fingerprint)
         if suspect is None:
-            suspect = self._suspect_by_fingerprint[fingerprint] = _Suspect()
             self._drop_least()
+            suspect = self._suspect_by_fingerprint[fingerprint] = _Suspect()
         known = set(suspect.crash_by_incarnation)
         known_run_at = suspect.run_at
         suspect.run_at = max(suspect.run_at, run_at)
@@ -298,7 +325,12 @@
         suspect.drop_cleared()
         if set(suspect.crash_by_incarnation) == known and suspect.run_at <= known_run_at + 1.0:
             return
-        suspect.told_count = 0
+        self._changed_at_by_fingerprint.pop(fingerprint, None)
+        self._changed_at_by_fingerprint[fingerprint] = self._clock.monotonic()
+        if len(suspect.crash_by_incarnation) > 1:
+            self._repeated[fingerprint] = None
+        else:
+            self._repeated.pop(fingerprint, None)
         self._update_verdict(fingerprint, suspect)
 
     def _update_verdict(self, fingerprint: bytes, suspect: _Suspect) -> None:
@@ -322,16 +354,18 @@
             )
 
     def _drop_least(self) -> None:
-        if len(self._suspect_by_fingerprint) <= MAX_SUSPECTS:
+        """Make room for a tenth more suspects if there are too many."""
+        if len(self._suspect_by_fingerprint) < MAX_SUSPECTS:
             return
-        least = min(
+        least_first = sorted(
             self._suspect_by_fingerprint,
             key=lambda fingerprint: (
-                len(self._suspect_by_fingerprint[fingerprint].crash_by_incarnation),
+                self._count_known_crashes(fingerprint),
                 self._suspect_by_fingerprint[fingerprint].last_change_at,
             ),
         )
-        self._forget(least)
+        for fingerprint in least_first[: MAX_SUSPECTS // 10]:
+            self._forget(fingerprint)
 
     def _forget_old(self) -> None:
         now = self._clock.monotonic()
@@ -342,7 +376,13 @@
 
     def _forget(self, fingerprint: bytes) -> None:
         del self._suspect_by_fingerprint[fingerprint]
-        self._verdict_by_fingerprint.pop(fingerprint, None)
+        for by_fingerprint in (
+            self._verdict_by_fingerprint,
+            self._told_count_by_fingerprint,
+            self._changed_at_by_fingerprint,
+            self._repeated,
+        ):
+            by_fingerprint.pop(fingerprint, None)
 
     def _notify(self) -> None:
         for on_change in self._on_change:
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -119,7 +119,6 @@
         self.suspects = SuspectRequests(clock, count_suspect)
         self.crash_evidence = CrashEvidence(clock, self.suspects)
         self.trials = TrialClient(name, request_trial)
-        self._reported_epoch = 0
         self.limits = NamedLimits(clock, count_limit)
         self.limit_gate = LimitGate(
             name,
@@ -358,9 +357,6 @@
         self.limits.forget_ended(self._has_entry)
         self.limit_gate.forget_ended()
         self.crash_evidence.decide(self._has_entry)
-        if epoch != self._reported_epoch:
-            self._reported_epoch = epoch
-            self.suspects.tell_again()
         return Report(
             self._name,
             epoch,
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -153,6 +153,8 @@
         self._stopping = False
         self._is_releasing = False
         self._wake_event = asyncio.Event()
+        # Epoch of the last heartbeat; the lease may be read later.
+        self._heard_epoch = 0
         # Whether a heartbeat has come since the known lease last changed.
         self._has_heartbeat_under_lease = False
         self.admitted_share_by_server: dict[str, float] = {}
@@ -443,7 +445,10 @@
         if self._dependencies.limits is not None:
             self._dependencies.limits.apply(heartbeat.limit_statements)
         if self._dependencies.suspects is not None:
+            if heartbeat.epoch != self._heard_epoch:
+                self._dependencies.suspects.tell_again()
             self._dependencies.suspects.apply(heartbeat.suspect_statements)
+        self._heard_epoch = heartbeat.epoch
         if heartbeat.store_reachable:
             self._keeper_store_unreachable_since = None
         elif self._keeper_store_unreachable_since is None:
