--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -344,6 +344,12 @@
             },
             'service',
         )
+        self.metrics.add_gauge(
+            'coltsfootstair.store_unheard',
+            'Seconds since the store or the keeper last told the state of a kind of objects',
+            lambda: {follower.kind: follower.unheard_s for follower in self._followers},
+            'kind',
+        )
         self.metrics.add_gauge(
             'coltsfootstair.paused_servers',
             'Usable backend servers that have asked this daemon for a pause, by service',
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -110,7 +110,7 @@
         self._registry = registry
         self._ownership = ownership
         self._fleet = fleet
-        self._sender = Sender(dialect, registry, fleet, pool, clock)
+        self._sender = Sender(dialect, registry, fleet, pool, clock, metrics.count_late_send)
         self._clock = clock
         self._random = random_source
         self._data_centre = data_centre
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -5,7 +5,7 @@
 import asyncio
 import enum
 import functools
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from coltsfootstair.crashes import EndedExchange, compute_fingerprints
 from coltsfootstair.gateway._leaving import HeadObserver
@@ -13,6 +13,8 @@
 from coltsfootstair.routes import RequestKind
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._fleet import Fleet
     from coltsfootstair.gateway._trace import RequestTrace
@@ -178,11 +180,13 @@
         fleet: Fleet,
         pool: ConnectionPool,
         clock: Clock,
+        count_late_send: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._dialect = dialect
         self._fleet = fleet
         self._pool = pool
         self._clock = clock
+        self._count_late_send = count_late_send
         self._registry = registry
         self._suspects = fleet.suspects
         self._crash_evidence = fleet.crash_evidence
@@ -229,6 +233,9 @@
         request.may_have_run = True
         incoming = request.incoming
         started_at = self._clock.monotonic()
+        unusable_s = self._registry.unusable_for_s(server.name)
+        if unusable_s > 0:
+            self._record_late_send(request, 'unusable server', server, unusable_s=unusable_s)
         headers = self._dialect.build_request_headers(
             incoming.headers, request.times_out_at + ANSWER_MARGIN_S - started_at, server
         )
@@ -247,6 +254,13 @@
             )
         except asyncio.CancelledError:
             now = self._clock.monotonic()
+            if connection.unacknowledged_bytes:
+                self._record_late_send(
+                    request,
+                    'held up',
+                    server,
+                    unacknowledged_bytes=connection.unacknowledged_bytes,
+                )
             # A shorter wait than expected says nothing about the server.
             if now - started_at > estimate.estimate_latency_s(now):
                 estimate.on_no_answer(now)
@@ -269,6 +283,17 @@
             request.may_have_run = may_have_run_before
         return result
 
+    def _record_late_send(
+        self, request: RequestState, reason: str, server: BackendServer, **fields: Any
+    ) -> None:
+        """Count a request that might arrive after its server has left, and say so in its log.
+
+        :param fields: for how long the server has been unusable, or what was held up
+        """
+        self._count_late_send(reason)
+        now = self._clock.monotonic()
+        request.trace.add_step('late send', now, reason=reason, server=server.name, **fields)
+
     async def _get_connection(
         self, request: RequestState, server: BackendServer
     ) -> Connection:
--- a/src/coltsfootstair/metrics/_gateway.py
+++ b/src/coltsfootstair/metrics/_gateway.py
@@ -48,6 +48,10 @@
             'coltsfootstair.suspect_requests',
             description='Requests under which backend servers ended, by what happened',
         )
+        self._late_sends = self._meter.create_counter(
+            'coltsfootstair.late_sends',
+            description='Requests that might arrive after their server has left, by reason',
+        )
         self._labelled_routes: set[str] = set()
 
     def count_request(self, route: str, outcome: str, duration_s: float) -> None:
@@ -76,6 +80,10 @@
         """Count one answer that states something of a limit, or a request under a limit."""
         self._limits.add(1, {'outcome': outcome})
 
+    def count_late_send(self, reason: str) -> None:
+        """Count a request sent to an unusable server, or with bytes held up on their way."""
+        self._late_sends.add(1, {'reason': reason})
+
     def count_suspect(self, outcome: str) -> None:
         """Count what happens to a request under which backend servers ended."""
         self._suspects.add(1, {'outcome': outcome})
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -144,6 +144,7 @@
         self._may_list_stale = True
         self._listed_era: int | None = None
         self._publish: Callable[[RelayedChanges], None] | None = None
+        self._known_at = clock.monotonic()
 
     @property
     def kind(self) -> str:
@@ -155,6 +156,11 @@
         """Revision of the store up to which the kind is known; 0 before the first listing."""
         return self._revision or 0
 
+    @property
+    def unheard_s(self) -> float:
+        """Time since the store or the keeper last told the state of the kind, in seconds."""
+        return self._clock.monotonic() - self._known_at
+
     def publish_to(self, receiver: Callable[[RelayedChanges], None]) -> None:
         """Call ``receiver`` with the changes worth relaying of each answer to a watch."""
         self._publish = receiver
@@ -170,6 +176,7 @@
         ):
             return
         self._revision = update.revision
+        self._known_at = self._clock.monotonic()
         for change in update.changes:
             self._subscriber.apply_change(change, after_outage=self._may_be_outage_effect())
 
@@ -259,6 +266,7 @@
 
     def _on_call_answered(self) -> None:
         self._health.record_answer(self)
+        self._known_at = self._clock.monotonic()
         if not self._consecutive_failure_count:
             return
         logger.info(
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -133,20 +133,25 @@
     :param servers: service and stand-in of each backend server
     :param limits: limits for callers in the configuration
     """
-    async with run_gateways(1, *servers, grace_s=grace_s, **limits) as gateways:
+    async with run_gateways(1, *servers, grace_s=grace_s, store=None, **limits) as gateways:
         yield gateways[0]
 
 
 @contextlib.asynccontextmanager
 async def run_gateways(
-    count: int, *servers: tuple[str, ServerStandin], grace_s: float = 6.0, **limits: int
+    count: int,
+    *servers: tuple[str, ServerStandin],
+    grace_s: float = 6.0,
+    store: StoreStandin | None = None,
+    **limits: int,
 ) -> AsyncIterator[list[RunningGateway]]:
     """Run several gateways that share a store until the block ends.
 
     :param servers: service and stand-in of each backend server
+    :param store: the store to use, not yet started; by default one without faults
     :param limits: limits for callers in the configuration
     """
-    store = StoreStandin()
+    store = store or StoreStandin()
     async with run_listeners(store, *(server for _, server in servers)):
         await store.put('config', 'main', build_configuration(**limits))
         for service, server in servers:
