Replace a watch that is not answered in time

The store's page says that a connection on which a response is lost returns nothing further; a daemon waited for such a watch for 12 s and 1.5 s more, and the keeper's heartbeats vouched for its reads by the age of its last read of the lease, another call. So one lost answer hid a leaving server from all daemons while the store was up.

Watches wait 0.6 s (evacuations 2 s), one that is not answered 0.4 s later is replaced by a call without a wait, and the keeper's heartbeats say that it does not have the store while its reads are overdue.

That the users' report has this cause is not shown: it names none.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -57,6 +57,16 @@
 """Pause before the configuration is watched again, in seconds; a twentieth of the time in
 which a new version must be in force."""
 
+MAX_SERVERS_WATCH_S = 0.6
+"""Longest wait of a watch for entries of backend servers, in seconds. A dead watch is noticed
+0.4 s later, half of the time after which a draining server must get no new requests."""
+
+MAX_CONFIGURATION_WATCH_S = 0.6
+"""The same for the configuration, which must be in force after the same time."""
+
+MAX_EVACUATIONS_WATCH_S = 2.0
+"""The same for evacuations, which take effect within five seconds."""
+
 BALANCER_REACTION_S = 2.5
 """How long load balancers may still send callers to a daemon that is no longer ready, in
 seconds. A load balancer needs two failed readiness probes, which are a second apart."""
@@ -498,6 +508,7 @@
             self._fleet.limit_gate.on_answer,
             self._fleet.suspects,
             self._fleet.trials.on_answer,
+            lambda: any(follower.is_overdue for follower in self._followers),
         )
 
     def _compute_keeper_capacity(self) -> float:
@@ -528,15 +539,27 @@
                 self._relay,
                 watch_pause_s,
                 self._settings.store.history_s,
+                max_watch_s,
             )
-            for kind, subscriber, watch_pause_s in (
+            for kind, subscriber, watch_pause_s, max_watch_s in (
                 (
                     kinds.configuration,
                     self._configuration_subscriber,
                     CONFIGURATION_WATCH_PAUSE_S,
+                    MAX_CONFIGURATION_WATCH_S,
+                ),
+                (
+                    kinds.backend_servers,
+                    server_subscriber,
+                    SERVERS_WATCH_PAUSE_S,
+                    MAX_SERVERS_WATCH_S,
+                ),
+                (
+                    kinds.evacuations,
+                    evacuation_subscriber,
+                    SERVERS_WATCH_PAUSE_S,
+                    MAX_EVACUATIONS_WATCH_S,
                 ),
-                (kinds.backend_servers, server_subscriber, SERVERS_WATCH_PAUSE_S),
-                (kinds.evacuations, evacuation_subscriber, SERVERS_WATCH_PAUSE_S),
             )
         ]
 
--- a/src/coltsfootstair/keyspace/_dependencies.py
+++ b/src/coltsfootstair/keyspace/_dependencies.py
@@ -64,6 +64,8 @@
     :param suspects: requests under which backend servers ended; ``None`` if they are not
         recorded
     :param on_trial_answer: called with the keeper's word on a trial of such a request
+    :param are_changes_overdue: returns whether this daemon may not know all changed objects,
+        since the store has not told of them in time
     """
 
     store: ObjectStore
@@ -89,3 +91,4 @@
     on_permit_answer: Callable[[PermitAnswer], None] = lambda _answer: None
     suspects: SuspectRequests | None = None
     on_trial_answer: Callable[[TrialAnswer], None] = lambda _answer: None
+    are_changes_overdue: Callable[[], bool] = lambda: False
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -465,7 +465,8 @@
         heartbeat = Heartbeat(
             self.name,
             self._own_lease.epoch,
-            now - self._lease_confirmed_at <= MAX_STORE_ANSWER_AGE_S,
+            now - self._lease_confirmed_at <= MAX_STORE_ANSWER_AGE_S
+            and not self._dependencies.are_changes_overdue(),
             len(self._latest_reports.list_recent()),
             self.admitted_share_by_server,
             self.unresponsive_servers,
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -29,6 +29,10 @@
 """Share of the store's history after which a watch without changes ends. It returns a newer
 revision; after one that is older than the history, all objects must be listed again."""
 
+WATCH_ANSWER_DELAY_S = 0.4
+"""How long after the end of its wait a watch may be answered, in seconds. One that is not is
+taken for dead: its answer was lost, and its connection returns nothing further."""
+
 FIRST_RETRY_DELAY_S = 0.1
 """Maximum delay after the first failed call, in seconds; doubles with each further one. The
 delay is random, from half the maximum. Also the maximum delay before a kind is listed again,
@@ -114,6 +118,8 @@
     :param history_s: how long the store keeps changes, in seconds
     :param watch_pause_s: pause between the answer to a watch and the next watch, in seconds,
         so that changes in quick succession need only one call
+    :param max_watch_s: longest wait of a watch for a change, in seconds; a dead watch hides
+        changes for as long
     """
 
     def __init__(
@@ -127,6 +133,7 @@
         relay: Relay,
         watch_pause_s: float,
         history_s: float,
+        max_watch_s: float = MAX_WATCH_TIMEOUT_S,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -136,11 +143,12 @@
         self._health = health
         self._relay = relay
         self._watch_pause_s = watch_pause_s
-        self._watch_timeout_s = min(MAX_WATCH_TIMEOUT_S, WATCH_HISTORY_SHARE * history_s)
+        self._watch_timeout_s = min(max_watch_s, WATCH_HISTORY_SHARE * history_s)
         self._revision: int | None = None
         self._consecutive_failure_count = 0
         self._outage_ended_at: float | None = None
         self._must_catch_up = False
+        self._is_watch_dead = False
         self._may_list_stale = True
         self._listed_era: int | None = None
         self._publish: Callable[[RelayedChanges], None] | None = None
@@ -161,6 +169,12 @@
         """Time since the store or the keeper last told the state of the kind, in seconds."""
         return self._clock.monotonic() - self._known_at
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether changes may be unknown, since the last watch is not answered in time."""
+        longest_s = self._watch_timeout_s + self._watch_pause_s + WATCH_ANSWER_DELAY_S
+        return self.unheard_s > longest_s
+
     def publish_to(self, receiver: Callable[[RelayedChanges], None]) -> None:
         """Call ``receiver`` with the changes worth relaying of each answer to a watch."""
         self._publish = receiver
@@ -229,7 +243,14 @@
         )
         self._must_catch_up = False
         previous_revision = self._revision
-        answer = await self._store.watch(self._kind, previous_revision, wait_s)
+        try:
+            # A call without a wait has the time-out of the store's client.
+            async with asyncio.timeout(wait_s + WATCH_ANSWER_DELAY_S if wait_s else None):
+                answer = await self._store.watch(self._kind, previous_revision, wait_s)
+        except TimeoutError:
+            self._on_watch_dead(previous_revision)
+            return
+        self._is_watch_dead = self._is_watch_dead and not wait_s
         self._on_call_answered()
         if answer.revision <= self._revision:
             return
@@ -258,6 +279,15 @@
         await asyncio.sleep(MAX_RELAY_DELAY_S)
         return self._relay.get_keeper_revision(self._kind) > self.revision
 
+    def _on_watch_dead(self, after_revision: int) -> None:
+        """Ask at once what the watch has missed."""
+        self._must_catch_up = True
+        if not self._is_watch_dead:
+            self._is_watch_dead = True
+            logger.warning(
+                'watch not answered', kind=self._kind, after_revision=after_revision
+            )
+
     def _on_call_failed(self, error: Exception) -> None:
         self._consecutive_failure_count += 1
         self._health.record_failure(self)
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -291,3 +291,45 @@
         ('restored ', True),
         ('listed ', True),
     ]
+
+
+def test_a_watch_that_is_not_answered_in_time_is_replaced_at_once() -> None:
+    """Guards against waiting for an answer that was lost, while the store is up."""
+    gap = object()
+
+    class DeafStore(ScriptedStore):
+        async def watch(self, kind: str, after_revision: int, wait_s: float) -> WatchAnswer:
+            if self.script and self.script[0] is gap:
+                self.script.pop(0)
+                self.calls.append('lost')
+                await asyncio.Event().wait()
+            return await super().watch(kind, after_revision, wait_s)
+
+    async def scenario() -> list[tuple[bool, int]]:
+        clock = LoopClock()
+        follower = Follower(
+            store,
+            'servers',
+            RecordingSubscriber(),
+            clock,
+            random.Random(1),
+            StoreHealth(),
+            Relay(),
+            0.1,
+            50.0,
+            max_watch_s=0.6,
+        )
+        task = asyncio.create_task(follower.run())
+        seen = []
+        for _ in range(6):
+            await asyncio.sleep(0.2)
+            seen.append((follower.is_overdue, follower.revision))
+        task.cancel()
+        return seen
+
+    change = Change(_object('b', 6), False)
+    store = DeafStore(Listing([_object('a', 3)], 5), gap, WatchAnswer([change], 6))
+    seen = run(scenario())
+    assert store.calls == ['list', 'lost', 'watch 5 0', 'watch 6 0.6']
+    assert [revision for _, revision in seen] == [5, 5, 5, 5, 5, 6]
+    assert not any(is_overdue for is_overdue, _ in seen)
