Look at a server's entry again before a request is sent

A request that had been placed waited for a permit (half the target latency) or a connection (0.4 s) and was sent although the daemon had learnt meanwhile that the server drains, is gone or is evacuated; the last look asked for the server's own word in answers only. On top of a slow reading of the change and the 0.3 s for owners this could pass drain-timeout-ms.

The last look now asks for the entry, its incarnation and evacuations too, with the same grace for owners. test_a_server_that_leaves_while_a_connection_opens failed before for all three words (200, the server ran the request) and passes; the request goes to another server or is refused as not run.

--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -110,7 +110,16 @@
         self._registry = registry
         self._ownership = ownership
         self._fleet = fleet
-        self._sender = Sender(dialect, registry, fleet, pool, clock, metrics.count_late_send)
+        self._unusable_owner_grace_s = UNUSABLE_OWNER_GRACE_SHARE * drain_s
+        self._sender = Sender(
+            dialect,
+            registry,
+            fleet,
+            pool,
+            clock,
+            self._unusable_owner_grace_s,
+            metrics.count_late_send,
+        )
         self._clock = clock
         self._random = random_source
         self._data_centre = data_centre
@@ -118,7 +127,6 @@
         self._request_log = request_log
         self._timeouts: set[asyncio.Timeout] = set()
         self._active_requests: dict[int, RequestState] = {}
-        self._unusable_owner_grace_s = UNUSABLE_OWNER_GRACE_SHARE * drain_s
         self._leaving_owners = LeavingOwners(registry, ownership, clock)
         self._admission = AdmissionGate(get_admitted_share_by_server, clock)
 
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -171,7 +171,13 @@
 
 
 class Sender:
-    """Sends requests over idle or new connections and classifies the answers."""
+    """Sends requests over idle or new connections and classifies the answers.
+
+    :param unusable_owner_grace_s: how long an owner that is draining or evacuated still gets
+        the requests of its keys, in seconds
+    :param count_late_send: called with the reason of each request that might arrive after its
+        server has left
+    """
 
     def __init__(
         self,
@@ -180,12 +186,14 @@
         fleet: Fleet,
         pool: ConnectionPool,
         clock: Clock,
+        unusable_owner_grace_s: float,
         count_late_send: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._dialect = dialect
         self._fleet = fleet
         self._pool = pool
         self._clock = clock
+        self._unusable_owner_grace_s = unusable_owner_grace_s
         self._count_late_send = count_late_send
         self._registry = registry
         self._suspects = fleet.suspects
@@ -223,8 +231,8 @@
             # The limit was named or lowered, or the permit expired, while it was opened.
             self._pool.release(connection)
             return AttemptResult(Outcome.NOT_SENT, None, 'the server has named a limit')
-        if self._registry.is_leaving(server.incarnation):
-            # It said so while the connection was opened.
+        if not self._may_reach(request, server):
+            # It began to leave while the request waited for a permit or a connection.
             connection.close()
             return AttemptResult(Outcome.NOT_SENT, None, f'{server.name} is leaving')
         request.attempt_count += 1
@@ -283,6 +291,20 @@
             request.may_have_run = may_have_run_before
         return result
 
+    def _may_reach(self, request: RequestState, server: BackendServer) -> bool:
+        """Whether a request may be sent now, by the server's own word and by its entry."""
+        known = self._registry.get(server.name)
+        if (
+            self._registry.is_leaving(server.incarnation)
+            or known is None
+            or known.incarnation != server.incarnation
+        ):
+            return False
+        unusable_s = self._registry.unusable_for_s(server.name)
+        return unusable_s == 0 or (
+            request.key is not None and unusable_s < self._unusable_owner_grace_s
+        )
+
     def _record_late_send(
         self, request: RequestState, reason: str, server: BackendServer, **fields: Any
     ) -> None:
--- a/tests/gateway/test_late_sends.py
+++ b/tests/gateway/test_late_sends.py
@@ -7,6 +7,9 @@
 import urllib.parse
 from collections.abc import AsyncIterator
 
+import pytest
+
+from coltsfootstair.http1 import Address, AnswerLimiter, Connection
 from tests.coltsfootstair_platform.standin import (
     ReceivedRequest,
     ServerStandin,
@@ -76,3 +79,47 @@
 
     before, after = run_with_time_limit(work())
     assert after == before
+
+
+@pytest.mark.parametrize('word', ['draining', 'gone', 'evacuated'])
+def test_a_server_that_leaves_while_a_connection_opens_gets_no_request(
+    monkeypatch: pytest.MonkeyPatch, word: str
+) -> None:
+    """Guards against a last look that does not ask for the store's word on the server."""
+    leaving = ServerStandin('s1')
+    is_opening = asyncio.Event()
+    may_open = asyncio.Event()
+    open_connection = Connection.open
+
+    async def open_late(
+        address: Address,
+        id_header: bytes,
+        timeout_s: float,
+        limiter: AnswerLimiter | None = None,
+    ) -> Connection:
+        if address.port == leaving.port:
+            is_opening.set()
+            await may_open.wait()
+        return await open_connection(address, id_header, timeout_s, limiter)
+
+    async def work() -> int:
+        async with run_gateways(1, ('calendar', leaving)) as (running,):
+            call = asyncio.ensure_future(running.call('lookups'))
+            await is_opening.wait()
+            store = running.store
+            match word:
+                case 'draining':
+                    entry = leaving.build_entry('calendar', state='draining')
+                    await store.put('servers', 's1', entry)
+                case 'gone':
+                    await store.delete('servers', 's1')
+                case _:
+                    await store.put('evacuations', 'north', {})
+            # Longer than a daemon takes to read the change.
+            await asyncio.sleep(0.6)
+            may_open.set()
+            return (await call).status
+
+    monkeypatch.setattr(Connection, 'open', open_late)
+    assert run_with_time_limit(work()) == 503, 'no other server is there'
+    assert not leaving.received
