Record which network paths to backend servers a daemon has lost

A path is lost from a failed connection, a broken exchange, a grant call without an answer, or a request that the server's TCP has not acknowledged after 0.35 s, until anything comes from the server. Log lines, a gauge, and whether most paths in use are lost. No request is handled differently.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -372,6 +372,15 @@
             },
             'service',
         )
+        self.metrics.add_gauge(
+            'coltsfootstair.paths',
+            'Backend servers to which the path is lost, and whether most paths in use are',
+            lambda: {
+                'lost': len(self._fleet.paths.list_lost()),
+                'cut_off': int(self._fleet.paths.is_cut_off),
+            },
+            'what',
+        )
         self.metrics.add_gauge(
             'coltsfootstair.limited_servers',
             'Backend servers whose answers name a limit for all daemons together, by service',
@@ -509,6 +518,7 @@
             self._fleet.suspects,
             self._fleet.trials.on_answer,
             lambda: any(follower.is_overdue for follower in self._followers),
+            self._fleet.paths,
         )
 
     def _compute_keeper_capacity(self) -> float:
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -14,6 +14,7 @@
     Candidate,
     LoadEstimate,
     RequestPacer,
+    ServerPaths,
     ServerPauses,
     ServiceMean,
     compute_limit_without_report,
@@ -77,6 +78,7 @@
     :ivar limit_gate: permits for this daemon's requests to limited servers
     :ivar suspects: requests under which servers ended
     :ivar trials: trials of this daemon's requests under which several servers ended
+    :ivar paths: state of this daemon's network paths to the backend servers
     :ivar crash_evidence: exchanges that may have ended with their server
     :param is_first_start: whether no earlier process of this daemon can have used its share of
         the slack of retries
@@ -133,6 +135,7 @@
             -math.inf if is_first_start else clock.monotonic() + retries.window_s
         )
         self._pauses = ServerPauses()
+        self.paths = ServerPaths(clock)
         # So that equal malformed values of one server are logged once.
         self._malformed_retry_after_by_incarnation: dict[tuple[str, int], bytes] = {}
         self._budget_by_service: dict[str, WindowRetryBudget] = {}
@@ -355,6 +358,7 @@
         self._probe_pacer.forget_ended(known_incarnations)
         self._pauses.forget_ended(self._clock.monotonic())
         self.limits.forget_ended(self._has_entry)
+        self.paths.forget_ended(self._has_entry)
         self.limit_gate.forget_ended()
         self.crash_evidence.decide(self._has_entry)
         return Report(
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -19,7 +19,7 @@
     from coltsfootstair.gateway._fleet import Fleet
     from coltsfootstair.gateway._trace import RequestTrace
     from coltsfootstair.gateway._types import Dialect
-    from coltsfootstair.http1 import Connection, ConnectionPool, IncomingRequest
+    from coltsfootstair.http1 import Connection, ConnectionPool, Headers, IncomingRequest
     from coltsfootstair.limits import Permit
     from coltsfootstair.placement import Pause
     from coltsfootstair.registry import BackendServer, Registry
@@ -48,6 +48,10 @@
 """Time from the end of an exchange to the connection that tells whether its server has ended,
 in seconds. The sockets of a process that ends close one after the other."""
 
+HELD_UP_AFTER_S = 0.35
+"""Time without an acknowledgement of the server's TCP after which its path counts as lost, in
+seconds: TCP repeats a lost packet after 0.2 s, many times the delay between data centres."""
+
 MIN_SERVER_ERROR_STATUS = 500
 """Lowest status that reports a failure of the server."""
 
@@ -196,6 +200,7 @@
         self._unusable_owner_grace_s = unusable_owner_grace_s
         self._count_late_send = count_late_send
         self._registry = registry
+        self._paths = fleet.paths
         self._suspects = fleet.suspects
         self._crash_evidence = fleet.crash_evidence
         self._probe_by_incarnation: dict[tuple[str, int], asyncio.Task[None]] = {}
@@ -221,6 +226,7 @@
             if error.refused:
                 self._crash_evidence.on_ended(server.incarnation)
             request.failed_connect_count += 1
+            self._paths.record_failure(server.incarnation, 'no connection')
             estimate.on_no_answer(self._clock.monotonic())
             return AttemptResult(Outcome.NOT_SENT, None, str(error))
         if not self._fleet.may_send(server, counted_in):
@@ -249,6 +255,9 @@
         )
         if incoming.body or find_first_value(incoming.headers, b'content-length') is not None:
             headers.append((b'Content-Length', str(len(incoming.body)).encode()))
+        held_up_check = asyncio.get_running_loop().call_later(
+            HELD_UP_AFTER_S, self._check_held_up, server, connection
+        )
         request_line = incoming.method + b' ' + incoming.target + b' HTTP/1.1'
         try:
             answer = await connection.exchange(
@@ -256,9 +265,7 @@
                 headers,
                 incoming.body,
                 expected_id=request.request_id,
-                on_head=functools.partial(
-                    self._head_observer.on_head, server, request.key is not None
-                ),
+                on_head=functools.partial(self._on_head, server, request.key is not None),
             )
         except asyncio.CancelledError:
             now = self._clock.monotonic()
@@ -275,6 +282,7 @@
             raise
         except BrokenExchangeError as error:
             estimate.on_no_answer(self._clock.monotonic())
+            self._paths.record_failure(server.incarnation, 'connection ended')
             if not error.sent:
                 request.may_have_run = may_have_run_before
                 return AttemptResult(Outcome.NOT_SENT, None, str(error))
@@ -285,6 +293,8 @@
             return AttemptResult(
                 Outcome.UNKNOWN, None, str(error), is_server_ended=error.closed_by_server
             )
+        finally:
+            held_up_check.cancel()
         self._pool.release(connection)
         result = self._classify_answer(request, answer, server, started_at)
         if result.outcome in OUTCOMES_NOT_RUN:
@@ -316,6 +326,17 @@
         now = self._clock.monotonic()
         request.trace.add_step('late send', now, reason=reason, server=server.name, **fields)
 
+    def _on_head(
+        self, server: BackendServer, has_key: bool, status: int, headers: Headers
+    ) -> None:
+        self._paths.record_answer(server.incarnation)
+        self._head_observer.on_head(server, has_key, status, headers)
+
+    def _check_held_up(self, server: BackendServer, connection: Connection) -> None:
+        """Record a path as lost if the server's TCP does not acknowledge a request."""
+        if connection.count_unacknowledged_bytes():
+            self._paths.record_failure(server.incarnation, 'not acknowledged')
+
     async def _get_connection(
         self, request: RequestState, server: BackendServer
     ) -> Connection:
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -200,12 +200,12 @@
             if not pending_answer.done() or pending_answer.cancelled():
                 if self._received_bytes > 0:
                     self._limiter.count_cut_off(str(self.address), CutOffReason.UNFINISHED)
-                self.unacknowledged_bytes = self._count_unacknowledged_bytes()
+                self.unacknowledged_bytes = self.count_unacknowledged_bytes()
                 self.close()
                 self._drop_answer()
             self._pending_answer = None
 
-    def _count_unacknowledged_bytes(self) -> int | None:
+    def count_unacknowledged_bytes(self) -> int | None:
         """Return how many sent bytes the peer has not acknowledged, or ``None``."""
         if self._transport is None:
             return None
--- a/src/coltsfootstair/keyspace/_dependencies.py
+++ b/src/coltsfootstair/keyspace/_dependencies.py
@@ -13,6 +13,7 @@
 from coltsfootstair.limits import NamedLimits
 from coltsfootstair.objects import ObjectStore, Relay, RelayedChanges
 from coltsfootstair.peers import PermitAnswer, Report, TrialAnswer
+from coltsfootstair.placement import ServerPaths
 from coltsfootstair.registry import Registry
 
 if TYPE_CHECKING:
@@ -64,6 +65,8 @@
     :param suspects: requests under which backend servers ended; ``None`` if they are not
         recorded
     :param on_trial_answer: called with the keeper's word on a trial of such a request
+    :param paths: state of this daemon's network paths to the backend servers; ``None`` if not
+        recorded
     :param are_changes_overdue: returns whether this daemon may not know all changed objects,
         since the store has not told of them in time
     """
@@ -92,3 +95,4 @@
     suspects: SuspectRequests | None = None
     on_trial_answer: Callable[[TrialAnswer], None] = lambda _answer: None
     are_changes_overdue: Callable[[], bool] = lambda: False
+    paths: ServerPaths | None = None
--- a/src/coltsfootstair/keyspace/_owner_grants.py
+++ b/src/coltsfootstair/keyspace/_owner_grants.py
@@ -139,6 +139,8 @@
             self._dependencies.count_grant_call('refused')
             return False
         self._dependencies.count_grant_call('accepted')
+        if self._dependencies.paths is not None:
+            self._dependencies.paths.record_answer(server.incarnation)
         self._failing_since_by_incarnation.pop(server.incarnation, None)
         return True
 
@@ -146,6 +148,8 @@
         self, server: BackendServer, key_range: KeyRange, error: BrokenExchangeError
     ) -> None:
         now = self._dependencies.clock.monotonic()
+        if self._dependencies.paths is not None:
+            self._dependencies.paths.record_failure(server.incarnation, 'grant call')
         is_first = server.incarnation not in self._failing_since_by_incarnation
         self._failing_since_by_incarnation.setdefault(server.incarnation, now)
         self._dependencies.count_grant_call(
--- a/src/coltsfootstair/placement/__init__.py
+++ b/src/coltsfootstair/placement/__init__.py
@@ -13,6 +13,7 @@
     compute_limit_without_report,
 )
 from coltsfootstair.placement._load import LoadEstimate, LoadReport, ServiceMean
+from coltsfootstair.placement._paths import ServerPaths
 from coltsfootstair.placement._pauses import (
     Pause,
     ReturnPace,
@@ -34,6 +35,7 @@
     'RequestConstraints',
     'RequestPacer',
     'ReturnPace',
+    'ServerPaths',
     'ServerPauses',
     'ServiceMean',
     'choose_server',
