--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -540,6 +540,14 @@
                 for other_daemon in self.daemon_by_name.values():
                     other_daemon.registry.apply_entry(server)
 
+    def cut_off_from_servers(self, daemons: list[str]) -> None:
+        """Cut the links of ``daemons`` to all backend servers, and no others."""
+        self.cut_links |= {
+            (daemon, model.server.name)
+            for daemon in daemons
+            for model in self.server_by_address.values()
+        }
+
     def restore_links(self, links: set[tuple[str, str]]) -> None:
         self.cut_links -= links
         held_up_calls, self.held_up_calls = self.held_up_calls, []
--- a/tests/keyspace/test_keeper.py
+++ b/tests/keyspace/test_keeper.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from coltsfootstair.gateway._dispatcher import UNUSABLE_OWNER_GRACE_SHARE
 from coltsfootstair.http1 import Address
 from coltsfootstair.keyspace import OWNERSHIP_KIND, KeyTable, decode_table, encode_table
@@ -304,3 +306,29 @@
     assert before is not None
     assert after is None
     assert confirmed is not None
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_a_keeper_that_reaches_no_owner_gives_its_lease_to_a_daemon_that_does(
+    seed: int,
+) -> None:
+    """Guards against keys without an owner while only the keeper is cut off from them."""
+
+    async def simulate() -> tuple[list[str], list[str], list[float]]:
+        world = World(seed, daemon_count=9, server_count=5)
+        await asyncio.sleep(8.0)
+        (keeper,) = _list_keepers(world)
+        cut_off = [keeper, *[name for name in world.daemon_by_name if name != keeper][:4]]
+        world.cut_off_from_servers(cut_off)
+        shares = []
+        for _ in range(60):
+            await asyncio.sleep(0.2)
+            shares.append(world.compute_served_share())
+        keepers = [name for name in _list_keepers(world) if name in cut_off]
+        return world.violations, keepers, shares
+
+    violations, cut_off_keepers, shares = run(simulate())
+    assert violations == []
+    assert cut_off_keepers == []
+    # A daemon that is cut off must be as good as the others from 3 s on.
+    assert min(shares[14:]) > 0.8, shares
