Hand the lease over when a keeper is cut off from the owners

It holds its lease by the store, which it reached, but could renew no grant; grants last 2.5 s. Class: a role kept by evidence (the store) that isn't what the role needs (paths to the owners).

Daemons report whether they have lost most of their paths. A keeper that has, while another daemon has not, releases its lease as a stopping one does; a daemon that is cut off waits 2 s longer before a takeover. With all daemons cut off nothing changes.

--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -372,6 +372,7 @@
             [server.incarnation for server in self._registry.list_leaving()],
             self.limits.list_recent(),
             self.suspects.list_changed(),
+            self.paths.is_cut_off,
         )
 
     def _has_entry(self, incarnation: tuple[str, int]) -> bool:
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -93,6 +93,10 @@
 """How much longer a VM without spare capacity waits before a takeover than one with full
 capacity, in seconds: the keeper needs capacity to send each change to all daemons."""
 
+CUT_OFF_TAKEOVER_DELAY_S = 2.0
+"""How much longer a daemon that has lost most of its paths to backend servers waits before a
+takeover, in seconds; longer than all others may wait."""
+
 ERA_TAKEOVER_DELAY_S = 0.8
 """How much longer other daemons wait than the former keeper before they take over in a new era
 of the store, in seconds. The former keeper knows the tables that the store may have lost."""
@@ -222,7 +226,11 @@
             self._update_relay(now)
             self._submit_report(now - last_report_at)
             last_report_at = now
-            if self._stopping or self.is_keeper:
+            if self._stopping:
+                continue
+            if self.is_keeper:
+                if self._should_hand_over():
+                    await self._hand_over()
                 continue
             if (
                 find_takeover_reason(self._get_election_state(), now) is not None
@@ -302,6 +310,10 @@
         self._stopping = True
         while self._own_lease is not None and not await self._read_store():
             await asyncio.sleep(LEASE_RETRY_DELAY_S)
+        await self._release_lease('the daemon is stopping')
+
+    async def _release_lease(self, reason: str) -> None:
+        """Write the release of the lease until the store has taken or refused it."""
         self._is_releasing = True
         while (lease := self._own_lease) is not None:
             released = KeeperLease(
@@ -325,7 +337,24 @@
                 return
             logger.info('lease given back', epoch=lease.epoch)
             self._announce_release(lease)
-            self._step_down('the daemon is stopping')
+            self._step_down(reason)
+
+    def _should_hand_over(self) -> bool:
+        """Whether this keeper reaches few owners and another daemon may reach more."""
+        paths = self._dependencies.paths
+        if (
+            paths is None
+            or self._is_releasing
+            or not paths.is_cut_off
+            or not self._dependencies.is_store_reachable()
+        ):
+            return False
+        return any(not report.is_cut_off for report in self._latest_reports.list_recent())
+
+    async def _hand_over(self) -> None:
+        """Release the lease, so that a daemon with paths to the owners takes over."""
+        await self._release_lease('other daemons reach more backend servers')
+        self._is_releasing = False
 
     def _announce_release(self, lease: KeeperLease) -> None:
         # An empty keeper name tells that the lease is released; shares, unresponsive servers
@@ -572,6 +601,8 @@
             MAX_TAKEOVER_JITTER_S * self._dependencies.random_source.random()
             + MAX_CAPACITY_DELAY_S * missing_capacity
         )
+        if self._dependencies.paths is not None and self._dependencies.paths.is_cut_off:
+            delay_s += CUT_OFF_TAKEOVER_DELAY_S
         if reason == EARLIER_ERA_REASON and not self._former_tables:
             delay_s += ERA_TAKEOVER_DELAY_S
         await asyncio.sleep(delay_s)
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -103,6 +103,7 @@
         servers that have said in an answer that they leave and still have an entry
     :param limit_statements: what recent answers to the daemon stated of limits
     :param suspect_statements: changes of what is known of requests that end their servers
+    :param is_cut_off: whether the daemon has lost most of its paths to backend servers
     """
 
     daemon: str
@@ -115,6 +116,7 @@
     leaving_incarnations: list[tuple[str, int]] = []
     limit_statements: list[LimitStatement] = []
     suspect_statements: list[SuspectStatement] = []
+    is_cut_off: bool = False
 
 
 class Heartbeat(msgspec.Struct, tag='beat', array_like=True):
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -29,6 +29,7 @@
     number_of,
 )
 from coltsfootstair.peers import Message, Report
+from coltsfootstair.placement import ServerPaths
 from coltsfootstair.registry import BackendServer, Registry, ServerState
 from tests.virtual_time import LoopClock
 
@@ -298,6 +299,7 @@
         self.view = OwnershipView()
         self.relay = Relay()
         self.suspects = SuspectRequests(clock)
+        self.paths = ServerPaths(clock)
         self.trials = TrialClient(name, lambda request: self.keeper.request_trial(request))
         self.limits = NamedLimits(clock)
         self.limit_gate = LimitGate(
@@ -331,8 +333,10 @@
             on_permit_answer=lambda answer: self.limit_gate.on_answer(answer),
             suspects=self.suspects,
             on_trial_answer=lambda answer: self.trials.on_answer(answer),
+            paths=self.paths,
         )
         self._random = world.random
+        self._world = world
         self.keeper = Keeper(name, Address(name, 1), dependencies)
         self.keeper.attach(ModelChannel(world, name))
         self.task = asyncio.create_task(self.keeper.run())
@@ -340,6 +344,12 @@
     def _collect_report(
         self, epoch: int, store_reachable: bool, interval_s: float, revisions: dict[str, int]
     ) -> Report:
+        for model in self._world.server_by_address.values():
+            # As requests to it would show.
+            if (self.name, model.server.name) in self._world.cut_links:
+                self.paths.record_failure(model.server.incarnation, 'cut off')
+            elif model.alive:
+                self.paths.record_answer(model.server.incarnation)
         # 12 requests for one of three hot keys, and two for each of two random keys.
         hot_key = self._random.choice((500, 20000, 41000))
         request_count_by_key = {
@@ -358,6 +368,7 @@
             [server.incarnation for server in self.registry.list_leaving()],
             self.limits.list_recent(),
             self.suspects.list_changed(),
+            self.paths.is_cut_off,
         )
 
 
