Reproduce refusals at daemons without paths to backend servers

Two of four daemons are cut off from all backend servers (new connections refused, or hanging): 0 of their 60 requests are served, 60 of 60 at the others. With idle connections that live on they are served already. Further tests of a relay that does not exist yet: one hop, a caller that leaves, the leaving of a server that is passed on.

--- /dev/null
+++ b/tests/gateway/test_relay.py
@@ -0,0 +1,231 @@
+"""Tests of daemons that are cut off from the backend servers, while other daemons are not."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING, NamedTuple
+
+import pytest
+
+from coltsfootstair.http1 import Address, BrokenExchangeError, Connection
+from tests.coltsfootstair_platform.standin import Behaviour, ReceivedRequest, ServerStandin
+from tests.gateway.harness import RunningGateway, run_gateways, run_with_time_limit
+
+if TYPE_CHECKING:
+    from coltsfootstair.gateway import Gateway
+
+SETTLING_S = 1.5
+"""Time from the beginning of a cut until callers are served as elsewhere, in seconds."""
+
+
+_REQUEST_NUMBERS = itertools.count()
+
+
+class Servers(NamedTuple):
+    """Backend servers of three services, one of them divided by key."""
+
+    calendar: list[ServerStandin]
+    desk: list[ServerStandin]
+    slots: list[ServerStandin]
+
+    def list_all(self) -> list[tuple[str, ServerStandin]]:
+        return [
+            (service, server)
+            for service, servers in self._asdict().items()
+            for server in servers
+        ]
+
+
+def _make_servers() -> Servers:
+    return Servers(
+        [ServerStandin(f'c{number}') for number in range(3)],
+        [ServerStandin(f'd{number}') for number in range(2)],
+        [ServerStandin(f'k{number}') for number in range(2)],
+    )
+
+
+def _cut_off(
+    gateway: Gateway, servers: list[ServerStandin], way: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Cut a gateway off from servers; other daemons and the store still reach it.
+
+    :param way: what becomes of connections: ``refuse`` and ``hang`` are about new ones, with
+        idle ones closed; with ``live`` idle ones can still be used and new ones are refused
+    """
+    ports = {server.port for server in servers}
+    pool, grant_pool = gateway._pool, gateway._ports.grant_client._pool  # type: ignore[attr-defined]
+    for cut_pool in (pool, grant_pool):
+        open_connection = cut_pool.open
+
+        async def open_cut(
+            address: Address,
+            timeout_s: float,
+            open_connection: object = open_connection,
+        ) -> Connection:
+            if address.port not in ports:
+                return await open_connection(address, timeout_s)  # type: ignore[operator,no-any-return]
+            if way == 'hang':
+                await asyncio.sleep(timeout_s)
+            raise BrokenExchangeError('cut off', sent=False, refused=way == 'refuse')
+
+        monkeypatch.setattr(cut_pool, 'open', open_cut)
+        if way != 'live':
+            for port in ports:
+                cut_pool.close_idle(Address('127.0.0.1', port))
+
+
+async def _count_served(running: RunningGateway, count: int) -> int:
+    """Return how many of three kinds of requests are served, each tried once."""
+    calls = []
+    for number in range(count):
+        request_id = next(_REQUEST_NUMBERS)
+        calls += [
+            running.call('lookups', X_Request_Id=f'l{request_id}'),
+            running.call('bookings', body=b'b', X_Request_Id=f'b{request_id}'),
+            running.call(
+                'keyed', X_Request_Id=f'k{request_id}', X_Shard_Key=(number * 1999) % 65536
+            ),
+        ]
+        await asyncio.sleep(0.01)
+    answers = [await call for call in calls]
+    return sum(answer.status == 200 for answer in answers)
+
+
+async def _warm_up(gateways: list[RunningGateway]) -> None:
+    async with asyncio.timeout(10.0):
+        while (await gateways[0].call('keyed', X_Shard_Key=7)).status != 200:
+            await asyncio.sleep(0.1)
+    for running in gateways:
+        await _count_served(running, 4)
+
+
+@pytest.mark.parametrize('way', ['refuse', 'hang', 'live'])
+def test_callers_of_a_daemon_without_paths_are_served_as_those_of_others(
+    way: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against refusing what another daemon could send."""
+    servers = _make_servers()
+
+    async def work() -> tuple[int, int]:
+        async with run_gateways(4, *servers.list_all()) as gateways:
+            await _warm_up(gateways)
+            everyone = [server for _, server in servers.list_all()]
+            for running in gateways[:2]:
+                _cut_off(running.gateway, everyone, way, monkeypatch)
+            settled_at = asyncio.get_running_loop().time() + SETTLING_S
+            while asyncio.get_running_loop().time() < settled_at:
+                await asyncio.gather(*(_count_served(running, 2) for running in gateways))
+            served = [await _count_served(running, 10) for running in gateways]
+            return sum(served[:2]), sum(served[2:])
+
+    cut_off, others = run_with_time_limit(work())
+    assert others >= 0.9 * 60
+    assert cut_off >= 0.95 * others
+    bookings = [
+        request.headers['x-request-id']
+        for server in servers.desk
+        for request in server.received
+    ]
+    assert len(bookings) == len(set(bookings)), 'a booking runs at most once'
+    sent = [request for _, server in servers.list_all() for request in server.received]
+    assert not any('coltsfootstair-relayed' in request.headers for request in sent)
+
+
+def test_a_relayed_request_takes_one_hop(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against requests that go round between daemons which are all cut off."""
+    servers = _make_servers()
+
+    async def work() -> list[int]:
+        async with run_gateways(3, *servers.list_all()) as gateways:
+            await _warm_up(gateways)
+            everyone = [server for _, server in servers.list_all()]
+            _cut_off(gateways[0].gateway, everyone, 'refuse', monkeypatch)
+            for _ in range(8):
+                await _count_served(gateways[0], 1)
+                await asyncio.sleep(0.1)
+            own = await gateways[0].call('lookups', X_Request_Id='own')
+            relayed = await gateways[0].call(
+                'lookups', X_Request_Id='other', Coltsfootstair_Relayed='1'
+            )
+            assert 'coltsfootstair-served-by' not in own.headers
+            return [own.status, relayed.status]
+
+    assert run_with_time_limit(work()) == [200, 503]
+
+
+def test_a_caller_that_leaves_ends_its_request_behind_both_daemons(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against work for callers that have left, at the far end of a relay."""
+    servers = _make_servers()
+
+    async def hang(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        await asyncio.sleep(5.0)
+        return False
+
+    async def work() -> list[int]:
+        async with run_gateways(3, *servers.list_all()) as gateways:
+            await _warm_up(gateways)
+            everyone = [server for _, server in servers.list_all()]
+            _cut_off(gateways[0].gateway, everyone, 'refuse', monkeypatch)
+            for _ in range(8):
+                await _count_served(gateways[0], 1)
+                await asyncio.sleep(0.1)
+            for server in servers.calendar:
+                server.behaviour = hang
+            caller = await gateways[0].connect()
+            caller.send('lookups', X_Request_Id='left')
+            async with asyncio.timeout(3.0):
+                while not any(
+                    request.headers['x-request-id'] == 'left'
+                    for server in servers.calendar
+                    for request in server.received
+                ):
+                    await asyncio.sleep(0.01)
+            before = sum(server.abandoned_count for server in servers.calendar)
+            caller.writer.close()
+            await asyncio.sleep(0.3)
+            return [before, sum(server.abandoned_count for server in servers.calendar)]
+
+    before, after = run_with_time_limit(work())
+    assert after == before + 1
+
+
+def test_a_daemon_is_bound_by_the_leaving_that_it_passes_on_for_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against sending to a leaving server after the cut that hid its word."""
+    servers = _make_servers()
+
+    def leave(server: ServerStandin) -> Behaviour:
+        async def answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+            writer.write(server.build_answer(request, Server_Leaving='1'))
+            return True
+
+        return answer
+
+    async def work() -> tuple[list[str], list[str], dict[str, str]]:
+        async with run_gateways(3, *servers.list_all()) as gateways:
+            await _warm_up(gateways)
+            everyone = [server for _, server in servers.list_all()]
+            _cut_off(gateways[0].gateway, everyone, 'refuse', monkeypatch)
+            for _ in range(8):
+                await _count_served(gateways[0], 1)
+                await asyncio.sleep(0.1)
+            for server in servers.calendar:
+                server.behaviour = leave(server)
+            answer = await gateways[0].call('lookups', X_Request_Id='last')
+            said = [
+                server.name
+                for server in servers.calendar
+                if any(r.headers['x-request-id'] == 'last' for r in server.received)
+            ]
+            registry = gateways[0].gateway._registry
+            known = [server.name for server in registry.list_leaving()]
+            return said, known, answer.headers
+
+    said, known, headers = run_with_time_limit(work())
+    assert len(said) == 1
+    assert known == said
+    assert not [name for name in headers if 'leaving' in name or 'served-by' in name]
