Report while leaving a takeover to other daemons

A daemon that is cut off from the backend servers waited 2 s before a takeover inside the loop that sends its reports, and did not read that another one had taken over: the new keeper did not know of it for as long. It now goes on with reports and reads the lease until the 2 s are over.

--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -145,6 +145,7 @@
         self._keeper_alive_at = dependencies.clock.monotonic()
         self._keeper_store_unreachable_since: float | None = None
         self._takeover_blocked_until = -math.inf
+        self._takeover_wanted_since: float | None = None
         # Number of daemons that a majority is measured against; 0 if not known.
         self._majority_base_count = 0
         self._took_over_at = -math.inf
@@ -239,8 +240,20 @@
                 reason = find_takeover_reason(
                     self._get_election_state(), self._dependencies.clock.monotonic()
                 )
-                if reason is not None:
+                if reason is not None and not self._must_leave_takeover_to_others():
                     await self._try_to_take_over(reason)
+            else:
+                self._takeover_wanted_since = None
+
+    def _must_leave_takeover_to_others(self) -> bool:
+        """Whether this daemon is cut off, and others have had too little time to take over."""
+        paths = self._dependencies.paths
+        if paths is None or not paths.is_cut_off:
+            return False
+        now = self._dependencies.clock.monotonic()
+        if self._takeover_wanted_since is None:
+            self._takeover_wanted_since = now
+        return now - self._takeover_wanted_since < CUT_OFF_TAKEOVER_DELAY_S
 
     def _check_era(self) -> None:
         """Step down if the lease is of an earlier era of the store; remember the tables."""
@@ -601,8 +614,6 @@
             MAX_TAKEOVER_JITTER_S * self._dependencies.random_source.random()
             + MAX_CAPACITY_DELAY_S * missing_capacity
         )
-        if self._dependencies.paths is not None and self._dependencies.paths.is_cut_off:
-            delay_s += CUT_OFF_TAKEOVER_DELAY_S
         if reason == EARLIER_ERA_REASON and not self._former_tables:
             delay_s += ERA_TAKEOVER_DELAY_S
         await asyncio.sleep(delay_s)
