Send requests through other daemons while cut off from servers

Class: a daemon that takes its own view of the servers for the state of the servers.

A daemon that has lost most of its paths sends requests to the callers' address of up to three daemons that have not, near ones first; the keeper names them in its heartbeats.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -13,6 +13,7 @@
 
 from coltsfootstair.gateway._dispatcher import Dispatcher
 from coltsfootstair.gateway._fleet import Fleet
+from coltsfootstair.gateway._path_prober import PathProber
 from coltsfootstair.gateway._refusals import render_refusal
 from coltsfootstair.gateway._services import ServicesInForce
 from coltsfootstair.gateway._subscribers import (
@@ -101,6 +102,9 @@
 LOG_COUNTS_INTERVAL_S = 5.0
 """Interval at which the counts of requests without a log line are logged, in seconds."""
 
+UNSPECIFIED_HOSTS = frozenset({'', '0.0.0.0', '::'})
+"""Hosts to listen at on all addresses, where other daemons can't send anything."""
+
 LISTEN_BACKLOG = 1024
 """Connections that may wait to be accepted. If the queue is full, callers lose seconds until
 TCP tries again."""
@@ -193,7 +197,9 @@
             self._request_log,
             lambda: self._keeper.admitted_share_by_server,
             settings.drain_s,
+            lambda: self._keeper.helpers,
         )
+        self._path_prober = PathProber(self._registry, self._fleet.paths, self._pool)
 
     # Methods of http1.Service, which the connections of callers use.
 
@@ -305,10 +311,14 @@
                 logger.warning(
                     'metrics not served', address=str(settings.metrics), reason=str(error)
                 )
+        if settings.callers.host not in UNSPECIFIED_HOSTS:
+            self._fleet.callers = (self.callers_address.host, self.callers_address.port)
+        self._fleet.data_centre = settings.data_centre
         self._register_gauges()
         tasks = [asyncio.create_task(follower.run()) for follower in self._followers]
         tasks.append(asyncio.create_task(self._keeper.run()))
         tasks.append(asyncio.create_task(self._run_housekeeping()))
+        tasks.append(asyncio.create_task(self._path_prober.run()))
         for task in tasks:
             task.add_done_callback(_log_failure)
         gc.freeze()
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -7,8 +7,14 @@
 from typing import TYPE_CHECKING
 
 from coltsfootstair.crashes import TRIAL_INTERVAL_S, Verdict
+from coltsfootstair.gateway._headers import (
+    build_relayed_answer_headers,
+    is_relayed,
+    select_callers_headers,
+)
 from coltsfootstair.gateway._leaving import LeavingOwners
 from coltsfootstair.gateway._refusals import render_refusal
+from coltsfootstair.gateway._relay import HelperGate, RelayClient, RelayResult
 from coltsfootstair.gateway._sender import (
     ANSWER_MARGIN_S,
     AttemptResult,
@@ -38,7 +44,7 @@
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._fleet import Fleet
     from coltsfootstair.gateway._types import Dialect
-    from coltsfootstair.http1 import ConnectionPool, IncomingRequest
+    from coltsfootstair.http1 import Address, ConnectionPool, IncomingRequest
     from coltsfootstair.keyspace import OwnershipView
     from coltsfootstair.metrics import GatewayMetrics
     from coltsfootstair.placement import Candidate
@@ -87,6 +93,8 @@
     :param get_admitted_share_by_server: returns, for each overloaded owner, the share of its
         requests that daemons let pass
     :param drain_s: how long a draining server may still be sent requests, in seconds
+    :param get_helpers: returns where daemons that reach backend servers serve callers, if this
+        one is cut off from them
     """
 
     def __init__(
@@ -104,6 +112,7 @@
         request_log: RequestLog,
         get_admitted_share_by_server: Callable[[], dict[str, float]],
         drain_s: float,
+        get_helpers: Callable[[], list[Address]] = list,
     ) -> None:
         self._dialect = dialect
         self._get_route_table = get_route_table
@@ -128,6 +137,8 @@
         self._timeouts: set[asyncio.Timeout] = set()
         self._active_requests: dict[int, RequestState] = {}
         self._leaving_owners = LeavingOwners(registry, ownership, clock)
+        self._relay_client = RelayClient(dialect, pool, clock, random_source, get_helpers)
+        self._helper_gate = HelperGate(lambda: len(self._active_requests))
         self._admission = AdmissionGate(get_admitted_share_by_server, clock)
 
     def find_route(self, incoming: IncomingRequest) -> Route | None:
@@ -144,9 +155,25 @@
         trace = RequestTrace(facts.request_id, incoming.received_at)
         request = RequestState(incoming, facts.request_id, trace)
         request.key = facts.key
+        request.is_relayed = is_relayed(incoming.headers)
         refusal = self._prepare(request, facts.timeout_s)
         if refusal is not None:
             return self._refuse(request, refusal)
+        if not request.is_relayed:
+            return await self._handle_prepared(request)
+        if not self._helper_gate.has_room():
+            self._metrics.count_relay('helper full')
+            detail = 'as many requests of other daemons as may be handled'
+            return self._refuse(request, Refusal(ResultCode.OVERLOADED, Ran.NO, detail, 0.2))
+        self._metrics.count_relay('helped')
+        self._helper_gate.helped_count += 1
+        try:
+            return await self._handle_prepared(request)
+        finally:
+            self._helper_gate.helped_count -= 1
+
+    async def _handle_prepared(self, request: RequestState) -> Reply:
+        incoming = request.incoming
         remaining_s = request.times_out_at - self._clock.monotonic()
         self._active_requests[id(incoming)] = request
         try:
@@ -222,13 +249,20 @@
             return Refusal(
                 ResultCode.KEY_MISSING, Ran.NO, f'{request.service} is divided by key'
             )
-        self._fleet.record_request(request.service, request.key)
+        if not request.is_relayed:
+            # The daemon that has relayed it counts it.
+            self._fleet.record_request(request.service, request.key)
         return None
 
     async def _send_until_final(self, request: RequestState) -> Reply:
         """Make attempts until one is answered or no further one is allowed."""
         while True:
-            choice = await self._judge_suspect(request) or await self._choose(request)
+            choice: Placement | Refusal | None = await self._judge_suspect(request)
+            if choice is None and self._should_relay(request):
+                reply = await self._relay(request)
+                if reply is not None:
+                    return reply
+            choice = choice or await self._choose(request)
             if isinstance(choice, Refusal):
                 if request.may_have_run:
                     # An earlier attempt may have run it, so no "not run" may be promised.
@@ -260,7 +294,7 @@
                 ),
             )
             if not self._try_retry(request, result):
-                return self._finish_failed(request, result)
+                return self._finish_failed(request, result, server)
             if (
                 result.outcome is Outcome.WRONG_SERVER
                 and request.key is not None
@@ -268,6 +302,57 @@
             ):
                 await self._ownership.wait_for_change(OWNERSHIP_UPDATE_WAIT_S)
 
+    def _should_relay(self, request: RequestState) -> bool:
+        """Whether a request must go through another daemon to reach a backend server."""
+        paths = self._fleet.paths
+        if request.is_relayed or not paths.is_cut_off:
+            return False
+        servers = self._registry.find_usable(request.service)
+        if request.key is not None:
+            owner = self._find_owner(request.service, request.key)
+            servers = [] if owner is None else [owner]
+        return not any(paths.is_good(server.incarnation) for server in servers)
+
+    async def _relay(self, request: RequestState) -> Reply | None:
+        """Send a request through other daemons; return ``None`` if none of them took it."""
+        refusal: Answer | None = None
+        while (helper := self._relay_client.choose_helper(request.tried_helpers)) is not None:
+            request.tried_helpers.add(helper)
+            request.trace.add_step('relayed', self._clock.monotonic(), helper=str(helper))
+            result = await self._relay_client.send(request, helper)
+            self._metrics.count_relay(result.outcome.value)
+            if result.outcome is Outcome.ANSWERED and result.answer is not None:
+                return self._finish_relayed(request, result, result.answer)
+            request.trace.add_step(
+                'relay failed',
+                self._clock.monotonic(),
+                outcome=result.outcome.value,
+                reason=result.reason,
+            )
+            if (
+                result.outcome is Outcome.UNKNOWN
+                and request.route.kind is not RequestKind.IDEMPOTENT
+            ):
+                return self._refuse(
+                    request, Refusal(ResultCode.ANSWER_INCOMPLETE, Ran.UNKNOWN, result.reason)
+                )
+            refusal = result.answer or refusal
+            if request.abandoned:
+                break
+        if refusal is None or request.may_have_run:
+            return None
+        return self._pass_on_answer(request, refusal, 'refused by another daemon')
+
+    def _finish_relayed(
+        self, request: RequestState, result: RelayResult, answer: Answer
+    ) -> Reply:
+        if result.is_server_leaving and result.server_name is not None:
+            # This daemon passes the server's word on, and so is bound by it.
+            server = self._registry.get(result.server_name)
+            if server is not None:
+                self._registry.mark_leaving(server.incarnation)
+        return self._pass_on_answer(request, answer, 'answered')
+
     async def _choose(self, request: RequestState) -> Placement | Refusal:
         """Choose a server, and get a permit for it if it has named a limit."""
         while True:
@@ -522,9 +607,11 @@
             return False
         return self._fleet.try_spend_retry(request.service)
 
-    def _finish_failed(self, request: RequestState, result: AttemptResult) -> Reply:
+    def _finish_failed(
+        self, request: RequestState, result: AttemptResult, server: BackendServer
+    ) -> Reply:
         if result.outcome is Outcome.FAILED and result.answer is not None:
-            return self._pass_on_answer(request, result.answer, 'failed by its server')
+            return self._pass_on_answer(request, result.answer, 'failed by its server', server)
         if request.may_have_run:
             return self._refuse(
                 request, Refusal(ResultCode.ANSWER_INCOMPLETE, Ran.UNKNOWN, result.reason)
@@ -555,9 +642,15 @@
     def _finish_answered(
         self, request: RequestState, answer: Answer, server: BackendServer
     ) -> Reply:
-        return self._pass_on_answer(request, answer, 'answered')
+        return self._pass_on_answer(request, answer, 'answered', server)
 
-    def _pass_on_answer(self, request: RequestState, answer: Answer, outcome: str) -> Reply:
+    def _pass_on_answer(
+        self,
+        request: RequestState,
+        answer: Answer,
+        outcome: str,
+        server: BackendServer | None = None,
+    ) -> Reply:
         now = self._clock.monotonic()
         took_s = now - request.incoming.received_at
         if outcome == 'answered' and took_s > request.route.target_latency_s:
@@ -571,9 +664,14 @@
         else:
             self._request_log.log_request(request.trace, outcome, '', status=answer.status)
         self._metrics.count_request(request.route.name, outcome, took_s)
-        return Reply(
-            answer.status, self._dialect.build_answer_headers(answer.headers), answer.body
-        )
+        headers = self._dialect.build_answer_headers(select_callers_headers(answer.headers))
+        if request.is_relayed and server is not None:
+            is_leaving = self._registry.is_leaving(server.incarnation)
+            headers = [
+                *headers,
+                *build_relayed_answer_headers(server.name, is_leaving=is_leaving),
+            ]
+        return Reply(answer.status, headers, answer.body)
 
     def _refuse(self, request: RequestState, refusal: Refusal) -> Reply:
         now = self._clock.monotonic()
--- a/src/coltsfootstair/gateway/_fleet.py
+++ b/src/coltsfootstair/gateway/_fleet.py
@@ -78,6 +78,8 @@
     :ivar limit_gate: permits for this daemon's requests to limited servers
     :ivar suspects: requests under which servers ended
     :ivar trials: trials of this daemon's requests under which several servers ended
+    :ivar callers: host and port where this daemon serves callers, which reports tell
+    :ivar data_centre: where this daemon runs, which reports tell
     :ivar paths: state of this daemon's network paths to the backend servers
     :ivar crash_evidence: exchanges that may have ended with their server
     :param is_first_start: whether no earlier process of this daemon can have used its share of
@@ -136,6 +138,8 @@
         )
         self._pauses = ServerPauses()
         self.paths = ServerPaths(clock)
+        self.callers: tuple[str, int] | None = None
+        self.data_centre = ''
         # So that equal malformed values of one server are logged once.
         self._malformed_retry_after_by_incarnation: dict[tuple[str, int], bytes] = {}
         self._budget_by_service: dict[str, WindowRetryBudget] = {}
@@ -373,6 +377,8 @@
             self.limits.list_recent(),
             self.suspects.list_changed(),
             self.paths.is_cut_off,
+            self.callers,
+            self.data_centre,
         )
 
     def _has_entry(self, incarnation: tuple[str, int]) -> bool:
--- /dev/null
+++ b/src/coltsfootstair/gateway/_relay.py
@@ -0,0 +1,154 @@
+"""Sends requests through other daemons while this one is cut off from backend servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from coltsfootstair.gateway._headers import (
+    LEAVING_HEADER,
+    RELAYED_HEADER,
+    RESULT_HEADER,
+    SERVED_BY_HEADER,
+    select_callers_headers,
+)
+from coltsfootstair.gateway._sender import Outcome
+from coltsfootstair.http1 import Answer, BrokenExchangeError, find_first_value
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from coltsfootstair.clock import Clock
+    from coltsfootstair.gateway._sender import RequestState
+    from coltsfootstair.gateway._types import Dialect
+    from coltsfootstair.http1 import Address, ConnectionPool
+
+__all__ = [
+    'HelperGate',
+    'RelayClient',
+    'RelayResult',
+]
+
+MAX_HELPERS_ASKED = 3
+"""Number of daemons that one request is sent to until one takes it."""
+
+CONNECT_TIMEOUT_S = 0.2
+"""Time limit for opening a connection to another daemon, in seconds."""
+
+MIN_HELPED_COUNT = 16
+"""Number of relayed requests in progress that a daemon accepts even if it has few own ones."""
+
+HELPED_PER_OWN = 2.0
+"""Relayed requests in progress that a daemon accepts for each request of its own callers, so
+that a third of the daemons can serve the callers of all."""
+
+REFUSALS_NOT_RUN = frozenset({*range(400, 500), 503})
+"""Statuses of a daemon's own refusals that say that no backend server has run a request."""
+
+
+class HelperGate:
+    """Bounds the requests that this daemon handles for others by its own callers' requests."""
+
+    def __init__(self, get_in_progress_count: Callable[[], int]) -> None:
+        self._get_in_progress_count = get_in_progress_count
+        self.helped_count = 0
+
+    def has_room(self) -> bool:
+        """Whether one more relayed request may be handled."""
+        own_count = self._get_in_progress_count() - self.helped_count
+        return self.helped_count < max(MIN_HELPED_COUNT, HELPED_PER_OWN * own_count)
+
+
+class RelayResult(NamedTuple):
+    """Outcome of sending a request to another daemon.
+
+    :param answer: its answer, also if it is a refusal of its own
+    :param server_name: backend server that has answered, if one has
+    """
+
+    outcome: Outcome
+    answer: Answer | None
+    reason: str = ''
+    server_name: str | None = None
+    is_server_leaving: bool = False
+
+
+class RelayClient:
+    """Sends requests to other daemons over connections of the pool for backend servers.
+
+    :param get_helpers: returns where daemons that reach backend servers serve callers, the
+        nearest first
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        clock: Clock,
+        random_source: random.Random,
+        get_helpers: Callable[[], list[Address]],
+    ) -> None:
+        self._dialect = dialect
+        self._pool = pool
+        self._clock = clock
+        self._random = random_source
+        self._get_helpers = get_helpers
+
+    def choose_helper(self, tried: set[Address]) -> Address | None:
+        """Return a daemon that has not been asked yet, or ``None``."""
+        if len(tried) >= MAX_HELPERS_ASKED:
+            return None
+        untried = [address for address in self._get_helpers() if address not in tried]
+        return self._random.choice(untried) if untried else None
+
+    async def send(self, request: RequestState, helper: Address) -> RelayResult:
+        """Send a request to another daemon, and classify its answer.
+
+        Cancelling it resets the connection, so that the other daemon cancels it too.
+        """
+        remaining_s = request.times_out_at - self._clock.monotonic()
+        try:
+            connection = self._pool.take_idle(helper, max_idle_share=0.5)
+            if connection is None:
+                connection = await self._pool.open(helper, min(CONNECT_TIMEOUT_S, remaining_s))
+        except BrokenExchangeError as error:
+            return RelayResult(Outcome.NOT_SENT, None, str(error))
+        may_have_run_before, request.may_have_run = request.may_have_run, True
+        incoming = request.incoming
+        # Its answer must be back before this daemon's own time-out.
+        left_s = request.times_out_at - self._clock.monotonic()
+        headers = self._dialect.build_relay_headers(
+            select_callers_headers(incoming.headers), left_s
+        )
+        headers.append((RELAYED_HEADER, b'1'))
+        if incoming.body or find_first_value(incoming.headers, b'content-length') is not None:
+            headers.append((b'Content-Length', str(len(incoming.body)).encode()))
+        try:
+            answer = await connection.exchange(
+                incoming.method + b' ' + incoming.target + b' HTTP/1.1',
+                headers,
+                incoming.body,
+                expected_id=request.request_id,
+            )
+        except BrokenExchangeError as error:
+            if not error.sent:
+                request.may_have_run = may_have_run_before
+                return RelayResult(Outcome.NOT_SENT, None, str(error))
+            return RelayResult(Outcome.UNKNOWN, None, str(error))
+        self._pool.release(connection)
+        result = _classify(answer)
+        if result.outcome is Outcome.NOT_RUN:
+            request.may_have_run = may_have_run_before
+        return result
+
+
+def _classify(answer: Answer) -> RelayResult:
+    server_name = find_first_value(answer.headers, SERVED_BY_HEADER)
+    if server_name is not None:
+        is_leaving = find_first_value(answer.headers, LEAVING_HEADER) is not None
+        name = server_name.decode('latin-1')
+        return RelayResult(Outcome.ANSWERED, answer, '', name, is_leaving)
+    result_code = find_first_value(answer.headers, RESULT_HEADER)
+    if result_code is not None and answer.status in REFUSALS_NOT_RUN:
+        return RelayResult(Outcome.NOT_RUN, answer, f'refused {result_code.decode("latin-1")}')
+    return RelayResult(Outcome.UNKNOWN, None, f'status {answer.status}')
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from coltsfootstair.crashes import EndedExchange, compute_fingerprints
+from coltsfootstair.gateway._headers import select_callers_headers
 from coltsfootstair.gateway._leaving import HeadObserver
 from coltsfootstair.http1 import Answer, BrokenExchangeError, find_first_value
 from coltsfootstair.routes import RequestKind
@@ -19,7 +20,13 @@
     from coltsfootstair.gateway._fleet import Fleet
     from coltsfootstair.gateway._trace import RequestTrace
     from coltsfootstair.gateway._types import Dialect
-    from coltsfootstair.http1 import Connection, ConnectionPool, Headers, IncomingRequest
+    from coltsfootstair.http1 import (
+        Address,
+        Connection,
+        ConnectionPool,
+        Headers,
+        IncomingRequest,
+    )
     from coltsfootstair.limits import Permit
     from coltsfootstair.placement import Pause
     from coltsfootstair.registry import BackendServer, Registry
@@ -109,6 +116,8 @@
     :ivar failed_connect_count: number of attempts for which no connection could be opened
     :ivar may_have_run: whether a backend server may have run it
     :ivar abandoned: whether its caller has left
+    :ivar is_relayed: whether another daemon has sent it for its caller
+    :ivar tried_helpers: other daemons that it has been sent to
     :ivar is_trial: whether it is tried alone, since several servers ended under it
     :ivar permit: allows the next attempt if its server has named a limit
     :ivar times_out_at: monotonic time at which it times out here, ``ANSWER_MARGIN_S`` before
@@ -122,6 +131,7 @@
         'ended_exchange_count',
         'failed_connect_count',
         'incoming',
+        'is_relayed',
         'is_trial',
         'key',
         'may_have_run',
@@ -133,6 +143,7 @@
         'service',
         'times_out_at',
         'trace',
+        'tried_helpers',
         'tried_servers',
     )
 
@@ -150,6 +161,8 @@
         self.abandoned = False
         self.ended_exchange_count = 0
         self.is_trial = False
+        self.is_relayed = False
+        self.tried_helpers: set[Address] = set()
         self.permit: Permit | None = None
         self.times_out_at = 0.0
         self.route_table: RouteTable
@@ -251,7 +264,9 @@
         if unusable_s > 0:
             self._record_late_send(request, 'unusable server', server, unusable_s=unusable_s)
         headers = self._dialect.build_request_headers(
-            incoming.headers, request.times_out_at + ANSWER_MARGIN_S - started_at, server
+            select_callers_headers(incoming.headers),
+            request.times_out_at + ANSWER_MARGIN_S - started_at,
+            server,
         )
         if incoming.body or find_first_value(incoming.headers, b'content-length') is not None:
             headers.append((b'Content-Length', str(len(incoming.body)).encode()))
--- a/src/coltsfootstair/gateway/_types.py
+++ b/src/coltsfootstair/gateway/_types.py
@@ -97,6 +97,14 @@
         :param remaining_s: time until the caller's deadline, in seconds
         """
 
+    def build_relay_headers(
+        self, headers: Headers, remaining_s: float
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers with which a request is sent to another daemon.
+
+        :param remaining_s: time until the request's deadline, in seconds
+        """
+
     def parse_head(self, status: int, headers: Headers) -> HeadFacts:
         """Parse the head of an answer, which may be an interim one or have no request."""
 
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -10,6 +10,7 @@
 
 from coltsfootstair.crashes import TrialScheduler
 from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
+from coltsfootstair.http1 import Address
 from coltsfootstair.keyspace._broadcast import Broadcaster, read_objects_update
 from coltsfootstair.keyspace._grant_expiry import CLOCK_DRIFT_FACTOR, MAX_LATE_ARRIVAL_S
 from coltsfootstair.keyspace._lease import (
@@ -45,7 +46,6 @@
 )
 
 if TYPE_CHECKING:
-    from coltsfootstair.http1 import Address
     from coltsfootstair.keyspace._dependencies import Channel, KeeperDependencies
     from coltsfootstair.keyspace._table import KeyTable
     from coltsfootstair.objects import RelayedChanges, StoredObject
@@ -164,6 +164,9 @@
         self._has_heartbeat_under_lease = False
         self.admitted_share_by_server: dict[str, float] = {}
         self.unresponsive_servers: list[str] = []
+        # Where daemons that reach backend servers serve callers, and when it was told.
+        self._helpers: list[Address] = []
+        self._helpers_told_at = -math.inf
         self._unresponsive_detector = UnresponsiveDetector()
         self._permit_issuer = PermitIssuer(dependencies.clock)
         self._trial_scheduler = TrialScheduler(dependencies.clock)
@@ -191,6 +194,16 @@
         lease = self._dependencies.ownership_view.lease
         return max(self.daemon_count, lease.daemon_count if lease is not None else 0)
 
+    @property
+    def helpers(self) -> list[Address]:
+        """Where other daemons serve callers, if this one is cut off and they are not."""
+        age_s = self._dependencies.clock.monotonic() - self._helpers_told_at
+        return self._helpers if age_s <= MAX_REPORT_AGE_S else []
+
+    def _set_helpers(self, helpers: list[Address]) -> None:
+        self._helpers = helpers
+        self._helpers_told_at = self._dependencies.clock.monotonic()
+
     @property
     def grant_duration_s(self) -> float | None:
         """Duration of a grant made now, in seconds; ``None`` if no grant may be made."""
@@ -491,6 +504,7 @@
                 self._dependencies.suspects.tell_again()
             self._dependencies.suspects.apply(heartbeat.suspect_statements)
         self._heard_epoch = heartbeat.epoch
+        self._set_helpers([Address(*helper) for helper in heartbeat.helpers])
         if heartbeat.store_reachable:
             self._keeper_store_unreachable_since = None
         elif self._keeper_store_unreachable_since is None:
@@ -515,10 +529,16 @@
             self._dependencies.get_revision_by_kind(),
             self._list_limit_statements(),
             self._list_suspect_statements(),
+            [(helper.host, helper.port) for helper in self._list_helpers(report)],
         )
         self._broadcaster.send(heartbeat, sender)
         self._services.send_missed_updates(report, sender, now)
 
+    def _list_helpers(self, report: Report) -> list[Address]:
+        if not report.is_cut_off:
+            return []
+        return self._latest_reports.list_helpers(report, self._dependencies.random_source)
+
     def _handle_table_update(self, update: TableUpdate, now: float) -> None:
         known_lease = self._dependencies.ownership_view.lease
         if known_lease is not None and update.epoch >= known_lease.epoch:
@@ -577,6 +597,7 @@
             if self._dependencies.limits is not None:
                 self._permit_issuer.forget_ended(set(self._dependencies.limits.list_limited()))
             self._latest_reports.put(report, self._address)
+            self._set_helpers(self._list_helpers(report))
             self._apply_report(report, now)
             self.admitted_share_by_server = self._services.compute_admitted_shares(now)
             self.daemon_count = max(1, len(self._latest_reports.list_recent()))
--- a/src/coltsfootstair/metrics/_gateway.py
+++ b/src/coltsfootstair/metrics/_gateway.py
@@ -52,6 +52,10 @@
             'coltsfootstair.late_sends',
             description='Requests that might arrive after their server has left, by reason',
         )
+        self._relays = self._meter.create_counter(
+            'coltsfootstair.relayed_requests',
+            description='Requests sent through other daemons or handled for them, by outcome',
+        )
         self._labelled_routes: set[str] = set()
 
     def count_request(self, route: str, outcome: str, duration_s: float) -> None:
@@ -84,6 +88,10 @@
         """Count a request sent to an unusable server, or with bytes held up on their way."""
         self._late_sends.add(1, {'reason': reason})
 
+    def count_relay(self, outcome: str) -> None:
+        """Count a request sent to another daemon, or handled for one."""
+        self._relays.add(1, {'outcome': outcome})
+
     def count_suspect(self, outcome: str) -> None:
         """Count what happens to a request under which backend servers ended."""
         self._suspects.add(1, {'outcome': outcome})
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -104,6 +104,8 @@
     :param limit_statements: what recent answers to the daemon stated of limits
     :param suspect_statements: changes of what is known of requests that end their servers
     :param is_cut_off: whether the daemon has lost most of its paths to backend servers
+    :param callers: host and port where it serves callers; ``None`` if it does not
+    :param data_centre: where it runs
     """
 
     daemon: str
@@ -117,6 +119,8 @@
     limit_statements: list[LimitStatement] = []
     suspect_statements: list[SuspectStatement] = []
     is_cut_off: bool = False
+    callers: tuple[str, int] | None = None
+    data_centre: str = ''
 
 
 class Heartbeat(msgspec.Struct, tag='beat', array_like=True):
@@ -131,6 +135,8 @@
     :param revision_by_kind: up to which revision the keeper has read each kind of objects
     :param limit_statements: limits of backend servers, a part in turn if there are many
     :param suspect_statements: requests that end their servers, a part in turn if many
+    :param helpers: host and port where daemons that reach backend servers serve callers, the
+        nearest first; only for a daemon that is cut off
     """
 
     keeper: str
@@ -142,6 +148,7 @@
     revision_by_kind: dict[str, int]
     limit_statements: list[LimitStatement] = []
     suspect_statements: list[SuspectStatement] = []
+    helpers: list[tuple[str, int]] = []
 
 
 class PermitRequest(msgspec.Struct, tag='ask', array_like=True):
--- a/src/coltsfootstair/placement/_paths.py
+++ b/src/coltsfootstair/placement/_paths.py
@@ -24,7 +24,7 @@
 CUT_OFF_SHARE = 0.5
 """Share of the paths in use that must be lost for a daemon to count as cut off."""
 
-MAX_ANSWER_AGE_S = 3.0
+MAX_ANSWER_AGE_S = 1.5
 """Age of the last answer up to which a path counts as in use, in seconds."""
 
 
@@ -61,6 +61,15 @@
         """Whether nothing has come from a server since a request or connection failed."""
         return incarnation in self._lost_since_by_incarnation
 
+    def is_good(self, incarnation: Incarnation) -> bool:
+        """Whether a server has answered recently and nothing has failed since."""
+        answered_at = self._answered_at_by_incarnation.get(incarnation)
+        return (
+            answered_at is not None
+            and incarnation not in self._lost_since_by_incarnation
+            and self._clock.monotonic() - answered_at <= MAX_ANSWER_AGE_S
+        )
+
     def list_lost(self) -> list[Incarnation]:
         """Return the servers to which the path is lost."""
         return list(self._lost_since_by_incarnation)
@@ -71,11 +80,7 @@
         lost_count = len(self._lost_since_by_incarnation)
         if lost_count < MIN_LOST_COUNT:
             return False
-        oldest_at = self._clock.monotonic() - MAX_ANSWER_AGE_S
-        good_count = sum(
-            answered_at >= oldest_at and incarnation not in self._lost_since_by_incarnation
-            for incarnation, answered_at in self._answered_at_by_incarnation.items()
-        )
+        good_count = sum(map(self.is_good, self._answered_at_by_incarnation))
         return lost_count >= CUT_OFF_SHARE * (lost_count + good_count)
 
     def forget_ended(self, has_entry: Callable[[Incarnation], bool]) -> None:
