--- a/src/coltsfootstair/gateway/_relay.py
+++ b/src/coltsfootstair/gateway/_relay.py
@@ -27,6 +27,7 @@
     'HelperGate',
     'RelayClient',
     'RelayResult',
+    'classify_relayed',
 ]
 
 MAX_HELPERS_ASKED = 3
@@ -42,7 +43,8 @@
 """Relayed requests in progress that a daemon accepts for each request of its own callers, so
 that a third of the daemons can serve the callers of all."""
 
-REFUSALS_NOT_RUN = frozenset({*range(400, 500), 503})
+SERVICE_UNAVAILABLE = 503
+REFUSALS_NOT_RUN = frozenset({*range(400, 500), SERVICE_UNAVAILABLE})
 """Statuses of a daemon's own refusals that say that no backend server has run a request."""
 
 
@@ -62,7 +64,7 @@
 class RelayResult(NamedTuple):
     """Outcome of sending a request to another daemon.
 
-    :param answer: its answer, also if it is a refusal of its own
+    :param answer: its answer, also a refusal of its own that may be passed on
     :param server_name: backend server that has answered, if one has
     """
 
@@ -136,13 +138,14 @@
                 return RelayResult(Outcome.NOT_SENT, None, str(error))
             return RelayResult(Outcome.UNKNOWN, None, str(error))
         self._pool.release(connection)
-        result = _classify(answer)
+        result = classify_relayed(answer)
         if result.outcome is Outcome.NOT_RUN:
             request.may_have_run = may_have_run_before
         return result
 
 
-def _classify(answer: Answer) -> RelayResult:
+def classify_relayed(answer: Answer) -> RelayResult:
+    """Classify another daemon's answer to a relayed request."""
     server_name = find_first_value(answer.headers, SERVED_BY_HEADER)
     if server_name is not None:
         is_leaving = find_first_value(answer.headers, LEAVING_HEADER) is not None
@@ -150,5 +153,9 @@
         return RelayResult(Outcome.ANSWERED, answer, '', name, is_leaving)
     result_code = find_first_value(answer.headers, RESULT_HEADER)
     if result_code is not None and answer.status in REFUSALS_NOT_RUN:
-        return RelayResult(Outcome.NOT_RUN, answer, f'refused {result_code.decode("latin-1")}')
+        # What it refuses of the request itself may rest on an older configuration.
+        refusal = answer if answer.status == SERVICE_UNAVAILABLE else None
+        return RelayResult(
+            Outcome.NOT_RUN, refusal, f'refused {result_code.decode("latin-1")}'
+        )
     return RelayResult(Outcome.UNKNOWN, None, f'status {answer.status}')
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -8,7 +8,9 @@
 
 import pytest
 
-from coltsfootstair.http1 import Address, BrokenExchangeError, Connection
+from coltsfootstair.gateway._relay import classify_relayed
+from coltsfootstair.gateway._sender import Outcome
+from coltsfootstair.http1 import Address, Answer, BrokenExchangeError, Connection
 from tests.coltsfootstair_platform.standin import Behaviour, ReceivedRequest, ServerStandin
 from tests.gateway.harness import RunningGateway, run_gateways, run_with_time_limit
 
@@ -154,6 +156,17 @@
     assert run_with_time_limit(work()) == [200, 503]
 
 
+@pytest.mark.parametrize(('status', 'is_passed_on'), [(503, True), (404, False)])
+def test_a_helper_that_does_not_know_a_route_denies_nobody(
+    status: int, is_passed_on: bool
+) -> None:
+    """Guards against passing on the 404 of a daemon whose configuration is older."""
+    answer = Answer(status, [(b'Coltsfootstair-Result', b'106')], b'{}')
+    result = classify_relayed(answer)
+    assert result.outcome is Outcome.NOT_RUN
+    assert (result.answer is not None) == is_passed_on
+
+
 def test_a_caller_that_leaves_ends_its_request_behind_both_daemons(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
