--- a/src/coltsfootstair/gateway/_headers.py
+++ b/src/coltsfootstair/gateway/_headers.py
@@ -25,7 +25,7 @@
 SERVED_BY_HEADER = b'coltsfootstair-served-by'
 """Header with the name of the backend server, in answers to relayed requests."""
 
-LEAVING_HEADER = b'coltsfootstair-server-leaving'
+LEAVING_HEADER = b'coltsfootstair-leaving'
 """Header with the value 1 if that server has said that it is leaving."""
 
 RESULT_HEADER = b'coltsfootstair-result'
