Show which configuration a VM has, how old its evidence is, and who lags

The logs could not tell whether a VM lagged because an answer of the store took long, the store did not answer, or nothing was sent to it, nor which VMs lagged.

A refusal of an unknown route says how old the evidence for the version is and what the daemon waits for. Daemons report their version; the keeper names those that lag, by how many versions and since when, in its log and a gauge.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -219,6 +219,7 @@
             settings.drain_s,
             WorkspaceAdmission(self._configuration_age, self._workspace_gate, self.metrics),
             lambda: self._keeper.helpers,
+            self._describe_evidence,
         )
         self._path_prober = PathProber(self._registry, self._fleet.paths, self._pool)
 
@@ -369,6 +370,30 @@
         logger.info('stopped', requests_cut=self._requests_in_progress)
 
     def _register_gauges(self) -> None:
+        self.metrics.add_gauge(
+            'coltsfootstair.state',
+            'The version in force, whether the daemon is ready, has the store, or is keeper',
+            self._read_state,
+            'what',
+        )
+        self.metrics.add_gauge(
+            'coltsfootstair.configuration_age',
+            'Seconds since the configuration was known to be the latest one',
+            lambda: {'age': min(1e6, self._configuration_age.age_s)},
+            'what',
+        )
+        self.metrics.add_gauge(
+            'coltsfootstair.behind',
+            'Seconds for which changes have been missing that the keeper has read, by kind',
+            lambda: {follower.kind: follower.behind_s for follower in self._followers},
+            'kind',
+        )
+        self.metrics.add_gauge(
+            'coltsfootstair.lagging_daemons',
+            'Daemons with an older configuration than this one, which is the keeper',
+            self._read_lagging_daemons,
+            'what',
+        )
         self.metrics.add_gauge(
             'coltsfootstair.under_way',
             'Requests, connections, and bytes of bodies and answers that are under way',
@@ -380,12 +405,6 @@
             },
             'what',
         )
-        self.metrics.add_gauge(
-            'coltsfootstair.state',
-            'The version in force, whether the daemon is ready, has the store, or is keeper',
-            self._read_state,
-            'what',
-        )
         self.metrics.add_gauge(
             'coltsfootstair.backend_servers',
             'Backend servers that may be sent requests, by service',
@@ -401,12 +420,6 @@
             lambda: {follower.kind: follower.unheard_s for follower in self._followers},
             'kind',
         )
-        self.metrics.add_gauge(
-            'coltsfootstair.configuration_age',
-            'Seconds since the configuration was known to be the latest one',
-            lambda: {'age': min(1e6, self._configuration_age.age_s)},
-            'what',
-        )
         self.metrics.add_gauge(
             'coltsfootstair.paused_servers',
             'Usable backend servers that have asked this daemon for a pause, by service',
@@ -459,14 +472,25 @@
             'reason',
         )
 
+    def _read_lagging_daemons(self) -> dict[str, float]:
+        lagging = self._keeper.list_lagging()
+        return {
+            'daemons': len(lagging),
+            'most_versions': max((each.missing_count for each in lagging), default=0),
+            'longest_s': lagging[0].lag_s if lagging else 0.0,
+        }
+
     def _count_limited_servers(self) -> dict[str, int]:
         servers = [self._registry.get(name) for name, _ in self._fleet.limits.list_limited()]
         return Counter(server.service for server in servers if server is not None)
 
-    def _read_state(self) -> dict[str, float]:
+    def _get_configuration_version(self) -> int:
         route_table = self._configuration_subscriber.route_table
+        return route_table.configuration.version if route_table else 0
+
+    def _read_state(self) -> dict[str, float]:
         return {
-            'configuration_version': route_table.configuration.version if route_table else 0,
+            'configuration_version': self._get_configuration_version(),
             'ready': float(self.is_ready),
             'store_works': float(self._health.is_reachable),
             'keeper': float(self._keeper.is_keeper),
@@ -578,12 +602,19 @@
             lambda heard_at, is_issuing: self._workspace_gate.on_keeper_heard(
                 heard_at, is_issuing=is_issuing
             ),
+            self._get_configuration_version,
         )
 
     @property
     def _configuration_follower(self) -> Follower:
         return self._followers[0]
 
+    def _describe_evidence(self) -> str:
+        """Say how old the evidence is that the configuration is the latest, and why."""
+        age_s = min(1e6, self._configuration_age.age_s)
+        activity = self._configuration_follower.activity
+        return f'known to be the latest {age_s:.2f} s ago; {activity}'
+
     def _confirm_configuration(
         self, confirmed_at: float, revision_by_kind: dict[str, int]
     ) -> None:
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -100,6 +100,8 @@
     :param workspace_admission: identifies the workspaces of requests, and keeps their limits
     :param get_helpers: returns where daemons that reach backend servers take requests of
         others, if this one is cut off from them
+    :param describe_evidence: says how old the evidence is that the configuration in force is
+        the latest one, for people
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         drain_s: float,
         workspace_admission: WorkspaceAdmission,
         get_helpers: Callable[[], list[Address]] = list,
+        describe_evidence: Callable[[], str] = str,
     ) -> None:
         self._dialect = dialect
         self._get_route_table = get_route_table
@@ -146,6 +149,7 @@
         self._relay_client = RelayClient(dialect, pool, clock, random_source, get_helpers)
         self._helper_gate = HelperGate(lambda: len(self._active_requests))
         self._workspace_admission = workspace_admission
+        self._describe_evidence = describe_evidence
         self._urgency = UrgencyGate()
         self._admission = AdmissionGate(get_admitted_share_by_server, clock)
 
@@ -274,9 +278,8 @@
         route = self.find_route(request.incoming)
         if route is None:
             version = route_table.configuration.version
-            return Refusal(
-                ResultCode.UNKNOWN_ROUTE, Ran.NO, f'no route in version {version:08x}'
-            )
+            detail = f'no route in version {version:08x}, {self._describe_evidence()}'
+            return Refusal(ResultCode.UNKNOWN_ROUTE, Ran.NO, detail)
         request.route_table = route_table
         request.route = route
         request.service = route_table.choose_service(route)
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -160,6 +160,11 @@
         """Whether an exchange is in progress."""
         return self._pending_answer is not None
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes that have come since the last request was sent."""
+        return self._received_bytes
+
     async def exchange(
         self,
         request_line: bytes,
--- a/src/coltsfootstair/keyspace/_dependencies.py
+++ b/src/coltsfootstair/keyspace/_dependencies.py
@@ -78,6 +78,8 @@
         workspace
     :param on_keeper_heard: called with the time from which a keeper is heard, and whether it
         issues permits for workspaces
+    :param get_configuration_version: returns the version of the configuration in force; 0 if
+        there is none
     :param are_changes_overdue: returns whether this daemon may not know all changed objects,
         since the store has not told of them in time
     """
@@ -112,3 +114,4 @@
     get_workspace_limit: Callable[[str], tuple[float, float] | None] = lambda _name: None
     get_issued_rates: Callable[[], dict[str, float]] = dict
     on_keeper_heard: Callable[[float, bool], None] = lambda _at, _is_issuing: None
+    get_configuration_version: Callable[[], int] = lambda: 0
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -31,6 +31,7 @@
 from coltsfootstair.keyspace._reports import MAX_REPORT_AGE_S, LatestReports
 from coltsfootstair.keyspace._services import ServiceKeepers
 from coltsfootstair.keyspace._unresponsive import UnresponsiveDetector
+from coltsfootstair.keyspace._version_lag import VersionLag
 from coltsfootstair.keyspace._view import LEASE_NAME, OWNERSHIP_KIND
 from coltsfootstair.peers import (
     Heartbeat,
@@ -52,6 +53,7 @@
 if TYPE_CHECKING:
     from coltsfootstair.keyspace._dependencies import Channel, KeeperDependencies
     from coltsfootstair.keyspace._table import KeyTable
+    from coltsfootstair.keyspace._version_lag import LaggingDaemon
     from coltsfootstair.objects import RelayedChanges, StoredObject
 
 __all__ = ['Keeper']
@@ -182,6 +184,7 @@
         self._helpers: list[Address] = []
         self._helpers_told_at = -math.inf
         self._unresponsive_detector = UnresponsiveDetector()
+        self._version_lag = VersionLag(dependencies.clock)
         self._permit_issuer: PermitIssuer[tuple[str, int]] = PermitIssuer(dependencies.clock)
         self._workspace_issuer = WorkspaceIssuer(
             dependencies.clock, dependencies.get_workspace_limit
@@ -210,6 +213,12 @@
         """Whether this daemon is the keeper."""
         return self._own_lease is not None
 
+    def list_lagging(self) -> list[LaggingDaemon]:
+        """Return the daemons with an older configuration in force; none if not the keeper."""
+        if not self.is_keeper:
+            return []
+        return self._version_lag.list_lagging(self._latest_reports.list_recent())
+
     @property
     def known_daemon_count(self) -> int:
         """The larger of the number last counted and the number stored in the lease.
@@ -709,14 +718,21 @@
             return
         revisions = self._dependencies.ownership_view.get_table_revisions()
         store_reachable = self._dependencies.is_store_reachable()
-        report = self._dependencies.collect_report(
-            known_lease.epoch, store_reachable, interval_s, revisions
+        version = self._dependencies.get_configuration_version()
+        report = structs.replace(
+            self._dependencies.collect_report(
+                known_lease.epoch, store_reachable, interval_s, revisions
+            ),
+            configuration_version=version,
         )
+        if version:
+            self._version_lag.on_version(version)
         now = self._dependencies.clock.monotonic()
         if self._own_lease is not None:
             if self._dependencies.limits is not None:
                 self._permit_issuer.forget_ended(set(self._dependencies.limits.list_limited()))
             self._latest_reports.put(report, self._address)
+            self._version_lag.log(self._latest_reports.list_recent())
             self._workspace_issuer.on_report(report)
             self._workspace_issuer.find_silent()
             self._update_issuing()
--- a/src/coltsfootstair/metrics/_page.py
+++ b/src/coltsfootstair/metrics/_page.py
@@ -8,7 +8,13 @@
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
-from prometheus_client import REGISTRY, generate_latest
+from prometheus_client import (
+    GC_COLLECTOR,
+    PLATFORM_COLLECTOR,
+    PROCESS_COLLECTOR,
+    REGISTRY,
+    generate_latest,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -17,6 +23,9 @@
 
 __all__ = ['MetricsPage']
 
+RUNTIME_COLLECTORS = (GC_COLLECTOR, PLATFORM_COLLECTOR, PROCESS_COLLECTOR)
+"""Metrics of the interpreter and the process, which come last on the page."""
+
 
 class MetricsPage:
     """Owns the instruments of one daemon, and renders them for Prometheus.
@@ -26,6 +35,10 @@
 
     def __init__(self, daemon: str, views: Sequence[View] = ()) -> None:
         self._reader = PrometheusMetricReader()
+        # Metrics are rendered in the order of registration; a scrape may be cut off.
+        for collector in RUNTIME_COLLECTORS:
+            REGISTRY.unregister(collector)
+            REGISTRY.register(collector)
         resource = Resource.create({'service.name': 'coltsfootstair', 'daemon': daemon})
         self._provider = MeterProvider(
             metric_readers=[self._reader], resource=resource, views=views
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -158,6 +158,7 @@
         self._listed_era: int | None = None
         self._publish: Callable[[RelayedChanges], None] | None = None
         self._known_at = clock.monotonic()
+        self._complete_at = self._known_at
         self._confirmed_at = -math.inf
         self._distrusted_until = -math.inf
 
@@ -198,6 +199,25 @@
         """Time since the store or the keeper last told the state of the kind, in seconds."""
         return self._clock.monotonic() - self._known_at
 
+    @property
+    def behind_s(self) -> float:
+        """Time for which changes have been missing that the keeper has read, in seconds."""
+        now = self._clock.monotonic()
+        if self._relay.get_keeper_revision(self._kind) <= self.revision:
+            self._complete_at = now
+        return now - self._complete_at
+
+    @property
+    def activity(self) -> str:
+        """What the follower waits for, for people."""
+        if self._consecutive_failure_count:
+            return f'{self._consecutive_failure_count} calls to the store failed'
+        if self._revision is None:
+            return 'the first list is awaited'
+        if self._is_watch_dead:
+            return 'a watch was not answered'
+        return 'the keeper tells' if self._relay.is_active else 'the store tells'
+
     @property
     def is_overdue(self) -> bool:
         """Whether changes may be unknown, since the last watch is not answered in time."""
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -112,6 +112,8 @@
     :param keeper_unheard_s: time since the sender has had a heartbeat, in seconds
     :param issued_rates: permits a second that the sender has got from earlier keepers, by
         workspace; only for a keeper that does not know them
+    :param configuration_version: version of the configuration that is in force there; 0 if
+        none is
     """
 
     daemon: str
@@ -130,6 +132,7 @@
     number: int = 0
     keeper_unheard_s: float = 0.0
     issued_rates: dict[str, float] = {}
+    configuration_version: int = 0
 
 
 class Heartbeat(msgspec.Struct, tag='beat', array_like=True):
--- a/tests/coltsfootstair_platform/standin.py
+++ b/tests/coltsfootstair_platform/standin.py
@@ -23,6 +23,10 @@
 ]
 
 
+PIECE_S = 0.02
+"""Time between two pieces of an answer that is sent slowly, in seconds."""
+
+
 class ReceivedRequest(NamedTuple):
     """A request that a stand-in has received completely."""
 
@@ -99,13 +103,15 @@
 class StoreStandin(Listener):
     """Holds objects by kind and name, with one revision counter for all.
 
-    Set ``down`` to answer every call with 503. ``take_copy`` and ``restore`` bring it back
+    Set ``down`` to answer every call with 503, and ``bytes_per_s`` to send each answer no
+    faster than that, as over a narrow link. ``take_copy`` and ``restore`` bring it back
     from an older copy of itself; set ``answered_era`` to answer with another era than its own.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.down = False
+        self.bytes_per_s: float | None = None
         self.calls = 0
         self.era = 1
         self.answered_era: int | None = None
@@ -167,9 +173,21 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         status, body = await self._answer(request, parts, query)
         era = self.era if self.answered_era is None else self.answered_era
-        writer.write(encode_answer(status, json.dumps(body).encode(), Store_Era=str(era)))
+        answer = encode_answer(status, json.dumps(body).encode(), Store_Era=str(era))
+        await self._send(answer, writer)
         return True
 
+    async def _send(self, answer: bytes, writer: asyncio.StreamWriter) -> None:
+        while self.bytes_per_s is not None and answer:
+            size = max(1, int(self.bytes_per_s * PIECE_S))
+            writer.write(answer[:size])
+            answer = answer[size:]
+            if answer:
+                await asyncio.sleep(PIECE_S)
+            if writer.is_closing():
+                return
+        writer.write(answer)
+
     async def _answer(
         self, request: ReceivedRequest, parts: list[str], query: dict[str, str]
     ) -> tuple[int, Any]:
--- /dev/null
+++ b/tests/gateway/test_large_configurations.py
@@ -0,0 +1,103 @@
+"""Tests of configurations that are large, read slowly, or change often."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+
+import pytest
+
+from coltsfootstair.results import ResultCode
+from tests.coltsfootstair_platform.standin import (
+    ServerStandin,
+    StoreStandin,
+    build_configuration,
+    build_route,
+)
+from tests.gateway.harness import RunningGateway, run_gateways, run_with_time_limit
+
+CONFIGURATION_DEADLINE_S = 2.5
+"""Time from the acknowledgement of a version until it must be in force, in seconds."""
+
+
+def _build_large(version: int, route_count: int) -> dict[str, Any]:
+    """Return a configuration; 1,000 routes have about 250 KB."""
+    configuration = build_configuration(version)
+    configuration['resources'] += [
+        build_route(f'added{number}', 'calendar') for number in range(route_count)
+    ]
+    return configuration
+
+
+async def _wait_for_version(running: RunningGateway, version: int, limit_s: float) -> bool:
+    """Return whether a version came into force within a time limit."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            while running.gateway._get_configuration_version() < version:
+                await asyncio.sleep(0.02)
+            return True
+    return False
+
+
+@pytest.mark.parametrize('count', [1, 3])
+def test_a_configuration_that_takes_longer_to_read_than_a_call_comes_into_force(
+    count: int,
+) -> None:
+    """Guards against reading the same answer over and over, and giving it up each time."""
+
+    async def work() -> list[bool]:
+        store = StoreStandin()
+        server = ('calendar', ServerStandin('s1'))
+        async with run_gateways(count, server, store=store) as gateways:
+            await asyncio.sleep(1.5)  # Until one of them is keeper.
+            # The new version takes 3 s at this rate.
+            store.bytes_per_s = 170_000.0
+            await store.put('config', 'main', _build_large(2, 2000))
+            return await asyncio.gather(
+                *(_wait_for_version(running, 2, 8.0) for running in gateways)
+            )
+
+    assert all(run_with_time_limit(work()))
+
+
+@pytest.mark.parametrize('count', [1, 3])
+def test_no_route_is_denied_by_a_version_that_may_not_be_the_latest(count: int) -> None:
+    """Guards against answering 404 from a configuration that is known to be old, or may be."""
+
+    async def work() -> list[tuple[int, str, bool]]:
+        store = StoreStandin()
+        server = ('calendar', ServerStandin('s1'))
+        seen = []
+        async with run_gateways(count, server, store=store) as gateways:
+            await asyncio.sleep(1.5)
+            store.bytes_per_s = 1_000.0  # It never arrives within the test.
+            await store.put('config', 'main', _build_large(2, 2000))
+            await asyncio.sleep(CONFIGURATION_DEADLINE_S)
+            for running in gateways:
+                for _ in range(5):
+                    answer = await running.call('added7')
+                    seen.append(
+                        (
+                            answer.status,
+                            answer.headers['coltsfootstair-result'],
+                            'retry-after' in answer.headers,
+                        )
+                    )
+                    await asyncio.sleep(0.05)
+        return seen
+
+    assert set(run_with_time_limit(work())) == {
+        (503, str(int(ResultCode.DOCUMENT_STALE)), True)
+    }
+
+
+def test_a_route_that_no_version_has_is_denied_while_the_store_answers() -> None:
+    """Guards against refusing for later what is known not to exist."""
+
+    async def work() -> set[int]:
+        async with run_gateways(3, ('calendar', ServerStandin('s1'))) as gateways:
+            await asyncio.sleep(CONFIGURATION_DEADLINE_S)
+            return {(await running.call('nowhere')).status for running in gateways}
+
+    assert run_with_time_limit(work()) == {404}
