--- a/tests/gateway/test_large_configurations.py
+++ b/tests/gateway/test_large_configurations.py
@@ -61,6 +61,36 @@
     assert all(run_with_time_limit(work()))
 
 
+@pytest.mark.parametrize('count', [1, 3])
+def test_versions_that_follow_faster_than_they_can_be_read_do_not_pile_up(count: int) -> None:
+    """Guards against reading all versions in turn, of which only the last one counts."""
+
+    async def work() -> float:
+        store = StoreStandin()
+        server = ('calendar', ServerStandin('s1'))
+        loop = asyncio.get_running_loop()
+        longest_lag_s = 0.0
+        async with run_gateways(count, server, store=store) as gateways:
+            await asyncio.sleep(1.5)
+            # Four versions a second at this rate.
+            store.bytes_per_s = 400_000.0
+            written_at_by_version = {1: loop.time()}
+            for version in range(2, 62):
+                await store.put('config', 'main', _build_large(version, 400))
+                written_at_by_version[version] = loop.time()
+                await asyncio.sleep(0.1)
+                for running in gateways:
+                    in_force = running.gateway._get_configuration_version()
+                    if in_force < version:
+                        lag_s = loop.time() - written_at_by_version[in_force + 1]
+                        longest_lag_s = max(longest_lag_s, lag_s)
+            is_last = [await _wait_for_version(running, 61, 2.5) for running in gateways]
+        assert all(is_last)
+        return longest_lag_s
+
+    assert run_with_time_limit(work()) < CONFIGURATION_DEADLINE_S
+
+
 @pytest.mark.parametrize('count', [1, 3])
 def test_no_route_is_denied_by_a_version_that_may_not_be_the_latest(count: int) -> None:
     """Guards against answering 404 from a configuration that is known to be old, or may be."""
--- a/tests/gateway/test_services.py
+++ b/tests/gateway/test_services.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from coltsfootstair.gateway._services import (
     DEFAULT_TARGET_LATENCY_S,
     EXPECTED_SERVICE_TIME_SHARE,
     ServicesInForce,
 )
 from coltsfootstair.objects import StoredObject
-from coltsfootstair.routes import RouteTable
+from coltsfootstair.routes import Route, RouteTable
 from coltsfootstair_platform import PlatformDecoder
 from tests.coltsfootstair_platform.standin import build_configuration
 
@@ -33,6 +35,30 @@
     )
 
 
+def test_looking_up_a_service_takes_no_longer_with_more_routes() -> None:
+    """Guards against a keeper whose reports cost more with each route."""
+    seen = 0
+
+    class CountedRoutes(tuple[Route, ...]):
+        def __iter__(self) -> Iterator[Route]:
+            nonlocal seen
+            seen += len(self)
+            return super().__iter__()
+
+    decoded = PlatformDecoder().decode_configuration(
+        StoredObject('main', 1, build_configuration())
+    )
+    assert decoded is not None
+    table = RouteTable(decoded._replace(routes=CountedRoutes(decoded.routes)))
+    services = ServicesInForce(lambda: table)
+    services.get_expected_service_time_s('calendar')
+    seen = 0
+    for _ in range(100):
+        services.get_expected_service_time_s('calendar')
+        services.get_expected_service_time_s('unknown')
+    assert seen == 0
+
+
 def test_defaults_apply_before_the_first_configuration() -> None:
     services = ServicesInForce(lambda: None)
     assert services.list_names() == []
