--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -118,6 +118,7 @@
         self._pending_answer: asyncio.Future[Answer] | None = None
         self._expected_id: bytes | None = None
         self._on_head: Callable[[int, Headers], None] | None = None
+        self._on_progress: Callable[[int], None] | None = None
         self._is_head_request = False
         self._sent = False
         self._received_bytes = 0
@@ -173,6 +174,7 @@
         *,
         expected_id: bytes | None = None,
         on_head: Callable[[int, Headers], None] | None = None,
+        on_progress: Callable[[int], None] | None = None,
     ) -> Answer:
         """Send one request and return its complete answer.
 
@@ -182,6 +184,8 @@
             ignored
         :param on_head: called with status and headers of each head that arrives from now until
             the next exchange, also of interim, ignored and unrequested answers
+        :param on_progress: called with the number of bytes received so far, each time that
+            some arrive
         :raises BrokenExchangeError: the connection ended before the answer was complete, or
             the server violated the protocol
         """
@@ -192,6 +196,7 @@
         self._pending_answer = pending_answer
         self._expected_id = expected_id
         self._on_head = on_head
+        self._on_progress = on_progress
         self._is_head_request = request_line.startswith(b'HEAD ')
         self._received_bytes = 0
         self._received_body_bytes = 0
@@ -263,6 +268,8 @@
             self.close()
             return
         self._received_bytes += len(data)
+        if self._on_progress is not None:
+            self._on_progress(self._received_bytes)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -154,6 +154,7 @@
         self._outage_ended_at: float | None = None
         self._must_catch_up = False
         self._is_watch_dead = False
+        self._is_receiving = False
         self._may_list_stale = True
         self._listed_era: int | None = None
         self._publish: Callable[[RelayedChanges], None] | None = None
@@ -216,13 +217,15 @@
             return 'the first list is awaited'
         if self._is_watch_dead:
             return 'a watch was not answered'
+        if self._is_receiving:
+            return 'an answer of the store is being received'
         return 'the keeper tells' if self._relay.is_active else 'the store tells'
 
     @property
     def is_overdue(self) -> bool:
         """Whether changes may be unknown, since the last watch is not answered in time."""
         longest_s = self._watch_timeout_s + self._watch_pause_s + WATCH_ANSWER_DELAY_S
-        return self.unheard_s > longest_s
+        return self.unheard_s > longest_s and not self._is_receiving
 
     def publish_to(self, receiver: Callable[[RelayedChanges], None]) -> None:
         """Call ``receiver`` with the changes worth relaying of each answer to a watch."""
@@ -298,12 +301,21 @@
         previous_revision = self._revision
         began_at = self._clock.monotonic()
         try:
-            # A call without a wait has the time-out of the store's client.
-            async with asyncio.timeout(wait_s + WATCH_ANSWER_DELAY_S if wait_s else None):
-                answer = await self._store.watch(self._kind, previous_revision, wait_s)
+            # A call without a wait has the time-out of the store's client, and so has one
+            # whose answer has begun to arrive.
+            delay_s = wait_s + WATCH_ANSWER_DELAY_S if wait_s else None
+            async with asyncio.timeout(delay_s) as timeout:
+                answer = await self._store.watch(
+                    self._kind,
+                    previous_revision,
+                    wait_s,
+                    on_answer=lambda: self._on_answer_began(timeout),
+                )
         except TimeoutError:
             self._on_watch_dead(previous_revision)
             return
+        finally:
+            self._is_receiving = False
         self._is_watch_dead = self._is_watch_dead and not wait_s
         self._on_call_answered()
         if answer.revision <= self._revision:
@@ -335,6 +347,11 @@
         await asyncio.sleep(MAX_RELAY_DELAY_S)
         return self._relay.get_keeper_revision(self._kind) > self.revision
 
+    def _on_answer_began(self, timeout: asyncio.Timeout) -> None:
+        self._is_receiving = True
+        if not timeout.expired():
+            timeout.reschedule(None)
+
     def _on_watch_dead(self, after_revision: int) -> None:
         """Ask at once what the watch has missed."""
         self._must_catch_up = True
--- a/src/coltsfootstair/objects/_types.py
+++ b/src/coltsfootstair/objects/_types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
 __all__ = [
@@ -132,12 +133,20 @@
             era, or was deleted
         """
 
-    async def watch(self, kind: str, after_revision: Revision, wait_s: float) -> WatchAnswer:
+    async def watch(
+        self,
+        kind: str,
+        after_revision: Revision,
+        wait_s: float,
+        *,
+        on_answer: Callable[[], None] | None = None,
+    ) -> WatchAnswer:
         """Wait for changes after ``after_revision``.
 
         The answer has no changes if none occurs within ``wait_s``.
 
         :param wait_s: how long to wait for a change, in seconds
+        :param on_answer: called when the answer begins to arrive
         :raises RevisionTooOldError: the store no longer has the changes after that revision,
             or the revision is of an earlier era
         """
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -109,7 +109,9 @@
             raise StoreUnavailableError('the answer was lost')
         return item
 
-    async def watch(self, kind: str, after_revision: int, wait_s: float) -> WatchAnswer:
+    async def watch(
+        self, kind: str, after_revision: int, wait_s: float, **_: Any
+    ) -> WatchAnswer:
         raise NotImplementedError
 
 
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -47,7 +47,9 @@
         listing: Listing = await self._next('list')
         return listing
 
-    async def watch(self, kind: str, after_revision: int, wait_s: float) -> WatchAnswer:
+    async def watch(
+        self, kind: str, after_revision: int, wait_s: float, **_: Any
+    ) -> WatchAnswer:
         changes: WatchAnswer = await self._next(f'watch {after_revision} {wait_s:g}')
         return changes
 
@@ -298,7 +300,9 @@
     gap = object()
 
     class DeafStore(ScriptedStore):
-        async def watch(self, kind: str, after_revision: int, wait_s: float) -> WatchAnswer:
+        async def watch(
+            self, kind: str, after_revision: int, wait_s: float, **_: Any
+        ) -> WatchAnswer:
             if self.script and self.script[0] is gap:
                 self.script.pop(0)
                 self.calls.append('lost')
--- a/tests/workspaces/test_freshness.py
+++ b/tests/workspaces/test_freshness.py
@@ -41,7 +41,9 @@
         await asyncio.sleep(LIST_S)
         return Listing([], compose_revision(self.era, self.revision))
 
-    async def watch(self, kind: str, after_revision: int, wait_s: float) -> WatchAnswer:
+    async def watch(
+        self, kind: str, after_revision: int, wait_s: float, **_: Any
+    ) -> WatchAnswer:
         while self.is_silent:
             await asyncio.sleep(0.05)
         await asyncio.sleep(wait_s)
