Look up a service's target latency without going through all routes

Its readiness checks failed, and four keepers followed each other within four seconds while callers got 503.

The time to expect of a service was found by going through all routes at each look-up; the keeper makes one for each backend server in each plan. The route table now has the shortest target latency by service.

--- a/src/coltsfootstair/gateway/_services.py
+++ b/src/coltsfootstair/gateway/_services.py
@@ -46,16 +46,8 @@
     def get_expected_service_time_s(self, service: str) -> float:
         """Return the service time to assume until an answer has been measured, in seconds."""
         route_table = self._get_route_table()
-        targets = (
-            []
-            if route_table is None
-            else [
-                route.target_latency_s
-                for route in route_table.configuration.routes
-                if any(weighted.service == service for weighted in route.weighted_services)
-            ]
-        )
-        return EXPECTED_SERVICE_TIME_SHARE * min(targets, default=DEFAULT_TARGET_LATENCY_S)
+        targets = {} if route_table is None else route_table.target_latency_by_service
+        return EXPECTED_SERVICE_TIME_SHARE * targets.get(service, DEFAULT_TARGET_LATENCY_S)
 
     def _get_policies(self) -> dict[str, ServicePolicy]:
         route_table = self._get_route_table()
--- a/src/coltsfootstair/routes/_table.py
+++ b/src/coltsfootstair/routes/_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -15,6 +16,9 @@
 
     A lookup needs one dictionary access for each slash of the path, regardless of the
     number of routes.
+
+    :ivar target_latency_by_service: shortest target latency of the routes that lead to each
+        service, in seconds
     """
 
     def __init__(self, configuration: Configuration) -> None:
@@ -22,6 +26,13 @@
         self._route_by_prefix_by_host: dict[bytes, dict[bytes, Route]] = {}
         for route in configuration.routes:
             self._route_by_prefix_by_host.setdefault(route.host, {})[route.prefix] = route
+        self.target_latency_by_service: dict[str, float] = {}
+        for route in configuration.routes:
+            for weighted in route.weighted_services:
+                shortest_s = self.target_latency_by_service.get(weighted.service, math.inf)
+                self.target_latency_by_service[weighted.service] = min(
+                    shortest_s, route.target_latency_s
+                )
         # Current weight of each service in smooth weighted round robin.
         self._current_weights_by_route: dict[str, dict[str, float]] = {}
 
