Deny a path only by a version that is known to be the latest

"There is no such route" is a claim about the newest version, but was made from any version, however old. A key was denied only with evidence that was at most 2.5 s old, above the bound of 2 s of the small deployments.

404, 401, 413, 431 and 400 for a missing key now need evidence younger than 0.9 of the time in which a version must be in force, by the settings; otherwise the caller gets 503 (310) and comes back after 0.5 s. It is the same evidence as for keys: the begin of a call that told the latest state, at this daemon or at the keeper. A version that can't be decoded is no ground for a denial either. The first list, which may be stale, is followed at once by a call that tells the latest state: one more call for each start of a daemon.

Price: callers of paths that never existed get 503 in place of 404 while a daemon has neither the store nor a keeper that has it.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -38,7 +38,8 @@
 from coltsfootstair.peers import PeerChannel
 from coltsfootstair.registry import Registry
 from coltsfootstair.results import Ran, Refusal, ResultCode
-from coltsfootstair.workspaces import ConfigurationAge, WorkspaceGate
+from coltsfootstair.routes import UNCONFIRMED_RETRY_S, ConfigurationAge
+from coltsfootstair.workspaces import WorkspaceGate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -122,6 +123,9 @@
     http.HTTPStatus.INTERNAL_SERVER_ERROR: ResultCode.INTERNAL,
 }
 
+_CODES_BY_CONFIGURATION = frozenset({ResultCode.BODY_TOO_LARGE, ResultCode.HEADERS_TOO_LARGE})
+"""Refusals of requests beyond a limit that another version may not have."""
+
 
 class Gateway:
     """Gateway daemon: serves callers in ``run`` until ``stop`` is called.
@@ -200,6 +204,8 @@
         self._configuration_age = ConfigurationAge(
             clock,
             lambda: self._configuration_follower.confirmed_at,
+            lambda: self._configuration_subscriber.is_newest_readable,
+            settings.configuration_deadline_s,
             settings.workspaces.revocation_s,
             is_strict=settings.workspaces.is_revocation_strict,
         )
@@ -219,6 +225,7 @@
             settings.drain_s,
             WorkspaceAdmission(self._configuration_age, self._workspace_gate, self.metrics),
             lambda: self._keeper.helpers,
+            lambda: self._configuration_age.is_recent,
             self._describe_evidence,
         )
         self._path_prober = PathProber(self._registry, self._fleet.paths, self._pool)
@@ -264,6 +271,9 @@
         code = _RESULT_CODE_BY_STATUS[http.HTTPStatus(status)]
         ran = Ran.UNKNOWN if code is ResultCode.INTERNAL else Ran.NO
         retry_after_s = 0.5 if code is ResultCode.UPLOAD_MEMORY_FULL else None
+        if code in _CODES_BY_CONFIGURATION and not self._configuration_age.is_recent:
+            code = ResultCode.CONFIGURATION_NOT_CONFIRMED
+            retry_after_s = UNCONFIRMED_RETRY_S
         self.metrics.count_request('', f'refused {int(code)}', 0.0)
         return render_refusal(Refusal(code, ran, '', retry_after_s), None)
 
@@ -656,6 +666,7 @@
                 watch_pause_s,
                 self._settings.store.history_s,
                 max_watch_s,
+                confirms_first_list=kind == kinds.configuration,
             )
             for kind, subscriber, watch_pause_s, max_watch_s in (
                 (
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -37,7 +37,7 @@
     compute_caller_retry_after_s,
 )
 from coltsfootstair.results import Ran, Refusal, ResultCode, title
-from coltsfootstair.routes import RequestKind
+from coltsfootstair.routes import UNCONFIRMED_RETRY_S, RequestKind
 from coltsfootstair.workspaces import Workspace
 
 if TYPE_CHECKING:
@@ -100,6 +100,8 @@
     :param workspace_admission: identifies the workspaces of requests, and keeps their limits
     :param get_helpers: returns where daemons that reach backend servers take requests of
         others, if this one is cut off from them
+    :param may_deny: returns whether a request may be denied for what the configuration in
+        force lacks
     :param describe_evidence: says how old the evidence is that the configuration in force is
         the latest one, for people
     """
@@ -121,6 +123,7 @@
         drain_s: float,
         workspace_admission: WorkspaceAdmission,
         get_helpers: Callable[[], list[Address]] = list,
+        may_deny: Callable[[], bool] = lambda: True,
         describe_evidence: Callable[[], str] = str,
     ) -> None:
         self._dialect = dialect
@@ -149,6 +152,7 @@
         self._relay_client = RelayClient(dialect, pool, clock, random_source, get_helpers)
         self._helper_gate = HelperGate(lambda: len(self._active_requests))
         self._workspace_admission = workspace_admission
+        self._may_deny = may_deny
         self._describe_evidence = describe_evidence
         self._urgency = UrgencyGate()
         self._admission = AdmissionGate(get_admitted_share_by_server, clock)
@@ -277,9 +281,7 @@
             )
         route = self.find_route(request.incoming)
         if route is None:
-            version = route_table.configuration.version
-            detail = f'no route in version {version:08x}, {self._describe_evidence()}'
-            return Refusal(ResultCode.UNKNOWN_ROUTE, Ran.NO, detail)
+            return self._deny(ResultCode.UNKNOWN_ROUTE, 'no route', route_table)
         request.route_table = route_table
         request.route = route
         request.service = route_table.choose_service(route)
@@ -295,11 +297,24 @@
         if not request.policy.divided_by_key:
             request.key = None
         elif request.key is None:
-            return Refusal(
-                ResultCode.KEY_MISSING, Ran.NO, f'{request.service} is divided by key'
-            )
+            detail = f'{request.service} is divided by key'
+            return self._deny(ResultCode.KEY_MISSING, detail, route_table)
         return None
 
+    def _deny(self, code: ResultCode, detail: str, route_table: RouteTable) -> Refusal:
+        """Return the refusal of a request that the configuration in force does not allow.
+
+        Only the latest version can tell that; without evidence the caller is told to come
+        back.
+        """
+        version = route_table.configuration.version
+        detail = f'{detail} in version {version:08x}, {self._describe_evidence()}'
+        if self._may_deny():
+            return Refusal(code, Ran.NO, detail)
+        return Refusal(
+            ResultCode.CONFIGURATION_NOT_CONFIRMED, Ran.NO, detail, UNCONFIRMED_RETRY_S
+        )
+
     async def _send_until_final(self, request: RequestState) -> Reply:
         """Make attempts until one is answered or no further one is allowed."""
         while True:
--- a/src/coltsfootstair/gateway/_settings.py
+++ b/src/coltsfootstair/gateway/_settings.py
@@ -60,6 +60,8 @@
     :param cores: processor cores that the VM may use; may be a fraction
     :param link_mbps: bandwidth of the VM's link, in megabits a second
     :param grace_s: time from SIGTERM within which the process must end, in seconds
+    :param configuration_deadline_s: time in which a new version of the configuration must
+        be in force at all daemons, in seconds
     :param drain_s: how long a draining backend server may still be sent requests, in seconds
     :param longest_hold_s: maximum grant duration, in seconds
     :param is_first_start: whether the whole system starts for the first time, so that no grant
@@ -79,6 +81,7 @@
     cores: float = 1.0
     link_mbps: float = 1000.0
     grace_s: float = 6.0
+    configuration_deadline_s: float = 2.0
     drain_s: float = 2.0
     longest_hold_s: float = 10.0
     address_reuse_s: float = 2.0
--- a/src/coltsfootstair/gateway/_subscribers.py
+++ b/src/coltsfootstair/gateway/_subscribers.py
@@ -36,12 +36,16 @@
 
     The version in force is applied again if it was written in a later era of the store, since
     operators write again what the store has lost.
+
+    :ivar route_table: routes in force; ``None`` before the first version
+    :ivar is_newest_readable: whether the version that was read last could be decoded
     """
 
     def __init__(self, decoder: ObjectDecoder) -> None:
         self._decoder = decoder
         self._era = 0
         self.route_table: RouteTable | None = None
+        self.is_newest_readable = True
 
     def apply_listing(
         self, listing: Listing, *, after_outage: bool, is_restored: bool
@@ -61,9 +65,11 @@
             configuration = self._decoder.decode_configuration(item)
         except BadInputError as error:
             _log_refused_object('configuration', item, error)
+            self.is_newest_readable = False
             return
         if configuration is None:
             return
+        self.is_newest_readable = True
         known_version = (
             self.route_table.configuration.version if self.route_table is not None else -1
         )
--- a/src/coltsfootstair/gateway/_workspace_admission.py
+++ b/src/coltsfootstair/gateway/_workspace_admission.py
@@ -6,17 +6,14 @@
 
 from coltsfootstair.permits import Denial
 from coltsfootstair.results import Ran, Refusal, ResultCode
-from coltsfootstair.workspaces import (
-    UNCONFIRMED_RETRY_S,
-    KeyDenial,
-    Workspace,
-    identify,
-)
+from coltsfootstair.routes import UNCONFIRMED_RETRY_S
+from coltsfootstair.workspaces import KeyDenial, Workspace, identify
 
 if TYPE_CHECKING:
     from coltsfootstair.gateway._sender import RequestState
     from coltsfootstair.metrics import GatewayMetrics
-    from coltsfootstair.workspaces import ConfigurationAge, WorkspaceGate
+    from coltsfootstair.routes import ConfigurationAge
+    from coltsfootstair.workspaces import WorkspaceGate
 
 __all__ = ['WorkspaceAdmission']
 
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -125,6 +125,8 @@
         so that changes in quick succession need only one call
     :param max_watch_s: longest wait of a watch for a change, in seconds; a dead watch hides
         changes for as long
+    :param confirms_first_list: whether the first list, which may be stale, is followed by a
+        call that tells the latest state without waiting for a change
     """
 
     def __init__(
@@ -139,6 +141,8 @@
         watch_pause_s: float,
         history_s: float,
         max_watch_s: float = MAX_WATCH_TIMEOUT_S,
+        *,
+        confirms_first_list: bool = False,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -153,6 +157,7 @@
         self._consecutive_failure_count = 0
         self._outage_ended_at: float | None = None
         self._must_catch_up = False
+        self._confirms_first_list = confirms_first_list
         self._is_watch_dead = False
         self._is_receiving = False
         self._may_list_stale = True
@@ -282,7 +287,9 @@
             self._subscriber.apply_listing(
                 listing, after_outage=self._may_be_outage_effect(), is_restored=is_restored
             )
-            if not may_be_stale:
+            if may_be_stale:
+                self._must_catch_up = self._confirms_first_list
+            else:
                 self._on_state_told(began_at)
             return
         if self._relay.is_active and not self._consecutive_failure_count:
--- a/src/coltsfootstair/results/_codes.py
+++ b/src/coltsfootstair/results/_codes.py
@@ -51,6 +51,7 @@
     OPERATION_NOT_REPLICATED = 307
     DOCUMENT_STALE = 308
     KEY_NOT_CONFIRMED = 309
+    CONFIGURATION_NOT_CONFIRMED = 310
     OUTCOME_UNKNOWN = 400
     OPERATION_RUNNING = 401
     ANSWER_INCOMPLETE = 402
@@ -107,6 +108,10 @@
     ResultCode.OPERATION_NOT_REPLICATED: (503, 'No standby can note the operation at present'),
     ResultCode.DOCUMENT_STALE: (503, 'It is not known here what may have new work'),
     ResultCode.KEY_NOT_CONFIRMED: (503, 'It is not known here whether the key is still valid'),
+    ResultCode.CONFIGURATION_NOT_CONFIRMED: (
+        503,
+        'It is not known here whether the latest configuration allows this',
+    ),
     ResultCode.OUTCOME_UNKNOWN: (504, 'It is not known whether the request ran'),
     ResultCode.OPERATION_RUNNING: (409, 'The operation is already running'),
     ResultCode.ANSWER_INCOMPLETE: (502, 'The backend server cut off its answer'),
--- a/src/coltsfootstair/routes/__init__.py
+++ b/src/coltsfootstair/routes/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootstair.routes._age import UNCONFIRMED_RETRY_S, ConfigurationAge
 from coltsfootstair.routes._table import RouteTable
 from coltsfootstair.routes._types import (
     Configuration,
@@ -12,7 +13,9 @@
 )
 
 __all__ = [
+    'UNCONFIRMED_RETRY_S',
     'Configuration',
+    'ConfigurationAge',
     'RequestKind',
     'Route',
     'RouteTable',
--- a/src/coltsfootstair/workspaces/__init__.py
+++ b/src/coltsfootstair/workspaces/__init__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from coltsfootstair.workspaces._freshness import UNCONFIRMED_RETRY_S, ConfigurationAge
 from coltsfootstair.workspaces._gate import FALLBACK_S, WorkspaceGate
 from coltsfootstair.workspaces._identity import Identity, KeyDenial, identify
 from coltsfootstair.workspaces._issuer import WorkspaceIssuer
@@ -10,8 +9,6 @@
 
 __all__ = [
     'FALLBACK_S',
-    'UNCONFIRMED_RETRY_S',
-    'ConfigurationAge',
     'Identity',
     'KeyDenial',
     'Workspace',
--- a/tests/gateway/test_large_configurations.py
+++ b/tests/gateway/test_large_configurations.py
@@ -118,7 +118,7 @@
         return seen
 
     assert set(run_with_time_limit(work())) == {
-        (503, str(int(ResultCode.DOCUMENT_STALE)), True)
+        (503, str(int(ResultCode.CONFIGURATION_NOT_CONFIRMED)), True)
     }
 
 
--- a/tests/workspaces/test_freshness.py
+++ b/tests/routes/test_age.py
@@ -20,7 +20,7 @@
     era_of,
 )
 from coltsfootstair.peers import Heartbeat
-from coltsfootstair.workspaces import ConfigurationAge
+from coltsfootstair.routes import ConfigurationAge
 from tests.keyspace.model import World
 from tests.virtual_time import LoopClock, run
 
@@ -76,7 +76,9 @@
         return False
 
 
-def _follow(store: FakeStore) -> tuple[Follower, asyncio.Task[None]]:
+def _follow(
+    store: FakeStore, *, confirms_first_list: bool = False
+) -> tuple[Follower, asyncio.Task[None]]:
     follower = Follower(
         store,
         KIND,
@@ -88,6 +90,7 @@
         0.1,
         20.0,
         WATCH_S,
+        confirms_first_list=confirms_first_list,
     )
     return follower, asyncio.create_task(follower.run())
 
@@ -102,6 +105,18 @@
     assert run(work()) == -math.inf
 
 
+def test_a_first_list_that_may_be_stale_is_confirmed_at_once() -> None:
+    """Guards against a daemon that can deny nothing until its first watch has ended."""
+
+    async def work() -> tuple[float, float]:
+        follower, _ = _follow(FakeStore(), confirms_first_list=True)
+        await asyncio.sleep(LIST_S + 0.1)
+        return follower.confirmed_at, asyncio.get_running_loop().time() - 0.1
+
+    confirmed_at, listed_at = run(work())
+    assert abs(confirmed_at - listed_at) < 0.02
+
+
 def test_evidence_is_as_old_as_the_begin_of_the_call_that_gave_it() -> None:
     """Guards against a watch whose answer counts from the time at which it came."""
 
@@ -194,10 +209,36 @@
         world = World(1, 1, server_count=1)
         clock = world.clock_by_daemon['d0']
         confirmed_at = clock.monotonic()
-        strict = ConfigurationAge(clock, lambda: confirmed_at, 5.0, is_strict=True)
-        lenient = ConfigurationAge(clock, lambda: confirmed_at, 5.0, is_strict=False)
+        strict, lenient = (
+            ConfigurationAge(
+                clock, lambda: confirmed_at, lambda: True, 2.5, 5.0, is_strict=is_strict
+            )
+            for is_strict in (True, False)
+        )
         states = [strict.is_current, strict.is_recent]
         clock.advance(4.6)
         return [*states, strict.is_current, strict.is_recent, lenient.is_current]
 
     assert run(work()) == [True, True, False, False, True]
+
+
+def test_nothing_is_denied_beyond_the_time_in_which_a_version_must_be_in_force() -> None:
+    """Guards against one age for all deployments, above the bound of some."""
+
+    async def work() -> list[bool]:
+        world = World(1, 1, server_count=1)
+        clock = world.clock_by_daemon['d0']
+        confirmed_at = clock.monotonic()
+        is_readable = True
+        age = ConfigurationAge(
+            clock, lambda: confirmed_at, lambda: is_readable, 2.0, 5.0, is_strict=False
+        )
+        clock.advance(1.7)
+        states = [age.is_recent]
+        is_readable = False
+        states.append(age.is_recent)
+        is_readable = True
+        clock.advance(0.3)
+        return [*states, age.is_recent]
+
+    assert run(work()) == [True, False, False]
