Read the store's answers object by object

One object that another writer left among the others (nested 3,000 deep, a number such as 1e400 or 10^5000, bytes that aren't UTF-8, a lone surrogate) made each list and watch of its kind a failed call: no daemon learned of any other object of the kind, and since the call counted as an outage of the store, the other kinds waited for it. A number of 10^30 was read, but can't be sent to other daemons.

Cause: the whole body was decoded at once. Now each object is decoded by itself. One that can't be decoded, or not be sent on (whole numbers above 64 bits, more than 32 levels), has an UnreadableValue as its content, under its name and revision. An answer whose list or revision can't be read is an UnusableAnswerError: the follower of that kind tries again, the store counts as reachable.

--- a/src/coltsfootstair/errors/__init__.py
+++ b/src/coltsfootstair/errors/__init__.py
@@ -10,6 +10,7 @@
     'RevisionTooOldError',
     'StoreConflictError',
     'StoreUnavailableError',
+    'UnusableAnswerError',
 ]
 
 
@@ -57,3 +58,7 @@
 
 class RevisionTooOldError(StoreUnavailableError):
     """A watch asked for changes that the store no longer has; list the objects again."""
+
+
+class UnusableAnswerError(StoreUnavailableError):
+    """The store can be reached and answered, but with bytes that can't be read as a whole."""
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -8,7 +8,11 @@
 
 import structlog
 
-from coltsfootstair.errors import RevisionTooOldError, StoreUnavailableError
+from coltsfootstair.errors import (
+    RevisionTooOldError,
+    StoreUnavailableError,
+    UnusableAnswerError,
+)
 from coltsfootstair.objects._types import Change, RelayedChanges, era_of
 
 if TYPE_CHECKING:
@@ -154,6 +158,7 @@
         self._outage_ended_at: float | None = None
         self._must_catch_up = False
         self._is_watch_dead = False
+        self._is_answer_unusable = False
         self._may_list_stale = True
         self._listed_era: int | None = None
         self._publish: Callable[[RelayedChanges], None] | None = None
@@ -214,6 +219,8 @@
             return f'{self._consecutive_failure_count} calls to the store failed'
         if self._revision is None:
             return 'the first list is awaited'
+        if self._is_answer_unusable:
+            return 'an answer of the store can not be used'
         if self._is_watch_dead:
             return 'a watch was not answered'
         return 'the keeper tells' if self._relay.is_active else 'the store tells'
@@ -252,6 +259,15 @@
                 logger.info('history gone', kind=self._kind, after_revision=self._revision)
                 self._revision = None
                 await asyncio.sleep(FIRST_RETRY_DELAY_S * self._random.random())
+            except UnusableAnswerError as error:
+                # The store can be reached, so other kinds go on.
+                self._health.record_answer(self)
+                if not self._is_answer_unusable:
+                    self._is_answer_unusable = True
+                    logger.warning(
+                        'answer of the store unusable', kind=self._kind, reason=str(error)
+                    )
+                await asyncio.sleep(MAX_RETRY_DELAY_S * (0.5 + self._random.random() / 2))
             except StoreUnavailableError as error:
                 self._on_call_failed(error)
                 delay_s = min(
@@ -352,6 +368,7 @@
 
     def _on_call_answered(self) -> None:
         self._health.record_answer(self)
+        self._is_answer_unusable = False
         self._known_at = self._clock.monotonic()
         if not self._consecutive_failure_count:
             return
--- a/src/coltsfootstair/objects/_types.py
+++ b/src/coltsfootstair/objects/_types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Any, NamedTuple, Protocol
 
 __all__ = [
@@ -11,6 +12,7 @@
     'RelayedChanges',
     'Revision',
     'StoredObject',
+    'UnreadableValue',
     'WatchAnswer',
     'compose_revision',
     'era_of',
@@ -43,10 +45,22 @@
     return revision & ((1 << _NUMBER_BITS) - 1)
 
 
+@dataclasses.dataclass(frozen=True)
+class UnreadableValue:
+    """Stands in for the content of an object that can't be decoded.
+
+    :param reason: why it can't be, for people
+    """
+
+    reason: str
+
+
 class StoredObject(NamedTuple):
     """An object at one revision.
 
-    :param value: the decoded content; of any type, since other programs write objects too
+    :param value: the decoded content; of any type, since other programs write objects too, and
+        an ``UnreadableValue`` if it can't be decoded. It can be sent to other daemons: numbers
+        are finite and whole ones have 64 bits, texts can be encoded, nesting is bounded.
     """
 
     name: str
@@ -96,7 +110,8 @@
     """Store of objects with revisions, conditional updates and watches.
 
     Every call raises ``StoreUnavailableError`` if no answer arrives in time; a change may
-    then have taken effect, or may still take effect later.
+    then have taken effect, or may still take effect later. It raises ``UnusableAnswerError``
+    if the store did answer, but nothing can be made of the answer.
 
     The store may come back from an older copy of itself. What was written since is then lost,
     and a new era begins. An answer of an earlier era counts as none.
--- a/tests/coltsfootstair_platform/standin.py
+++ b/tests/coltsfootstair_platform/standin.py
@@ -121,6 +121,7 @@
         self._events: list[tuple[str, int, dict[str, Any], bool]] = []
         self._oldest_watchable_revision = 0
         self._changed = asyncio.Condition()
+        self._raw_by_marker: dict[bytes, bytes] = {}
 
     def take_copy(self) -> None:
         """Keep a copy of all objects for ``restore``."""
@@ -142,6 +143,12 @@
         self._objects.setdefault(kind, {})[name] = item
         await self._record_event(kind, item, deleted=False)
 
+    async def put_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Write an object whose content is sent as ``spec``, whatever these bytes are."""
+        marker = f'raw {len(self._raw_by_marker)}.'
+        self._raw_by_marker[json.dumps(marker).encode()] = spec
+        await self.put(kind, name, marker)
+
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object."""
         self._revision += 1
@@ -173,7 +180,10 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         status, body = await self._answer(request, parts, query)
         era = self.era if self.answered_era is None else self.answered_era
-        answer = encode_answer(status, json.dumps(body).encode(), Store_Era=str(era))
+        content = json.dumps(body).encode()
+        for marker, spec in self._raw_by_marker.items():
+            content = content.replace(marker, spec)
+        answer = encode_answer(status, content, Store_Era=str(era))
         await self._send(answer, writer)
         return True
 
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -8,7 +8,11 @@
 
 from tests.virtual_time import LoopClock, run
 
-from coltsfootstair.errors import RevisionTooOldError, StoreUnavailableError
+from coltsfootstair.errors import (
+    RevisionTooOldError,
+    StoreUnavailableError,
+    UnusableAnswerError,
+)
 from coltsfootstair.objects import (
     Change,
     Follower,
@@ -333,3 +337,36 @@
     assert store.calls == ['list', 'lost', 'watch 5 0', 'watch 6 0.6']
     assert [revision for _, revision in seen] == [5, 5, 5, 5, 5, 6]
     assert not any(is_overdue for is_overdue, _ in seen)
+
+
+def test_an_unusable_answer_is_no_outage_and_holds_no_other_kind_up() -> None:
+    """One kind's list was refused again and again, and all kinds waited for its follower."""
+
+    async def scenario() -> None:
+        clock, health, relay = LoopClock(), StoreHealth(), Relay()
+        health.record_failure('another follower')
+        stores = [
+            ScriptedStore(*[UnusableAnswerError('odd')] * 30, Listing([_object('a', 3)], 5)),
+            ScriptedStore(Listing([_object('b', 3)], 5), WatchAnswer([], 5)),
+        ]
+        subscribers = [RecordingSubscriber(), RecordingSubscriber()]
+        followers = [
+            Follower(
+                store, kind, subscriber, clock, random.Random(1), health, relay, 0.1, 50.0
+            )
+            for store, subscriber, kind in zip(
+                stores, subscribers, ('servers', 'config'), strict=True
+            )
+        ]
+        tasks = [asyncio.create_task(follower.run()) for follower in followers]
+        await asyncio.sleep(5.0)
+        assert health.is_reachable
+        assert subscribers[0].events == []
+        assert subscribers[1].events == [('listed b', False)]
+        assert followers[0].activity == 'the first list is awaited'
+        await asyncio.sleep(15.0)
+        assert subscribers[0].events == [('listed a', False)]
+        for task in tasks:
+            task.cancel()
+
+    run(scenario())
