Skip versions of the configuration that others have replaced

A watch returns each version since in full. A VM that is behind by one version reads two with the next call, then four, until its answer is over 8 MiB, which is never read, and the store's history has ended. Of a configuration only the latest version counts.

An answer to a watch of the configuration over 64 KiB is given up at its head, and the kind is listed: one version, however many were written. The keeper publishes what a list brought as it does for a watch. Price: for a large version one more round trip and connection to the store.

--- a/src/coltsfootstair/errors/__init__.py
+++ b/src/coltsfootstair/errors/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 __all__ = [
+    'AnswerTooLargeError',
     'BadInputError',
     'CallFailedError',
     'ColtsfootstairError',
@@ -60,5 +61,9 @@
     """A watch asked for changes that the store no longer has; list the objects again."""
 
 
+class AnswerTooLargeError(StoreUnavailableError):
+    """The answer to a call is larger than the caller was ready to read."""
+
+
 class UnusableAnswerError(StoreUnavailableError):
     """The store can be reached and answered, but with bytes that can't be read as a whole."""
--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -666,7 +666,7 @@
                 watch_pause_s,
                 self._settings.store.history_s,
                 max_watch_s,
-                confirms_first_list=kind == kinds.configuration,
+                is_latest_only=kind == kinds.configuration,
             )
             for kind, subscriber, watch_pause_s, max_watch_s in (
                 (
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -64,6 +64,7 @@
         acknowledged when the exchange was given up; ``None`` if not known
     :param closed_by_server: whether the server closed or reset the connection
     :param refused: whether nobody listens at the server's address
+    :param cut_off_reason: why the rest of the answer was not read, if it was cut off here
     """
 
     def __init__(
@@ -74,8 +75,10 @@
         unacknowledged_bytes: int | None = None,
         closed_by_server: bool = False,
         refused: bool = False,
+        cut_off_reason: CutOffReason | None = None,
     ) -> None:
         super().__init__(text)
+        self.cut_off_reason = cut_off_reason
         self.sent = sent
         self.closed_by_server = closed_by_server
         self.refused = refused
@@ -119,6 +122,7 @@
         self._expected_id: bytes | None = None
         self._on_head: Callable[[int, Headers], None] | None = None
         self._on_progress: Callable[[int], None] | None = None
+        self._max_body_bytes = self._limiter.max_body_bytes
         self._is_head_request = False
         self._sent = False
         self._received_bytes = 0
@@ -175,6 +179,7 @@
         expected_id: bytes | None = None,
         on_head: Callable[[int, Headers], None] | None = None,
         on_progress: Callable[[int], None] | None = None,
+        max_body_bytes: int | None = None,
     ) -> Answer:
         """Send one request and return its complete answer.
 
@@ -186,6 +191,7 @@
             the next exchange, also of interim, ignored and unrequested answers
         :param on_progress: called with the number of bytes received so far, each time that
             some arrive
+        :param max_body_bytes: longest body of the answer, if that is less than the limiter's
         :raises BrokenExchangeError: the connection ended before the answer was complete, or
             the server violated the protocol
         """
@@ -197,6 +203,9 @@
         self._expected_id = expected_id
         self._on_head = on_head
         self._on_progress = on_progress
+        self._max_body_bytes = self._limiter.max_body_bytes
+        if max_body_bytes is not None:
+            self._max_body_bytes = min(max_body_bytes, self._max_body_bytes)
         self._is_head_request = request_line.startswith(b'HEAD ')
         self._received_bytes = 0
         self._received_body_bytes = 0
@@ -393,7 +402,7 @@
                 self.idle_limit_s = float(number)
 
     def _check_body_size(self, size: int) -> None:
-        limit = self._limiter.max_body_bytes
+        limit = self._max_body_bytes
         if size > limit:
             text = f'the answer of {self.address} is over {limit} bytes'
             self._cut_off(CutOffReason.BODY_TOO_LARGE, text)
@@ -403,7 +412,7 @@
         """Fail the exchange because of what the server has sent."""
         if self._pending_answer is not None and not self._pending_answer.done():
             self._limiter.count_cut_off(str(self.address), reason)
-        self._fail(text)
+        self._fail(text, cut_off_reason=reason)
 
     def _cut_off_for_memory(self) -> None:
         self._cut_off(
@@ -417,10 +426,21 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
 
-    def _fail(self, text: str, *, closed_by_server: bool = False) -> None:
+    def _fail(
+        self,
+        text: str,
+        *,
+        closed_by_server: bool = False,
+        cut_off_reason: CutOffReason | None = None,
+    ) -> None:
         if self._pending_answer is not None and not self._pending_answer.done():
             self._pending_answer.set_exception(
-                BrokenExchangeError(text, sent=True, closed_by_server=closed_by_server)
+                BrokenExchangeError(
+                    text,
+                    sent=True,
+                    closed_by_server=closed_by_server,
+                    cut_off_reason=cut_off_reason,
+                )
             )
         self.close()
         self._drop_answer()
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -9,6 +9,7 @@
 import structlog
 
 from coltsfootstair.errors import (
+    AnswerTooLargeError,
     RevisionTooOldError,
     StoreUnavailableError,
     UnusableAnswerError,
@@ -55,6 +56,10 @@
 """How long after the store has come back from an older copy others may take to write again
 what it has lost, in seconds. Until then its latest state may be an old one."""
 
+MAX_HISTORY_BYTES = 64 * 1024
+"""Size of the answer to a watch above which the latest state is listed instead, in bytes: the
+answer has each version in full that was written since."""
+
 MAX_RELAY_DELAY_S = 0.1
 """How long a relayed change may arrive after the keeper has reported its revision, in seconds.
 After that the change is read from the store."""
@@ -129,8 +134,9 @@
         so that changes in quick succession need only one call
     :param max_watch_s: longest wait of a watch for a change, in seconds; a dead watch hides
         changes for as long
-    :param confirms_first_list: whether the first list, which may be stale, is followed by a
-        call that tells the latest state without waiting for a change
+    :param is_latest_only: whether only the latest state of the kind counts. Changes that are
+        too many or too large are then skipped in favour of a list, and the first list, which
+        may be stale, is followed by a call that tells the latest state without a wait
     """
 
     def __init__(
@@ -146,7 +152,7 @@
         history_s: float,
         max_watch_s: float = MAX_WATCH_TIMEOUT_S,
         *,
-        confirms_first_list: bool = False,
+        is_latest_only: bool = False,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -161,7 +167,8 @@
         self._consecutive_failure_count = 0
         self._outage_ended_at: float | None = None
         self._must_catch_up = False
-        self._confirms_first_list = confirms_first_list
+        self._is_latest_only = is_latest_only
+        self._must_list = False
         self._is_watch_dead = False
         self._is_receiving = False
         self._is_answer_unusable = False
@@ -286,7 +293,7 @@
                 await self._health.wait_until_allowed(self)
 
     async def _list_or_watch_once(self) -> None:
-        if self._revision is None:
+        if self._revision is None or self._must_list:
             # A stale state is good enough to start from, since the watch from its revision
             # returns what has changed since. It is not listed again: its history may be gone.
             may_be_stale, self._may_list_stale = self._may_list_stale, False
@@ -299,12 +306,22 @@
                 self._outage_ended_at = self._clock.monotonic()
                 self._distrusted_until = self._outage_ended_at + RESTORED_WRITES_S
             self._listed_era = era
-            self._revision = listing.revision
+            previous_revision, self._revision = self._revision, listing.revision
+            self._must_list = False
             self._subscriber.apply_listing(
                 listing, after_outage=self._may_be_outage_effect(), is_restored=is_restored
             )
+            if previous_revision is not None and not is_restored:
+                self._publish_changes(
+                    previous_revision,
+                    [
+                        Change(item, False)
+                        for item in listing.objects
+                        if item.revision > previous_revision
+                    ],
+                )
             if may_be_stale:
-                self._must_catch_up = self._confirms_first_list
+                self._must_catch_up = self._is_latest_only
             else:
                 self._on_state_told(began_at)
             return
@@ -333,7 +350,11 @@
                     previous_revision,
                     wait_s,
                     on_answer=lambda: self._on_answer_began(timeout),
+                    max_bytes=MAX_HISTORY_BYTES if self._is_latest_only else None,
                 )
+        except AnswerTooLargeError:
+            self._must_list = True
+            return
         except TimeoutError:
             self._on_watch_dead(previous_revision)
             return
@@ -351,15 +372,14 @@
             if self._subscriber.apply_change(change, after_outage=self._may_be_outage_effect())
         ]
         self._on_state_told(began_at)
-        if self._publish is not None:
-            self._publish(
-                RelayedChanges(
-                    self._kind, previous_revision, answer.revision, changes_to_relay
-                )
-            )
+        self._publish_changes(previous_revision, changes_to_relay)
         if answer.changes:
             await asyncio.sleep(self._watch_pause_s)
 
+    def _publish_changes(self, after_revision: int, changes: list[Change]) -> None:
+        if self._publish is not None:
+            self._publish(RelayedChanges(self._kind, after_revision, self.revision, changes))
+
     async def _is_behind_after_wait(self) -> bool:
         """Return whether changes that the keeper has read are missing.
 
--- a/src/coltsfootstair/objects/_types.py
+++ b/src/coltsfootstair/objects/_types.py
@@ -155,6 +155,7 @@
         wait_s: float,
         *,
         on_answer: Callable[[], None] | None = None,
+        max_bytes: int | None = None,
     ) -> WatchAnswer:
         """Wait for changes after ``after_revision``.
 
@@ -162,6 +163,8 @@
 
         :param wait_s: how long to wait for a change, in seconds
         :param on_answer: called when the answer begins to arrive
+        :param max_bytes: size of the answer above which it is not read
+        :raises AnswerTooLargeError: the answer is larger than ``max_bytes``
         :raises RevisionTooOldError: the store no longer has the changes after that revision,
             or the revision is of an earlier era
         """
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -9,6 +9,7 @@
 from tests.virtual_time import LoopClock, run
 
 from coltsfootstair.errors import (
+    AnswerTooLargeError,
     RevisionTooOldError,
     StoreUnavailableError,
     UnusableAnswerError,
@@ -374,3 +375,39 @@
             task.cancel()
 
     run(scenario())
+
+
+def test_a_history_that_is_too_large_is_replaced_by_the_latest_state() -> None:
+    """Guards against reading each version in full, of which only the last one counts."""
+
+    async def work() -> tuple[list[tuple[str, bool]], list[RelayedChanges]]:
+        subscriber = RecordingSubscriber()
+        published: list[RelayedChanges] = []
+        follower = Follower(
+            store,
+            'config',
+            subscriber,
+            LoopClock(),
+            random.Random(1),
+            StoreHealth(),
+            Relay(),
+            0.1,
+            50.0,
+            is_latest_only=True,
+        )
+        follower.publish_to(published.append)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+        return subscriber.events, published
+
+    store = ScriptedStore(
+        Listing([_object('main', 3)], 5),
+        AnswerTooLargeError('history'),
+        Listing([_object('main', 90), _object('other', 4)], 95),
+    )
+    events, published = run(work())
+    assert events == [('listed main', False), ('listed main other', False)]
+    assert store.calls == ['list', 'watch 5 0', 'list', 'watch 95 30']
+    assert store.listed_stale == [True, False]
+    assert published == [RelayedChanges('config', 5, 95, [Change(_object('main', 90), False)])]
--- a/tests/routes/test_age.py
+++ b/tests/routes/test_age.py
@@ -77,7 +77,7 @@
 
 
 def _follow(
-    store: FakeStore, *, confirms_first_list: bool = False
+    store: FakeStore, *, is_latest_only: bool = False
 ) -> tuple[Follower, asyncio.Task[None]]:
     follower = Follower(
         store,
@@ -90,7 +90,7 @@
         0.1,
         20.0,
         WATCH_S,
-        confirms_first_list=confirms_first_list,
+        is_latest_only=is_latest_only,
     )
     return follower, asyncio.create_task(follower.run())
 
@@ -109,7 +109,7 @@
     """Guards against a daemon that can deny nothing until its first watch has ended."""
 
     async def work() -> tuple[float, float]:
-        follower, _ = _follow(FakeStore(), confirms_first_list=True)
+        follower, _ = _follow(FakeStore(), is_latest_only=True)
         await asyncio.sleep(LIST_S + 0.1)
         return follower.confirmed_at, asyncio.get_running_loop().time() - 0.1
 
