Send what differs between versions of a large configuration

A configuration over 16 KiB was read and decoded in full by each daemon: 80 VMs times 970 KB for the change of one weight.

The size of a message then follows the change and not the configuration.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -48,7 +48,7 @@
     from coltsfootstair.gateway._settings import GatewaySettings
     from coltsfootstair.gateway._types import PlatformPorts
     from coltsfootstair.http1 import IncomingRequest, Reply
-    from coltsfootstair.objects import RelayedChanges
+    from coltsfootstair.objects import RelayedChanges, RelayedDelta
 
 __all__ = ['Gateway']
 
@@ -613,6 +613,8 @@
                 heard_at, is_issuing=is_issuing
             ),
             self._get_configuration_version,
+            self._apply_relayed_delta,
+            self._settings.link_mbps,
         )
 
     @property
@@ -649,6 +651,11 @@
             if follower.kind == changes.kind:
                 follower.apply_relayed(changes)
 
+    def _apply_relayed_delta(self, delta: RelayedDelta) -> None:
+        for follower in self._followers:
+            if follower.kind == delta.kind:
+                follower.apply_relayed_delta(delta)
+
     def _make_followers(self, random_source: random.Random) -> list[Follower]:
         kinds = self._ports.kinds
         decoder = self._ports.decoder
--- a/src/coltsfootstair/keyspace/_dependencies.py
+++ b/src/coltsfootstair/keyspace/_dependencies.py
@@ -12,7 +12,7 @@
 from coltsfootstair.keyspace._grant_client import GrantClient
 from coltsfootstair.keyspace._view import OwnershipView
 from coltsfootstair.limits import NamedLimits
-from coltsfootstair.objects import ObjectStore, Relay, RelayedChanges
+from coltsfootstair.objects import ObjectStore, Relay, RelayedChanges, RelayedDelta
 from coltsfootstair.peers import PermitAnswer, Report, TrialAnswer
 from coltsfootstair.placement import ServerPaths
 from coltsfootstair.registry import Registry
@@ -78,6 +78,9 @@
         workspace
     :param on_keeper_heard: called with the time from which a keeper is heard, and whether it
         issues permits for workspaces
+    :param on_relayed_delta: called with a change of a large object that the keeper sent;
+        raises ``ProtocolError`` if it does not fit
+    :param link_mbps: bandwidth of this VM's link, in megabits a second
     :param get_configuration_version: returns the version of the configuration in force; 0 if
         there is none
     :param are_changes_overdue: returns whether this daemon may not know all changed objects,
@@ -115,3 +118,5 @@
     get_issued_rates: Callable[[], dict[str, float]] = dict
     on_keeper_heard: Callable[[float, bool], None] = lambda _at, _is_issuing: None
     get_configuration_version: Callable[[], int] = lambda: 0
+    on_relayed_delta: Callable[[RelayedDelta], None] = lambda _delta: None
+    link_mbps: float = 1000.0
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -11,9 +11,14 @@
 from msgspec import structs
 
 from coltsfootstair.crashes import TrialScheduler
-from coltsfootstair.errors import StoreConflictError, StoreUnavailableError
+from coltsfootstair.errors import (
+    ProtocolError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
 from coltsfootstair.http1 import Address
 from coltsfootstair.keyspace._broadcast import Broadcaster, read_objects_update
+from coltsfootstair.keyspace._delta_parts import DeltaAssembler
 from coltsfootstair.keyspace._grant_expiry import CLOCK_DRIFT_FACTOR, MAX_LATE_ARRIVAL_S
 from coltsfootstair.keyspace._lease import (
     EARLIER_ERA_REASON,
@@ -34,6 +39,7 @@
 from coltsfootstair.keyspace._version_lag import VersionLag
 from coltsfootstair.keyspace._view import LEASE_NAME, OWNERSHIP_KIND
 from coltsfootstair.peers import (
+    DeltaPart,
     Heartbeat,
     LimitStatement,
     Message,
@@ -147,7 +153,8 @@
         self._own_lease: KeeperLease | None = None
         self._keeper_task: asyncio.Task[None] | None = None
         self._latest_reports = LatestReports(dependencies.clock)
-        self._broadcaster = Broadcaster(self._latest_reports, address)
+        self._broadcaster = Broadcaster(self._latest_reports, address, dependencies.link_mbps)
+        self._delta_assembler = DeltaAssembler()
         self._services = ServiceKeepers(
             dependencies,
             self._broadcaster,
@@ -439,6 +446,8 @@
                 lease = self._dependencies.ownership_view.lease
                 if lease is not None and message.epoch >= lease.epoch:
                     self._dependencies.on_relayed_changes(read_objects_update(message))
+            case DeltaPart():
+                self._handle_delta_part(message)
             case TableUpdate():
                 self._handle_table_update(message, now)
             case PermitRequest():
@@ -668,6 +677,22 @@
             return []
         return self._latest_reports.list_helpers(report, self._dependencies.random_source)
 
+    def _handle_delta_part(self, part: DeltaPart) -> None:
+        lease = self._dependencies.ownership_view.lease
+        if lease is None or part.epoch < lease.epoch:
+            return
+        try:
+            delta = self._delta_assembler.add(part)
+            if delta is not None:
+                self._dependencies.on_relayed_delta(delta)
+        except ProtocolError as error:
+            logger.warning(
+                'change of an object refused',
+                kind=part.kind,
+                name=part.name,
+                reason=str(error),
+            )
+
     def _handle_table_update(self, update: TableUpdate, now: float) -> None:
         known_lease = self._dependencies.ownership_view.lease
         if known_lease is not None and update.epoch >= known_lease.epoch:
@@ -677,7 +702,8 @@
     def publish(self, changes: RelayedChanges) -> None:
         """Send changed objects to the other daemons if this daemon is the keeper.
 
-        Changes above the size limit are not sent; the daemons read them from the store.
+        Of a large object what differs is sent. What is too large even so is read from the
+        store by each daemon.
         """
         if self._own_lease is not None:
             self._broadcaster.publish(changes, self._own_lease.epoch)
--- a/src/coltsfootstair/objects/__init__.py
+++ b/src/coltsfootstair/objects/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootstair.objects._delta import Delta, apply_delta, compute_delta
 from coltsfootstair.objects._follower import Follower, StoreHealth
 from coltsfootstair.objects._relay import Relay
 from coltsfootstair.objects._types import (
@@ -9,6 +10,7 @@
     Listing,
     ObjectStore,
     RelayedChanges,
+    RelayedDelta,
     Revision,
     StoredObject,
     UnreadableValue,
@@ -20,17 +22,21 @@
 
 __all__ = [
     'Change',
+    'Delta',
     'Follower',
     'Listing',
     'ObjectStore',
     'Relay',
     'RelayedChanges',
+    'RelayedDelta',
     'Revision',
     'StoreHealth',
     'StoredObject',
     'UnreadableValue',
     'WatchAnswer',
+    'apply_delta',
     'compose_revision',
+    'compute_delta',
     'era_of',
     'number_of',
 ]
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -14,7 +14,8 @@
     StoreUnavailableError,
     UnusableAnswerError,
 )
-from coltsfootstair.objects._types import Change, RelayedChanges, era_of
+from coltsfootstair.objects._delta import apply_delta
+from coltsfootstair.objects._types import Change, RelayedChanges, StoredObject, era_of
 
 if TYPE_CHECKING:
     import random
@@ -22,7 +23,7 @@
 
     from coltsfootstair.clock import Clock
     from coltsfootstair.objects._relay import Relay
-    from coltsfootstair.objects._types import Listing, ObjectStore, Revision
+    from coltsfootstair.objects._types import Listing, ObjectStore, RelayedDelta, Revision
 
 __all__ = ['Follower', 'StoreHealth', 'Subscriber']
 
@@ -136,7 +137,8 @@
         changes for as long
     :param is_latest_only: whether only the latest state of the kind counts. Changes that are
         too many or too large are then skipped in favour of a list, and the first list, which
-        may be stale, is followed by a call that tells the latest state without a wait
+        may be stale, is followed by a call that tells the latest state without a wait. The
+        objects are kept, so that daemons can send each other what differs in them
     """
 
     def __init__(
@@ -169,6 +171,7 @@
         self._must_catch_up = False
         self._is_latest_only = is_latest_only
         self._must_list = False
+        self._object_by_name: dict[str, StoredObject] = {}
         self._is_watch_dead = False
         self._is_receiving = False
         self._is_answer_unusable = False
@@ -263,8 +266,38 @@
         self._revision = update.revision
         self._known_at = self._clock.monotonic()
         for change in update.changes:
+            self._keep(change)
             self._subscriber.apply_change(change, after_outage=self._may_be_outage_effect())
 
+    def apply_relayed_delta(self, update: RelayedDelta) -> None:
+        """Apply a change of a large object that the keeper has read.
+
+        Ignored if this daemon does not have the object at the revision that it changes; the
+        change is then read from the store.
+
+        :raises ProtocolError: the change does not fit the object
+        """
+        before = self._object_by_name.get(update.name)
+        if before is None or before.revision != update.before_revision:
+            return
+        value = apply_delta(before.value, update.delta)
+        item = StoredObject(update.name, update.object_revision, value)
+        self.apply_relayed(
+            RelayedChanges(
+                update.kind, update.after_revision, update.revision, [Change(item, False)]
+            )
+        )
+
+    def _keep(self, change: Change) -> Change:
+        """Keep the newest state of an object; return its change with the state before."""
+        if not self._is_latest_only:
+            return change
+        name = change.object.name
+        before = self._object_by_name.pop(name, None)
+        if not change.deleted:
+            self._object_by_name[name] = change.object
+        return change._replace(before=before)
+
     async def run(self) -> None:
         """Follow the kind until the task is cancelled."""
         while True:
@@ -311,15 +344,13 @@
             self._subscriber.apply_listing(
                 listing, after_outage=self._may_be_outage_effect(), is_restored=is_restored
             )
+            changes = [
+                self._keep(Change(item, False))
+                for item in listing.objects
+                if previous_revision is None or item.revision > previous_revision
+            ]
             if previous_revision is not None and not is_restored:
-                self._publish_changes(
-                    previous_revision,
-                    [
-                        Change(item, False)
-                        for item in listing.objects
-                        if item.revision > previous_revision
-                    ],
-                )
+                self._publish_changes(previous_revision, changes)
             if may_be_stale:
                 self._must_catch_up = self._is_latest_only
             else:
@@ -367,7 +398,7 @@
             return
         self._revision = answer.revision
         changes_to_relay = [
-            change
+            self._keep(change)
             for change in answer.changes
             if self._subscriber.apply_change(change, after_outage=self._may_be_outage_effect())
         ]
@@ -377,8 +408,11 @@
             await asyncio.sleep(self._watch_pause_s)
 
     def _publish_changes(self, after_revision: int, changes: list[Change]) -> None:
-        if self._publish is not None:
-            self._publish(RelayedChanges(self._kind, after_revision, self.revision, changes))
+        if self._publish is None:
+            return
+        if self._is_latest_only:
+            changes = _merge_changes(changes)
+        self._publish(RelayedChanges(self._kind, after_revision, self.revision, changes))
 
     async def _is_behind_after_wait(self) -> bool:
         """Return whether changes that the keeper has read are missing.
@@ -427,3 +461,13 @@
         if self._outage_ended_at is None:
             return False
         return self._clock.monotonic() - self._outage_ended_at < OUTAGE_EFFECT_DURATION_S
+
+
+def _merge_changes(changes: list[Change]) -> list[Change]:
+    """Return the last change of each object, with its state before the first one."""
+    merged: dict[str, Change] = {}
+    for change in changes:
+        earlier = merged.get(change.object.name)
+        before = change.before if earlier is None else earlier.before
+        merged[change.object.name] = change._replace(before=before)
+    return list(merged.values())
--- a/src/coltsfootstair/objects/_types.py
+++ b/src/coltsfootstair/objects/_types.py
@@ -6,11 +6,14 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
+from coltsfootstair.objects._delta import Delta
+
 __all__ = [
     'Change',
     'Listing',
     'ObjectStore',
     'RelayedChanges',
+    'RelayedDelta',
     'Revision',
     'StoredObject',
     'UnreadableValue',
@@ -81,10 +84,12 @@
 
     :param deleted: whether the object was deleted; ``object.value`` is then its last value, or
         ``None`` if the store does not send it
+    :param before: the object before the change, if its follower keeps it
     """
 
     object: StoredObject
     deleted: bool
+    before: StoredObject | None = None
 
 
 class WatchAnswer(NamedTuple):
@@ -107,6 +112,22 @@
     changes: list[Change]
 
 
+class RelayedDelta(NamedTuple):
+    """A change of one object after ``after_revision``, the only one up to ``revision``.
+
+    :param before_revision: revision of the object that ``delta`` changes
+    :param object_revision: revision of the changed object
+    """
+
+    kind: str
+    after_revision: Revision
+    revision: Revision
+    name: str
+    before_revision: Revision
+    object_revision: Revision
+    delta: Delta
+
+
 class ObjectStore(Protocol):
     """Store of objects with revisions, conditional updates and watches.
 
--- a/src/coltsfootstair/peers/__init__.py
+++ b/src/coltsfootstair/peers/__init__.py
@@ -5,6 +5,7 @@
 from coltsfootstair.peers._channel import PeerChannel
 from coltsfootstair.peers._messages import (
     CrashReport,
+    DeltaPart,
     Heartbeat,
     LimitStatement,
     LoadFigures,
@@ -24,6 +25,7 @@
 
 __all__ = [
     'CrashReport',
+    'DeltaPart',
     'Heartbeat',
     'LimitStatement',
     'LoadFigures',
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     'CrashReport',
+    'DeltaPart',
     'Heartbeat',
     'LimitStatement',
     'LoadFigures',
@@ -289,11 +290,39 @@
     changes: list[tuple[str, int, Any, bool]]
 
 
+class DeltaPart(msgspec.Struct, tag='delta', array_like=True):
+    """Part of what differs between two versions of a large object, sent by the keeper.
+
+    :param epoch: epoch of the keeper that sent it
+    :param kind: kind of the object
+    :param base_revision: revision after which the change comes
+    :param revision: revision up to which there is no other change
+    :param name: name of the object
+    :param before_revision: revision of the object that is changed
+    :param object_revision: revision of the changed object
+    :param number: position of this part, from 0
+    :param part_count: number of parts
+    :param data: the part's bytes of the compressed difference
+    """
+
+    epoch: int
+    kind: str
+    base_revision: int
+    revision: int
+    name: str
+    before_revision: int
+    object_revision: int
+    number: int
+    part_count: int
+    data: bytes
+
+
 Message = (
     Report
     | Heartbeat
     | TableUpdate
     | ObjectsUpdate
+    | DeltaPart
     | PermitRequest
     | PermitAnswer
     | TrialRequest
--- a/tests/coltsfootstair_platform/standin.py
+++ b/tests/coltsfootstair_platform/standin.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import urllib.parse
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -113,6 +114,7 @@
         self.down = False
         self.bytes_per_s: float | None = None
         self.calls = 0
+        self.answer_bytes_by_kind: Counter[str] = Counter()
         self.era = 1
         self.answered_era: int | None = None
         self._copy: tuple[int, str] = (1, '{}')
@@ -184,6 +186,8 @@
         for marker, spec in self._raw_by_marker.items():
             content = content.replace(marker, spec)
         answer = encode_answer(status, content, Store_Era=str(era))
+        if parts:
+            self.answer_bytes_by_kind[parts[0]] += len(answer)
         await self._send(answer, writer)
         return True
 
--- a/tests/gateway/test_large_configurations.py
+++ b/tests/gateway/test_large_configurations.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 from typing import Any
 
 import pytest
@@ -91,6 +92,43 @@
     assert run_with_time_limit(work()) < CONFIGURATION_DEADLINE_S
 
 
+def test_changes_of_a_large_configuration_are_read_from_the_store_by_the_keeper_alone() -> (
+    None
+):
+    """Guards against each daemon reading each version of a large configuration in full."""
+
+    async def work() -> tuple[list[bool], int, int]:
+        store = StoreStandin()
+        server = ('calendar', ServerStandin('s1'))
+        large = _build_large(2, 3500)
+        async with run_gateways(4, server, store=store) as gateways:
+            await asyncio.sleep(1.5)
+            await store.put('config', 'main', large)
+            assert all([await _wait_for_version(running, 2, 5.0) for running in gateways])
+            await asyncio.sleep(1.0)
+            before = store.answer_bytes_by_kind['config']
+            in_time = []
+            for version in range(3, 9):
+                resources = list(large['resources'])
+                resources[100] = build_route(f'changed{version}', 'calendar')
+                large = {'version': f'{version:08x}', 'resources': resources}
+                await store.put('config', 'main', large)
+                in_time += [
+                    await _wait_for_version(running, version, CONFIGURATION_DEADLINE_S)
+                    for running in gateways
+                ]
+            answer = await gateways[1].call('changed8')
+            assert answer.status == 200
+            sent_bytes = store.answer_bytes_by_kind['config'] - before
+            return in_time, sent_bytes, len(json.dumps(large))
+
+    in_time, sent_bytes, size = run_with_time_limit(work())
+    assert all(in_time)
+    assert size > 850_000
+    # A watch that is given up at its head, and a list, for each of six versions.
+    assert sent_bytes < (2 * 6 + 1) * size
+
+
 @pytest.mark.parametrize('count', [1, 3])
 def test_no_route_is_denied_by_a_version_that_may_not_be_the_latest(count: int) -> None:
     """Guards against answering 404 from a configuration that is known to be old, or may be."""
