--- a/tests/coltsfootstair_platform/test_odd_answers.py
+++ b/tests/coltsfootstair_platform/test_odd_answers.py
@@ -141,7 +141,12 @@
 
 
 JSON_VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from([2**64 - 1, 2**64, -(2**63), -(2**63) - 1, 10**30, 10**400])
+    | st.floats()
+    | st.text(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
     max_leaves=10,
 )
