End the use of a server whose entry names no server any more

An entry that another writer had left under the name of a server in use was refused, and the last valid one stayed in use for good: also when it said a state that isn't known, when its server was gone, and when its address belonged to another service by then.

So the server is used for one more second, in which it writes its entry again with its next heartbeat if it is alive, and then is gone. To drop it at once would let one odd write take the keys of a server that is well.

An entry that comes back, unchanged, before its deferred removal now counts as a change: the keeper relayed the removal after an outage but not the return, and the other daemons lost the server.

An odd object is logged once for each revision, not at each list; the gauge coltsfootstair_refused_objects counts them by kind. An evacuation whose name can't be encoded is refused.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -157,6 +157,8 @@
         self._relay = Relay()
         self._registry = Registry(clock)
         self._configuration_subscriber = ConfigurationSubscriber(ports.decoder)
+        self._server_subscriber = ServerSubscriber(ports.decoder, self._registry)
+        self._evacuation_subscriber = EvacuationSubscriber(ports.decoder, self._registry)
         self._services = ServicesInForce(lambda: self._configuration_subscriber.route_table)
         self._ownership = OwnershipView()
         self._answer_limiter = AnswerLimiter(
@@ -388,6 +390,16 @@
             lambda: {follower.kind: follower.behind_s for follower in self._followers},
             'kind',
         )
+        self.metrics.add_gauge(
+            'coltsfootstair.refused_objects',
+            'Objects of the store that can not be used, by kind',
+            lambda: {
+                self._ports.kinds.configuration: len(self._configuration_subscriber.refused),
+                self._ports.kinds.backend_servers: len(self._server_subscriber.refused),
+                self._ports.kinds.evacuations: len(self._evacuation_subscriber.refused),
+            },
+            'kind',
+        )
         self.metrics.add_gauge(
             'coltsfootstair.lagging_daemons',
             'Daemons with an older configuration than this one, which is the keeper',
@@ -641,9 +653,6 @@
 
     def _make_followers(self, random_source: random.Random) -> list[Follower]:
         kinds = self._ports.kinds
-        decoder = self._ports.decoder
-        server_subscriber = ServerSubscriber(decoder, self._registry)
-        evacuation_subscriber = EvacuationSubscriber(decoder, self._registry)
         return [
             Follower(
                 self._ports.store,
@@ -666,13 +675,13 @@
                 ),
                 (
                     kinds.backend_servers,
-                    server_subscriber,
+                    self._server_subscriber,
                     SERVERS_WATCH_PAUSE_S,
                     MAX_SERVERS_WATCH_S,
                 ),
                 (
                     kinds.evacuations,
-                    evacuation_subscriber,
+                    self._evacuation_subscriber,
                     SERVERS_WATCH_PAUSE_S,
                     MAX_EVACUATIONS_WATCH_S,
                 ),
--- a/src/coltsfootstair/gateway/_subscribers.py
+++ b/src/coltsfootstair/gateway/_subscribers.py
@@ -20,15 +20,43 @@
 logger = structlog.get_logger()
 
 
-def _log_refused_object(kind: str, item: StoredObject, error: BadInputError) -> None:
-    logger.warning(
-        'object refused',
-        kind=kind,
-        name=item.name,
-        revision=item.revision,
-        field=error.field,
-        allowed=error.allowed,
-    )
+class RefusedObjects:
+    """The objects of one kind that can't be used; each is logged once for each revision.
+
+    :param kind: what to name in log lines
+    """
+
+    def __init__(self, kind: str) -> None:
+        self._kind = kind
+        self._revision_by_name: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of objects that can't be used."""
+        return len(self._revision_by_name)
+
+    def add(self, item: StoredObject, error: BadInputError) -> None:
+        """Record that an object can't be used."""
+        if self._revision_by_name.get(item.name) == item.revision:
+            return
+        self._revision_by_name[item.name] = item.revision
+        logger.warning(
+            'object refused',
+            kind=self._kind,
+            name=item.name,
+            revision=item.revision,
+            field=error.field,
+            allowed=error.allowed,
+        )
+
+    def discard(self, name: str) -> None:
+        """Record that an object can be used, or has been deleted."""
+        self._revision_by_name.pop(name, None)
+
+    def keep_listed(self, listing: Listing) -> None:
+        """Forget the objects that are not in ``listing``."""
+        listed = {item.name for item in listing.objects}
+        for name in [name for name in self._revision_by_name if name not in listed]:
+            del self._revision_by_name[name]
 
 
 class ConfigurationSubscriber:
@@ -41,18 +69,22 @@
     def __init__(self, decoder: ObjectDecoder) -> None:
         self._decoder = decoder
         self._era = 0
+        self.refused = RefusedObjects('configuration')
         self.route_table: RouteTable | None = None
 
     def apply_listing(
         self, listing: Listing, *, after_outage: bool, is_restored: bool
     ) -> None:
         """Apply the configuration of a listing, if it is newer."""
+        self.refused.keep_listed(listing)
         for item in listing.objects:
             self._apply(item)
 
     def apply_change(self, change: Change, *, after_outage: bool) -> bool:
         """Apply a changed configuration; if its object is deleted, it stays in force."""
-        if not change.deleted:
+        if change.deleted:
+            self.refused.discard(change.object.name)
+        else:
             self._apply(change.object)
         return True
 
@@ -60,8 +92,9 @@
         try:
             configuration = self._decoder.decode_configuration(item)
         except BadInputError as error:
-            _log_refused_object('configuration', item, error)
+            self.refused.add(item, error)
             return
+        self.refused.discard(item.name)
         if configuration is None:
             return
         known_version = (
@@ -84,44 +117,61 @@
 
 
 class ServerSubscriber:
-    """Applies the entries of backend servers to the registry."""
+    """Applies the entries of backend servers to the registry.
+
+    An entry that can't be read names no server, whatever stood there before: a server that was
+    known under its name is used for a moment longer, in which it writes its entry again if it
+    is alive, and then is gone. To use it for good would send requests to a server of which
+    nobody says any more that it is to be used, and to whoever has its address by then; to drop
+    it at once would let one odd write take the keys of a server that is well.
+    """
 
     def __init__(self, decoder: ObjectDecoder, registry: Registry) -> None:
         self._decoder = decoder
         self._registry = registry
+        self.refused = RefusedObjects('backend server')
 
     def apply_listing(
         self, listing: Listing, *, after_outage: bool, is_restored: bool
     ) -> None:
-        """Apply a listing; in place of an invalid entry, the last valid one stays in use."""
+        """Apply the entries of a listing."""
+        self.refused.keep_listed(listing)
         servers = []
+        unreadable_names = set()
         for item in listing.objects:
             try:
                 servers.append(self._decoder.decode_backend_server(item))
             except BadInputError as error:
-                _log_refused_object('backend server', item, error)
-                known = self._registry.get(item.name)
-                if known is not None:
-                    servers.append(known)
+                self.refused.add(item, error)
+                unreadable_names.add(item.name)
+            else:
+                self.refused.discard(item.name)
         self._registry.apply_listing(
-            servers, after_outage=after_outage, is_restored=is_restored
+            servers,
+            after_outage=after_outage,
+            is_restored=is_restored,
+            unreadable_names=unreadable_names,
         )
 
     def apply_change(self, change: Change, *, after_outage: bool) -> bool:
         """Apply a changed entry; return whether it is worth relaying to other daemons."""
         item = change.object
         if change.deleted:
+            self.refused.discard(item.name)
             if after_outage:
                 self._registry.defer_removal(item.name)
             else:
                 self._registry.remove(item.name)
             return True
         try:
-            return self._registry.apply_entry(self._decoder.decode_backend_server(item))
+            server = self._decoder.decode_backend_server(item)
         except BadInputError as error:
-            _log_refused_object('backend server', item, error)
-        # Relayed too: the other daemons refuse and log it themselves.
-        return True
+            self.refused.add(item, error)
+            self._registry.on_entry_unreadable(item.name)
+            # Relayed too: the other daemons refuse and log it themselves.
+            return True
+        self.refused.discard(item.name)
+        return self._registry.apply_entry(server)
 
 
 class EvacuationSubscriber:
@@ -131,6 +181,7 @@
         self._decoder = decoder
         self._registry = registry
         self._data_centres: set[str] = set()
+        self.refused = RefusedObjects('evacuation')
 
     def apply_listing(
         self, listing: Listing, *, after_outage: bool, is_restored: bool
@@ -140,10 +191,10 @@
         Those that a restored store lacks stay in force until operators have had time to write
         them again.
         """
+        self.refused.keep_listed(listing)
         missing = self._data_centres
-        self._data_centres = {
-            self._decoder.decode_evacuation(item) for item in listing.objects
-        }
+        decoded = [self._decode(item) for item in listing.objects]
+        self._data_centres = {name for name in decoded if name is not None}
         self._registry.set_evacuated_data_centres(frozenset(self._data_centres))
         if is_restored:
             for data_centre in missing - self._data_centres:
@@ -151,10 +202,21 @@
 
     def apply_change(self, change: Change, *, after_outage: bool) -> bool:
         """Apply the start or the end of an evacuation."""
-        data_centre = self._decoder.decode_evacuation(change.object)
+        data_centre = self._decode(change.object)
+        if change.deleted:
+            self.refused.discard(change.object.name)
+        if data_centre is None:
+            return True
         if change.deleted:
             self._data_centres.discard(data_centre)
         else:
             self._data_centres.add(data_centre)
         self._registry.set_evacuated_data_centres(frozenset(self._data_centres))
         return True
+
+    def _decode(self, item: StoredObject) -> str | None:
+        try:
+            return self._decoder.decode_evacuation(item)
+        except BadInputError as error:
+            self.refused.add(item, error)
+            return None
--- a/src/coltsfootstair/registry/_view.py
+++ b/src/coltsfootstair/registry/_view.py
@@ -11,7 +11,7 @@
 from coltsfootstair.registry._types import ServerState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from coltsfootstair.clock import Clock
     from coltsfootstair.registry._types import BackendServer
@@ -24,6 +24,12 @@
 """How long an entry that is missing after a store outage stays in use, in seconds. The
 platform's limit is two seconds; the other half second is for noticing the entry's return."""
 
+UNREADABLE_GRACE_S = 1.0
+"""How long a server stays in use whose entry has been replaced by one that names no server,
+in seconds: a server writes its entry again with its next heartbeat. With the time in which
+changes are noticed it is less than the two seconds after which a server that is not to be used
+must get nothing new."""
+
 GONE_MEMORY_S = 60.0
 """How long an ended incarnation is remembered, in seconds, so that its entry is not used again
 when the store comes back from an older copy; many times the age of such a copy."""
@@ -145,12 +151,13 @@
         """Apply an entry that is new or was written again; return whether it changed anything.
 
         A cold server regularly writes how much longer it stays cold. Such an entry is no
-        change if the time only counts down as expected.
+        change if the time only counts down as expected. One that is back before its deferred
+        removal is a change, also if it is the same as before.
         """
         previous = self._server_by_name.get(server.name)
-        self._removal_at_by_name.pop(server.name, None)
+        was_to_go = self._removal_at_by_name.pop(server.name, None) is not None
         if previous is not None and self._is_countdown_only(previous, server):
-            return False
+            return was_to_go
         self._server_by_name[server.name] = server
         if (
             server.reported_cold_left_s > 0
@@ -206,6 +213,7 @@
         *,
         after_outage: bool,
         is_restored: bool = False,
+        unreadable_names: Collection[str] = (),
     ) -> None:
         """Replace all entries by those of a complete listing.
 
@@ -213,12 +221,15 @@
             a store outage may have kept their servers from renewing them
         :param is_restored: whether the store has come back from an older copy of itself.
             Servers that were draining or gone before stay so until they write an entry.
+        :param unreadable_names: names whose entries in the listing name no server
         """
         if is_restored:
             servers = [server for server in servers if not self._is_outdated(server)]
         by_name = {server.name: server for server in servers}
         for name in [name for name in self._server_by_name if name not in by_name]:
-            if after_outage:
+            if name in unreadable_names:
+                self.on_entry_unreadable(name)
+            elif after_outage:
                 removal_at = self._clock.monotonic() + RETURN_GRACE_S
                 self._removal_at_by_name.setdefault(name, removal_at)
             else:
@@ -226,6 +237,15 @@
         for server in by_name.values():
             self.apply_entry(server)
 
+    def on_entry_unreadable(self, name: str) -> None:
+        """Remove a server after ``UNREADABLE_GRACE_S``, unless its entry is written by then.
+
+        For an entry of another writer that names no server, under the name of this one.
+        """
+        if name in self._server_by_name:
+            removal_at = self._clock.monotonic() + UNREADABLE_GRACE_S
+            self._removal_at_by_name.setdefault(name, removal_at)
+
     def _is_outdated(self, restored: BackendServer) -> bool:
         """Whether an entry of a restored store is older than what is known of its server."""
         if restored.incarnation in self._gone_at_by_incarnation:
--- a/tests/registry/test_view.py
+++ b/tests/registry/test_view.py
@@ -7,7 +7,7 @@
 from coltsfootstair.clock import ManualClock
 from coltsfootstair.http1 import Address
 from coltsfootstair.registry import BackendServer, Registry, ServerState
-from coltsfootstair.registry._view import RETURN_GRACE_S
+from coltsfootstair.registry._view import RETURN_GRACE_S, UNREADABLE_GRACE_S
 
 if TYPE_CHECKING:
     import pytest
@@ -171,3 +171,40 @@
     clock.advance(RETURN_GRACE_S)
     registry.remove_expired()
     assert _names(registry) == ['s1']
+
+
+def test_a_server_whose_entry_became_odd_gets_nothing_new_after_a_moment() -> None:
+    """A server stayed in use for good on an entry that was not in the store any more."""
+    clock = ManualClock()
+    registry = Registry(clock)
+    registry.apply_entry(SERVER)
+    registry.on_entry_unreadable('s1')
+    registry.on_entry_unreadable('unknown')
+    assert _names(registry) == ['s1']
+    for _ in range(2):
+        # Listed again it is not used for longer.
+        clock.advance(UNREADABLE_GRACE_S / 2)
+        registry.apply_listing([OTHER], after_outage=False, unreadable_names={'s1'})
+    registry.remove_expired()
+    assert _names(registry) == ['s2']
+
+
+def test_a_server_that_writes_its_entry_over_an_odd_one_stays_in_use() -> None:
+    clock = ManualClock()
+    registry = Registry(clock)
+    registry.apply_entry(SERVER)
+    registry.on_entry_unreadable('s1')
+    # Others have been told of the odd entry, and must be told of this one too.
+    assert registry.apply_entry(SERVER)
+    assert not registry.apply_entry(SERVER)
+    clock.advance(2 * UNREADABLE_GRACE_S)
+    registry.remove_expired()
+    assert _names(registry) == ['s1']
+
+
+def test_an_entry_that_is_back_within_the_grace_after_an_outage_is_a_change() -> None:
+    """The keeper kept it, and relayed its removal but not its return."""
+    registry = Registry(ManualClock())
+    registry.apply_entry(SERVER)
+    registry.defer_removal('s1')
+    assert registry.apply_entry(SERVER)
