Send large changes no faster than the link takes them

All datagrams were sent at once, 1.6 MB in a moment; the queue of a 100 Mbit/s link takes some 50 ms.

They are now sent daemon by daemon at 0.6 of the link. A daemon waits 0.2 s rather than 0.1 s for a change that the keeper has read before it reads the store. What is left to the store has a log line.

--- a/src/coltsfootstair/keyspace/_broadcast.py
+++ b/src/coltsfootstair/keyspace/_broadcast.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import deque
 from typing import TYPE_CHECKING
 
+import structlog
+
 from coltsfootstair.keyspace._delta_parts import build_delta_parts
 from coltsfootstair.objects import Change, RelayedChanges, StoredObject
 from coltsfootstair.peers import ObjectsUpdate, encode_message
@@ -12,7 +16,9 @@
     from coltsfootstair.http1 import Address
     from coltsfootstair.keyspace._dependencies import Channel
     from coltsfootstair.keyspace._reports import LatestReports
-    from coltsfootstair.peers import Message
+    from coltsfootstair.peers import DeltaPart, Message
+
+logger = structlog.get_logger()
 
 __all__ = ['Broadcaster', 'build_objects_update', 'read_objects_update']
 
@@ -21,7 +27,14 @@
 larger changes from the store itself, unless what differs is sent."""
 
 MAX_BURST_S = 0.2
-"""Time for which one change may take this VM's link, in seconds."""
+"""Longest change that is sent, as the time for which it would take this VM's whole link, in
+seconds."""
+
+PACE_INTERVAL_S = 0.01
+"""Time between two groups of datagrams of a large change, in seconds."""
+
+PACE_LINK_SHARE = 0.6
+"""Share of this VM's link that the datagrams of a large change may take."""
 
 
 class Broadcaster:
@@ -36,7 +49,9 @@
     def __init__(
         self, reports: LatestReports, own_address: Address, link_mbps: float = 1000.0
     ) -> None:
-        self._max_burst_bytes = MAX_BURST_S * link_mbps * 1e6 / 8
+        self._link_bytes_per_s = link_mbps * 1e6 / 8
+        self._unsent: deque[tuple[DeltaPart, Address]] = deque()
+        self._sender_task: asyncio.Task[None] | None = None
         self._latest_reports = reports
         self._own_address = own_address
         self._channel: Channel | None = None
@@ -68,16 +83,34 @@
         if len(encode_message(update)) <= MAX_UPDATE_BYTES:
             self.send_to_all(update)
             return
-        if len(changes.changes) != 1:
-            return
-        parts = build_delta_parts(
-            changes.kind, changes.after_revision, changes.revision, changes.changes[0], epoch
-        )
+        parts = build_delta_parts(changes, epoch)
         addresses = self._latest_reports.list_addresses(self._own_address)
-        if len(addresses) * sum(len(part.data) for part in parts) > self._max_burst_bytes:
+        delta_bytes = sum(len(part.data) for part in parts)
+        if not parts or len(addresses) * delta_bytes > MAX_BURST_S * self._link_bytes_per_s:
+            logger.info(
+                'change left to the store',
+                kind=changes.kind,
+                objects=len(changes.changes),
+                delta_bytes=delta_bytes,
+                daemons=len(addresses),
+            )
             return
-        for part in parts:
-            self.send_to_all(part)
+        self._unsent.extend((part, address) for address in addresses for part in parts)
+        if self._sender_task is None or self._sender_task.done():
+            self._sender_task = asyncio.create_task(self._send_unsent())
+
+    async def _send_unsent(self) -> None:
+        """Send the datagrams that wait, no faster than a share of the link allows.
+
+        More at once would overflow its queue, and all but the first ones would be lost.
+        """
+        while self._unsent:
+            room_bytes = PACE_INTERVAL_S * PACE_LINK_SHARE * self._link_bytes_per_s
+            while self._unsent and room_bytes > 0:
+                part, address = self._unsent.popleft()
+                room_bytes -= len(part.data)
+                self.send(part, address)
+            await asyncio.sleep(PACE_INTERVAL_S)
 
 
 def build_objects_update(relayed: RelayedChanges, epoch: int) -> ObjectsUpdate:
--- a/src/coltsfootstair/keyspace/_delta_parts.py
+++ b/src/coltsfootstair/keyspace/_delta_parts.py
@@ -12,7 +12,7 @@
 from coltsfootstair.peers import DeltaPart
 
 if TYPE_CHECKING:
-    from coltsfootstair.objects import Change
+    from coltsfootstair.objects import RelayedChanges
 
 __all__ = ['DeltaAssembler', 'build_delta_parts']
 
@@ -31,14 +31,15 @@
 _DECODER = msgspec.msgpack.Decoder(Delta)
 
 
-def build_delta_parts(
-    kind: str, base_revision: int, revision: int, change: Change, epoch: int
-) -> list[DeltaPart]:
-    """Return the datagrams that tell what a change differs in; none if they were too many.
+def build_delta_parts(relayed: RelayedChanges, epoch: int) -> list[DeltaPart]:
+    """Return the datagrams that tell what a single change differs in.
 
-    :param base_revision: revision after which ``change`` comes, as the only one up to
-        ``revision``
+    None if there are several changes, if the state before is not known, or if they were too
+    many.
     """
+    if len(relayed.changes) != 1:
+        return []
+    change = relayed.changes[0]
     before = change.before
     if before is None or change.deleted:
         return []
@@ -56,9 +57,9 @@
     return [
         DeltaPart(
             epoch,
-            kind,
-            base_revision,
-            revision,
+            relayed.kind,
+            relayed.after_revision,
+            relayed.revision,
             change.object.name,
             before.revision,
             change.object.revision,
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -65,6 +65,9 @@
 """How long a relayed change may arrive after the keeper has reported its revision, in seconds.
 After that the change is read from the store."""
 
+MAX_LARGE_RELAY_DELAY_S = 0.2
+"""The same for a kind whose changes may be large; the keeper sends them more slowly."""
+
 
 class StoreHealth:
     """Tracks whether this daemon reaches the store.
@@ -417,11 +420,13 @@
     async def _is_behind_after_wait(self) -> bool:
         """Return whether changes that the keeper has read are missing.
 
-        Waits ``MAX_RELAY_DELAY_S`` for missing ones to arrive.
+        Waits for missing ones to arrive.
         """
         if self._relay.get_keeper_revision(self._kind) <= self.revision:
             return False
-        await asyncio.sleep(MAX_RELAY_DELAY_S)
+        await asyncio.sleep(
+            MAX_LARGE_RELAY_DELAY_S if self._is_latest_only else MAX_RELAY_DELAY_S
+        )
         return self._relay.get_keeper_revision(self._kind) > self.revision
 
     def _on_answer_began(self, timeout: asyncio.Timeout) -> None:
--- a/tests/keyspace/test_delta_parts.py
+++ b/tests/keyspace/test_delta_parts.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import Any
 
 import pytest
 
 from coltsfootstair.errors import ProtocolError
+from coltsfootstair.http1 import Address
+from coltsfootstair.keyspace._broadcast import Broadcaster
 from coltsfootstair.keyspace._delta_parts import (
     MAX_PART_BYTES,
     MAX_PART_COUNT,
     DeltaAssembler,
     build_delta_parts,
 )
-from coltsfootstair.objects import Change, StoredObject, apply_delta
-from coltsfootstair.peers import DeltaPart, decode_message, encode_message
+from coltsfootstair.keyspace._reports import LatestReports
+from coltsfootstair.objects import Change, RelayedChanges, StoredObject, apply_delta
+from coltsfootstair.peers import DeltaPart, Message, Report, decode_message, encode_message
+from tests.virtual_time import LoopClock, run
 
 
 def _change(old: Any, new: Any) -> Change:
@@ -25,7 +30,7 @@
 def _send(change: Change) -> list[DeltaPart]:
     parts = [
         decode_message(encode_message(part))
-        for part in build_delta_parts('config', 6, 9, change, 3)
+        for part in build_delta_parts(RelayedChanges('config', 6, 9, [change]), 3)
     ]
     return [part for part in parts if isinstance(part, DeltaPart)]
 
@@ -56,7 +61,7 @@
     older = _send(_change([], _noise(1500)))
     newer = [
         part
-        for part in build_delta_parts('config', 9, 12, _change([], ['b']), 3)
+        for part in build_delta_parts(RelayedChanges('config', 9, 12, [_change([], ['b'])]), 3)
         if isinstance(part, DeltaPart)
     ]
     assembler = DeltaAssembler()
@@ -77,3 +82,43 @@
     part = DeltaPart(3, 'config', 6, 9, 'main', 5, 9, 0, 1, data)
     with pytest.raises(ProtocolError):
         DeltaAssembler().add(part)
+
+
+def test_a_large_change_is_sent_no_faster_than_the_link_takes_it() -> None:
+    """Guards against datagrams that overflow the link's queue and are lost."""
+
+    async def work() -> tuple[list[float], list[int], list[str]]:
+        loop = asyncio.get_running_loop()
+        sent_at: list[float] = []
+        sizes: list[int] = []
+        receivers: list[str] = []
+
+        class RecordingChannel:
+            def send(self, message: Message, address: Address) -> None:
+                assert isinstance(message, DeltaPart)
+                sent_at.append(loop.time())
+                sizes.append(len(message.data))
+                receivers.append(address.host)
+
+        reports = LatestReports(LoopClock())
+        for number in range(40):
+            report = Report(f'd{number}', 1, True, 0.3, {}, {}, {})
+            reports.put(report, Address(f'd{number}', 1))
+        broadcaster = Broadcaster(reports, Address('keeper', 1), 100.0)
+        broadcaster.attach(RecordingChannel())
+        broadcaster.publish(RelayedChanges('config', 6, 9, [_change([], _noise(1500))]), 3)
+        await asyncio.sleep(1.0)
+        return sent_at, sizes, receivers
+
+    sent_at, sizes, receivers = run(work())
+    assert len(set(receivers)) == 40
+    # 100 Mbit/s are 12.5 MB/s; the queue of a link takes some hundred kilobytes.
+    for index, at in enumerate(sent_at):
+        begun = [
+            size
+            for other_at, size in zip(sent_at[:index], sizes[:index], strict=True)
+            if at - other_at < 0.05
+        ]
+        assert sum(begun) < 0.05 * 12.5e6
+    # A daemon's parts follow each other, so that it need not wait for the others.
+    assert receivers == sorted(receivers, key=receivers.index)
