Send what other daemons can't decode as unreadable, and go on sending

A whole number above 64 bits in an entry ended the keeper's task that follows the entries (OverflowError in encode_message), after it had told the others that it had read the change: they waited for it. A datagram with a value nested 60,000 deep was a RecursionError at its receiver. A message to an address with a port of 70,000 or a NUL closed the socket for good, so that the daemon sent no message to anybody any more.

Now encoding and decoding raise ProtocolError only; a message that can't be sent is logged and dropped; a changed object that can't be sent, or that the store client could not read, is announced as unreadable (an extension type of msgpack, which an earlier version refuses like any other odd value).

--- a/src/coltsfootstair/keyspace/_broadcast.py
+++ b/src/coltsfootstair/keyspace/_broadcast.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
-from coltsfootstair.objects import Change, RelayedChanges, StoredObject
+import msgspec
+import structlog
+
+from coltsfootstair.errors import ProtocolError
+from coltsfootstair.objects import Change, RelayedChanges, StoredObject, UnreadableValue
 from coltsfootstair.peers import ObjectsUpdate, encode_message
 
 if TYPE_CHECKING:
@@ -15,6 +19,12 @@
 
 __all__ = ['Broadcaster', 'build_objects_update', 'read_objects_update']
 
+logger = structlog.get_logger()
+
+_UNREADABLE_CODE = 1
+"""Code of the extension type of msgpack that stands for an unreadable value, with its reason;
+part of the format between daemons."""
+
 MAX_UPDATE_BYTES = 16 * 1024
 """Largest message of changed objects that is sent as a datagram, in bytes; each daemon reads
 larger changes from the store itself."""
@@ -51,9 +61,22 @@
             self.send(message, address)
 
     def publish(self, changes: RelayedChanges, epoch: int) -> None:
-        """Send changed objects to all daemons unless the message exceeds the size limit."""
+        """Send changed objects to all daemons unless the message exceeds the size limit.
+
+        Contents that can't be sent are sent as unreadable, so that nobody waits for them.
+        """
         update = build_objects_update(changes, epoch)
-        if len(encode_message(update)) <= MAX_UPDATE_BYTES:
+        try:
+            size = len(encode_message(update))
+        except ProtocolError:
+            changes = changes._replace(changes=list(map(_make_sendable, changes.changes)))
+            update = build_objects_update(changes, epoch)
+            try:
+                size = len(encode_message(update))
+            except ProtocolError as error:
+                logger.error('changes not relayed', kind=changes.kind, reason=str(error))
+                return
+        if size <= MAX_UPDATE_BYTES:
             self.send_to_all(update)
 
 
@@ -64,14 +87,45 @@
         relayed.kind,
         relayed.after_revision,
         relayed.revision,
-        [(*change.object, change.deleted) for change in relayed.changes],
+        [
+            (
+                change.object.name,
+                change.object.revision,
+                _encode_value(change.object.value),
+                change.deleted,
+            )
+            for change in relayed.changes
+        ],
     )
 
 
 def read_objects_update(update: ObjectsUpdate) -> RelayedChanges:
     """Return the changed objects that a message contains."""
     changes = [
-        Change(StoredObject(name, revision, value), deleted)
+        Change(StoredObject(name, revision, _decode_value(value)), deleted)
         for name, revision, value, deleted in update.changes
     ]
     return RelayedChanges(update.kind, update.base_revision, update.revision, changes)
+
+
+def _encode_value(value: Any) -> Any:
+    if not isinstance(value, UnreadableValue):
+        return value
+    return msgspec.msgpack.Ext(_UNREADABLE_CODE, value.reason.encode(errors='replace'))
+
+
+def _decode_value(value: Any) -> Any:
+    if not isinstance(value, msgspec.msgpack.Ext):
+        return value
+    # Another code is of a later version, and no value that can be used here.
+    return UnreadableValue(bytes(value.data).decode(errors='replace'))
+
+
+def _make_sendable(change: Change) -> Change:
+    """Return ``change`` with an unreadable value if its own can't be sent."""
+    item = change.object
+    try:
+        encode_message(ObjectsUpdate(0, '', 0, 0, [('', 0, _encode_value(item.value), False)]))
+    except ProtocolError as error:
+        return Change(item._replace(value=UnreadableValue(str(error))), change.deleted)
+    return change
--- a/src/coltsfootstair/peers/_channel.py
+++ b/src/coltsfootstair/peers/_channel.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import ipaddress
 from collections.abc import Callable
 from typing import cast
 
@@ -16,6 +18,11 @@
 
 logger = structlog.get_logger()
 
+MAX_PORT = 65535
+
+MAX_REMEMBERED_RECEIVERS = 16_384
+"""Number of addresses of which it is remembered whether a datagram can be sent there."""
+
 MessageHandler = Callable[[Message, Address], None]
 
 
@@ -39,9 +46,22 @@
         return channel
 
     def send(self, message: Message, address: Address) -> None:
-        """Send ``message`` to the daemon at ``address``; do nothing once closed."""
-        if self._transport is not None:
-            self._transport.sendto(encode_message(message), (address.host, address.port))
+        """Send ``message`` to the daemon at ``address``; do nothing once closed.
+
+        A message that can't be sent, or to nowhere, is logged and dropped like a lost one.
+        """
+        if self._transport is None:
+            return
+        try:
+            datagram = encode_message(message)
+        except ProtocolError as error:
+            logger.error('message not sent', receiver=str(address), reason=str(error))
+            return
+        if not _is_receiver(address):
+            # The transport would close for good.
+            logger.error('message not sent', receiver=str(address), reason='no IP address')
+            return
+        self._transport.sendto(datagram, (address.host, address.port))
 
     def close(self) -> None:
         """Close the socket."""
@@ -68,3 +88,12 @@
     def error_received(self, exc: Exception) -> None:
         """Log that a datagram could not be delivered."""
         logger.debug('datagram could not be delivered', reason=repr(exc))
+
+
+@functools.lru_cache(maxsize=MAX_REMEMBERED_RECEIVERS)
+def _is_receiver(address: Address) -> bool:
+    try:
+        ipaddress.ip_address(address.host)
+    except ValueError:
+        return False
+    return 0 < address.port <= MAX_PORT
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -306,9 +306,25 @@
 _DECODER = msgspec.msgpack.Decoder(Message)
 
 
+_ENCODE_ERRORS = (OverflowError, RecursionError, TypeError, ValueError)
+"""What encoding raises for whole numbers above 64 bits, deep nesting, values of other types,
+and text that can't be encoded."""
+
+_DECODE_ERRORS = (msgspec.DecodeError, RecursionError, ValueError)
+"""What decoding raises; a ``ValueError`` for text that isn't UTF-8."""
+
+
 def encode_message(message: Message) -> bytes:
-    """Return the datagram that contains ``message``."""
-    return _ENCODER.encode(message)
+    """Return the datagram that contains ``message``.
+
+    :raises ProtocolError: it has a value that can't be sent
+    """
+    try:
+        return _ENCODER.encode(message)
+    except _ENCODE_ERRORS as error:
+        raise ProtocolError(
+            f'{type(message).__name__} has a value that can not be sent: {error}'
+        ) from None
 
 
 def decode_message(datagram: bytes) -> Message:
@@ -318,6 +334,6 @@
     """
     try:
         message: Message = _DECODER.decode(datagram)
-    except msgspec.DecodeError as error:
+    except _DECODE_ERRORS as error:
         raise ProtocolError(f'datagram is not a valid message: {error}') from None
     return message
