Take an address that can't be one for a connection that failed

A NUL in the address of a backend server, or a port over 65535, made a request fail inside the daemon (ValueError or OverflowError out of Connection.open, which expected OSError) instead of going to another server. Now it is a BrokenExchangeError with sent=False.

--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -142,7 +142,8 @@
                 _, connection = await loop.create_connection(
                     lambda: cls(address, id_header, limiter), address.host, address.port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError, TypeError) as error:
+            # All but the first two are raised for an address that can't be one.
             raise BrokenExchangeError(
                 f'no connection to {address}: {error!r}',
                 sent=False,
