Name the request in each answer between daemons

A daemon that relays a request could not tell whose answer it got: refusals of what is malformed, too large or out of memory had no id at all, and an answer of a backend server that returns none was passed on without one.

Refusals bear the id that has been read of the request, towards callers too, and each answer that is passed on to another daemon has it in Coltsfootstair-Request-Id.

Tests: the refusals with 400, 413 and 431, and the passed-on answer, failed before; those with 404 and 503 had their id.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -46,7 +46,7 @@
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._settings import GatewaySettings
     from coltsfootstair.gateway._types import PlatformPorts
-    from coltsfootstair.http1 import IncomingRequest, Reply
+    from coltsfootstair.http1 import Headers, IncomingRequest, Reply
     from coltsfootstair.objects import RelayedChanges
 
 __all__ = ['Gateway']
@@ -259,13 +259,14 @@
         """Record that a caller has left; return whether its request must continue."""
         return self._dispatcher.caller_left(request)
 
-    def build_refusal(self, status: int) -> Reply:
+    def build_refusal(self, status: int, headers: Headers) -> Reply:
         """Return the reply to an invalid request, or to one that failed inside the daemon."""
         code = _RESULT_CODE_BY_STATUS[http.HTTPStatus(status)]
         ran = Ran.UNKNOWN if code is ResultCode.INTERNAL else Ran.NO
         retry_after_s = 0.5 if code is ResultCode.UPLOAD_MEMORY_FULL else None
         self.metrics.count_request('', f'refused {int(code)}', 0.0)
-        return render_refusal(Refusal(code, ran, '', retry_after_s), None)
+        request_id = self._ports.dialect.parse_caller_headers(headers).request_id
+        return render_refusal(Refusal(code, ran, '', retry_after_s), request_id)
 
     def on_connection_opened(self, connection: CallerConnection) -> None:
         """Add a new connection."""
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -750,7 +750,9 @@
             is_leaving = self._registry.is_leaving(server.incarnation)
             headers = [
                 *headers,
-                *build_relayed_answer_headers(server.name, is_leaving=is_leaving),
+                *build_relayed_answer_headers(
+                    server.name, request.request_id, is_leaving=is_leaving
+                ),
             ]
         return Reply(answer.status, headers, answer.body)
 
--- a/src/coltsfootstair/gateway/_headers.py
+++ b/src/coltsfootstair/gateway/_headers.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     'LEAVING_HEADER',
+    'REQUEST_ID_HEADER',
     'RESULT_HEADER',
     'SERVED_BY_HEADER',
     'WORKSPACE_HEADER',
@@ -28,6 +29,9 @@
 RESULT_HEADER = b'coltsfootstair-result'
 """Header of a daemon's own refusals."""
 
+REQUEST_ID_HEADER = b'coltsfootstair-request-id'
+"""Header with the id of the request, in a daemon's own refusals and its answers to others."""
+
 _BETWEEN_DAEMONS = frozenset({WORKSPACE_HEADER, SERVED_BY_HEADER, LEAVING_HEADER})
 
 
@@ -37,10 +41,12 @@
 
 
 def build_relayed_answer_headers(
-    server_name: str, *, is_leaving: bool
+    server_name: str, request_id: bytes | None, *, is_leaving: bool
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers that tell another daemon of the backend server that has answered."""
     headers = [(SERVED_BY_HEADER, server_name.encode())]
+    if request_id is not None:
+        headers.append((REQUEST_ID_HEADER, request_id))
     if is_leaving:
         headers.append((LEAVING_HEADER, b'1'))
     return headers
--- a/src/coltsfootstair/gateway/_helper.py
+++ b/src/coltsfootstair/gateway/_helper.py
@@ -11,6 +11,7 @@
         CallerConnection,
         CallerHandler,
         CallerLimits,
+        Headers,
         IncomingRequest,
         Reply,
     )
@@ -58,9 +59,9 @@
         """Record that the other daemon has given up; return whether to continue."""
         return self._callers.on_caller_left(request)
 
-    def build_refusal(self, status: int) -> Reply:
+    def build_refusal(self, status: int, headers: Headers) -> Reply:
         """Return the reply to an invalid request, or to one that failed inside the daemon."""
-        return self._callers.build_refusal(status)
+        return self._callers.build_refusal(status, headers)
 
     def on_connection_opened(self, connection: CallerConnection) -> None:
         """Add a new connection."""
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -104,10 +104,11 @@
     def on_caller_left(self, request: IncomingRequest) -> bool:
         """Handle that a caller has left; return true if its request must still complete."""
 
-    def build_refusal(self, status: int) -> Reply:
+    def build_refusal(self, status: int, headers: Headers) -> Reply:
         """Return the answer to a request that cannot be handled.
 
         :param status: HTTP status of the answer
+        :param headers: headers of the request that have been read
         """
 
     def on_connection_opened(self, connection: CallerConnection) -> None:
@@ -330,7 +331,9 @@
             reply = await self._handler.handle(request)
         except Exception:
             logger.exception('request failed inside the daemon')
-            reply = self._handler.build_refusal(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+            reply = self._handler.build_refusal(
+                http.HTTPStatus.INTERNAL_SERVER_ERROR, request.headers
+            )
         finally:
             self._handler.release_body_memory(pending.reserved_bytes)
         pending.reply = reply
@@ -378,7 +381,7 @@
         self._release_body_memory()
         pending = _PendingReply(None, 0)
         pending.keep_alive = False
-        pending.reply = self._handler.build_refusal(int(status))
+        pending.reply = self._handler.build_refusal(int(status), self._headers)
         self._pending_replies.append(pending)
         self._send_ready_replies()
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -11,8 +11,19 @@
 from coltsfootstair.gateway._relay import classify_relayed
 from coltsfootstair.gateway._sender import Outcome
 from coltsfootstair.http1 import Address, Answer, BrokenExchangeError, Connection
-from tests.coltsfootstair_platform.standin import Behaviour, ReceivedRequest, ServerStandin
-from tests.gateway.harness import RunningGateway, run_gateways, run_with_time_limit
+from tests.coltsfootstair_platform.standin import (
+    Behaviour,
+    ReceivedRequest,
+    ServerStandin,
+    encode_answer,
+)
+from tests.gateway.harness import (
+    ReceivedAnswer,
+    RunningGateway,
+    run_gateway,
+    run_gateways,
+    run_with_time_limit,
+)
 
 if TYPE_CHECKING:
     from coltsfootstair.gateway import Gateway
@@ -267,3 +278,56 @@
     assert len(said) == 1
     assert known == said
     assert not [name for name in headers if 'leaving' in name or 'served-by' in name]
+
+
+async def _read_refusal(address: Address, request: bytes) -> ReceivedAnswer:
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(request)
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    writer.close()
+    first, *lines = head.rstrip().split('\r\n')
+    headers = dict(line.lower().split(': ', 1) for line in lines)
+    return ReceivedAnswer(int(first.split(' ')[1]), headers, b'')
+
+
+@pytest.mark.parametrize(
+    ('lines', 'status'),
+    [
+        ('Host: none.example\r\n\r\n', 404),
+        ('Host: uploads.example\r\nContent-Length: 9000000\r\n\r\n', 413),
+        ('Host: uploads.example\r\nA: ' + 'x' * 5000 + '\r\n\r\n', 431),
+        ('Host: uploads.example\r\nno colon\r\n\r\n', 400),
+        ('Host: uploads.example\r\n\r\n', 503),
+    ],
+)
+def test_each_refusal_between_daemons_names_its_request(lines: str, status: int) -> None:
+    """Guards against refusals that the asking daemon can't tell from repeated ones."""
+
+    async def work() -> ReceivedAnswer:
+        async with run_gateway() as running:
+            address = _get_helper_address(running.gateway)
+            head = f'POST /x/a HTTP/1.1\r\nX-Request-Id: r7\r\n{lines}'
+            return await _read_refusal(address, head.encode())
+
+    answer = run_with_time_limit(work())
+    assert answer.status == status
+    assert answer.headers['coltsfootstair-request-id'] == 'r7'
+
+
+def _get_helper_address(gateway: Gateway) -> Address:
+    assert gateway.helper_address is not None
+    return gateway.helper_address
+
+
+def test_an_answer_passed_on_between_daemons_names_its_request() -> None:
+    async def answer(_request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        writer.write(encode_answer(200, b'b', X_Upstream_Signature='s'))
+        return True
+
+    async def work() -> ReceivedAnswer:
+        async with run_gateway(('calendar', ServerStandin('s1', answer))) as running:
+            as_daemon = running._replace(address=_get_helper_address(running.gateway))
+            return await as_daemon.call('lookups', X_Request_Id='r7')
+
+    answered = run_with_time_limit(work())
+    assert (answered.status, answered.headers['coltsfootstair-request-id']) == (200, 'r7')
