--- a/soak/_servers.py
+++ b/soak/_servers.py
@@ -81,6 +81,7 @@
         self._fenced_ranges: list[tuple[int, int, int]] = []
         self._slots = asyncio.Semaphore(SLOT_COUNT)
         self._accepted_count = 0
+        self._handover_count = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
     def _encode_answer(self, status: int, body: bytes = b'', **headers: str) -> bytes:
@@ -106,7 +107,8 @@
         """Serve one request; return whether the connection stays open."""
         target_name = request.headers.get('x-target-instance')
         if target_name is not None and target_name != self.record.name:
-            writer.write(self._encode_answer(421, X_Not_Executed='1'))
+            request_id = request.headers.get('x-request-id', '')
+            writer.write(self._encode_answer(421, X_Not_Executed='1', X_Request_Id=request_id))
             return True
         if self.hangs:
             await reader.read()
@@ -126,7 +128,9 @@
         arrived_at = asyncio.get_running_loop().time()
         if request.target == '/-/release':
             await self._apply_release(call)
-            writer.write(self._encode_answer(200, X_Handover='handover'))
+            self._handover_count += 1
+            handover = f'handover-{self._handover_count}'
+            writer.write(self._encode_answer(200, X_Handover=handover))
             return True
         if self.applies_grants_late and self._random.random() < MISBEHAVED_SHARE:
             task = asyncio.ensure_future(self._apply_grant_late(call, arrived_at))
@@ -197,7 +201,7 @@
         self._checker.on_request_arrived(self.record, request_id)
         key = int(request.headers['x-shard-key']) if self.divided_by_key else None
         if key is not None and not self._has_grant(key):
-            writer.write(self._encode_answer(421, X_Not_Executed='1'))
+            writer.write(self._encode_answer(421, X_Not_Executed='1', X_Request_Id=request_id))
             return True
         self._checker.on_request_taken(self.record, request_id)
         if self.pause_s and self._random.random() < MISBEHAVED_SHARE:
@@ -223,7 +227,9 @@
             if not execution.done():
                 return False  # The sender closed the connection; the work is cancelled.
             if not execution.result():
-                writer.write(self._encode_answer(421, X_Not_Executed='1'))
+                writer.write(
+                    self._encode_answer(421, X_Not_Executed='1', X_Request_Id=request_id)
+                )
                 return True
             return self._write_answer(request, request_id, writer)
         finally:
--- a/tests/coltsfootstair_platform/standin.py
+++ b/tests/coltsfootstair_platform/standin.py
@@ -293,7 +293,10 @@
     ) -> bool:
         if request.target in ('/-/grant', '/-/release'):
             self.grant_calls.append((request.target, json.loads(request.body)))
-            writer.write(encode_answer(200, X_Handover='h1'))
+            is_release = request.target == '/-/release'
+            # Each handover is another one.
+            handover = {'X_Handover': f'h{len(self.grant_calls)}'} if is_release else {}
+            writer.write(encode_answer(200, b'', **handover))
             return True
         self.received.append(request)
         work = asyncio.ensure_future(self.behaviour(request, writer))
