Take no answer that may be an earlier one, written once more

Callers were told "not run, try again" for bookings that a backend server ran, or such a booking ran at a second server: a faulty server wrote an earlier refusal once more on a kept connection. It was believed if it had no id, if the same request had been refused on that connection before (a retry at the only server or at a key's owner, or a caller that uses an id twice), and for callers without ids always. Bytes that had arrived on an idle connection but were not read yet were taken for the next answer.

An answer counts if it has the request's id. Without an id only the first answer on a connection counts, which is closed after it; a later one is ignored, and if no true one follows within 0.5 s, the outcome is unknown. A request that may run at most once is not sent on a connection that has refused its id, and one without an id gets a connection of its own. An idle connection with unread bytes, or whose end is unread, is closed. On kept connections to servers that return no ids, nothing counts that comes before the request has arrived.

--- a/src/coltsfootstair/gateway/_relay.py
+++ b/src/coltsfootstair/gateway/_relay.py
@@ -6,6 +6,7 @@
 
 from coltsfootstair.gateway._headers import (
     LEAVING_HEADER,
+    REQUEST_ID_HEADER,
     RESULT_HEADER,
     SERVED_BY_HEADER,
     WORKSPACE_HEADER,
@@ -110,7 +111,12 @@
         """
         remaining_s = request.times_out_at - self._clock.monotonic()
         try:
-            connection = self._pool.take_idle(helper, max_idle_share=0.5)
+            connection = None
+            # Only the first answer on a connection can be believed without an id.
+            if request.request_id:
+                connection = self._pool.take_idle(
+                    helper, max_idle_share=0.5, unless_refused_id=request.request_id
+                )
             if connection is None:
                 connection = await self._pool.open(helper, min(CONNECT_TIMEOUT_S, remaining_s))
         except BrokenExchangeError as error:
@@ -132,16 +138,18 @@
                 headers,
                 incoming.body,
                 expected_id=request.request_id,
+                further_id_header=REQUEST_ID_HEADER,
             )
         except BrokenExchangeError as error:
             if not error.sent:
                 request.may_have_run = may_have_run_before
                 return RelayResult(Outcome.NOT_SENT, None, str(error))
             return RelayResult(Outcome.UNKNOWN, None, str(error))
-        self._pool.release(connection)
         result = classify_relayed(answer)
         if result.outcome is Outcome.NOT_RUN:
             request.may_have_run = may_have_run_before
+            connection.record_refusal()
+        self._pool.release(connection)
         return result
 
 
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -325,10 +325,11 @@
             )
         finally:
             held_up_check.cancel()
-        self._pool.release(connection)
         result = self._classify_answer(request, answer, server, started_at)
         if result.outcome in OUTCOMES_NOT_RUN:
             request.may_have_run = may_have_run_before
+            connection.record_refusal()
+        self._pool.release(connection)
         return result
 
     def _may_reach(self, request: RequestState, server: BackendServer) -> bool:
@@ -357,7 +358,7 @@
         request.trace.add_step('late send', now, reason=reason, server=server.name, **fields)
 
     def _on_head(
-        self, server: BackendServer, has_key: bool, status: int, headers: Headers
+        self, server: BackendServer, has_key: bool, status: int, headers: Headers, is_own: bool
     ) -> None:
         self._paths.record_answer(server.incarnation)
         self._head_observer.on_head(server, has_key, status, headers)
@@ -371,10 +372,15 @@
         self, request: RequestState, server: BackendServer
     ) -> Connection:
         is_idempotent = request.route.kind is RequestKind.IDEMPOTENT
-        max_idle_share = 1.0 if is_idempotent else AT_MOST_ONCE_MAX_IDLE_SHARE
-        idle_connection = self._pool.take_idle(server.address, max_idle_share=max_idle_share)
-        if idle_connection is not None:
-            return idle_connection
+        # Only the first answer on a connection can be believed without an id.
+        if request.request_id:
+            idle_connection = self._pool.take_idle(
+                server.address,
+                max_idle_share=1.0 if is_idempotent else AT_MOST_ONCE_MAX_IDLE_SHARE,
+                unless_refused_id=None if is_idempotent else request.request_id,
+            )
+            if idle_connection is not None:
+                return idle_connection
         remaining_s = request.times_out_at - self._clock.monotonic()
         timeout_s = max(
             MIN_CONNECT_TIMEOUT_S,
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import fcntl
+import select
 import socket
 import sys
 import termios
@@ -44,6 +45,13 @@
 """How long sent bytes may stay unacknowledged before the connection is closed; the shortest
 time in which the deployments require that a broken network path is detected."""
 
+MAX_REFUSED_IDS = 64
+"""Ids of refused requests that a connection remembers; it is closed when there are more."""
+
+IDENTIFIED_ANSWER_WAIT_S = 0.5
+"""How long an answer with the request's id is awaited after one without, in seconds; several
+times a usual service time."""
+
 FIRST_FINAL_STATUS = 200
 NOT_MODIFIED_STATUS = 304
 
@@ -90,14 +98,16 @@
     """Sends requests over one socket to a server and parses the answers.
 
     Bytes that arrive while no request is pending, or that violate the protocol, make the
-    connection unusable. An answer with the id of another request is ignored. An exchange whose
-    answers exceed the limits, ignored ones included, fails at once.
+    connection unusable. An answer with the id of another request is ignored. So is one without
+    an id after any other answer, since an earlier one may have been sent once more; if no true
+    answer follows soon, the exchange fails. An exchange whose answers exceed the limits,
+    ignored ones included, fails at once.
 
     A connection that ends during an exchange is reset, also if the process is killed, so that
     bytes of the request that are held up on their way are not delivered later.
 
     :param id_header: name in lower case of the header in which servers return the id of a
-        request
+        request; empty for servers that return none, whose answers count without
     :param limiter: limits the answers of all connections that share it
     :ivar unacknowledged_bytes: bytes of a request that was given up which the server's TCP had
         not acknowledged by then; ``None`` if not known
@@ -117,7 +127,12 @@
         self._transport: asyncio.Transport | None = None
         self._pending_answer: asyncio.Future[Answer] | None = None
         self._expected_id: bytes | None = None
-        self._on_head: Callable[[int, Headers], None] | None = None
+        self._id_headers: tuple[bytes, ...] = ()
+        self._proves: Callable[[int, Headers], bool] | None = None
+        self._answer_count = 0
+        self._wait_timer: asyncio.TimerHandle | None = None
+        self._refused_ids: set[bytes] = set()
+        self._on_head: Callable[[int, Headers, bool], None] | None = None
         self._is_head_request = False
         self._sent = False
         self._received_bytes = 0
@@ -172,16 +187,23 @@
         body: bytes,
         *,
         expected_id: bytes | None = None,
-        on_head: Callable[[int, Headers], None] | None = None,
+        further_id_header: bytes | None = None,
+        proves: Callable[[int, Headers], bool] | None = None,
+        on_head: Callable[[int, Headers, bool], None] | None = None,
     ) -> Answer:
         """Send one request and return its complete answer.
 
         A cancelled exchange closes the connection.
 
-        :param expected_id: id of the request; an answer whose id header has another value is
-            ignored
+        :param expected_id: id of the request; an answer with another id is ignored
+        :param further_id_header: name in lower case of the header that has the id in answers
+            without the first one
+        :param proves: returns for status and headers of an answer without an id whether it can
+            be no repeat of an earlier one; by default only the first answer on the connection
+            is believed without an id, and the connection is closed after it
         :param on_head: called with status and headers of each head that arrives from now until
-            the next exchange, also of interim, ignored and unrequested answers
+            the next exchange, also of interim, ignored and unrequested answers, and with
+            whether it is of the answer to this request
         :raises BrokenExchangeError: the connection ended before the answer was complete, or
             the server violated the protocol
         """
@@ -191,6 +213,10 @@
         pending_answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self._pending_answer = pending_answer
         self._expected_id = expected_id
+        self._id_headers = (self._id_header,) if self._id_header else ()
+        if further_id_header is not None:
+            self._id_headers += (further_id_header,)
+        self._proves = proves
         self._on_head = on_head
         self._is_head_request = request_line.startswith(b'HEAD ')
         self._received_bytes = 0
@@ -210,6 +236,28 @@
                 self._drop_answer()
             self._pending_answer = None
 
+    def record_refusal(self) -> None:
+        """Record that the last request was refused, see ``has_refused``."""
+        if self._expected_id:
+            self._refused_ids.add(self._expected_id)
+        if len(self._refused_ids) > MAX_REFUSED_IDS:
+            self.is_reusable = False
+
+    def has_refused(self, request_id: bytes) -> bool:
+        """Whether a request with this id was refused here; its refusal may come once more."""
+        return request_id in self._refused_ids
+
+    def has_unread_input(self) -> bool:
+        """Whether bytes or the end of the connection have arrived and are not read yet."""
+        if self._transport is None:
+            return True
+        raw_socket = self._transport.get_extra_info('socket')
+        if raw_socket is None:
+            return False
+        poll = select.poll()
+        poll.register(raw_socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def count_unacknowledged_bytes(self) -> int | None:
         """Return how many sent bytes the peer has not acknowledged, or ``None``."""
         if self._transport is None:
@@ -262,6 +310,11 @@
                 self._parser.feed_data(data)
             self.close()
             return
+        if not self._received_bytes and not self._may_be_answered():
+            self._cut_off(
+                CutOffReason.MALFORMED, f'{self.address} answered before the request arrived'
+            )
+            return
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -330,7 +383,7 @@
         """Determine how the end of the answer is recognised."""
         self._status = self._parser.get_status_code()
         if self._on_head is not None:
-            self._on_head(self._status, self._headers)
+            self._on_head(self._status, self._headers, self._is_own_answer())
         self._in_final_body = self._status >= FIRST_FINAL_STATUS
         length = find_first_value(self._headers, b'content-length')
         coding = find_first_value(self._headers, b'transfer-encoding') or b''
@@ -362,19 +415,58 @@
         if pending_answer is None or pending_answer.done():
             self.is_reusable = False
             return
-        answered_id = find_first_value(self._headers, self._id_header)
-        if self._expected_id and answered_id and answered_id != self._expected_id:
+        is_own = self._is_own_answer()
+        self._answer_count += 1
+        if not is_own:
             # A late second answer to an earlier request arrived before the answer to this one.
             self.is_reusable = False
             if self._is_ended_by_close:
                 self._fail(f'{self.address} answered another request')
+            elif self._wait_timer is None and not self._find_answered_id():
+                self._wait_timer = asyncio.get_running_loop().call_later(
+                    IDENTIFIED_ANSWER_WAIT_S,
+                    self._fail,
+                    f'{self.address} sent an answer without the id of its request',
+                )
             return
+        if self._id_header and self._proves is None:
+            # No later answer could be told from a repeat of one that had no id.
+            self.is_reusable &= bool(self._expected_id and self._find_answered_id())
         self._update_idle_limit()
         pending_answer.set_result(Answer(self._status, self._headers, bytes(self._body)))
         self._drop_answer()
         if not self.is_reusable:
             asyncio.get_running_loop().call_soon(self.close)
 
+    def _find_answered_id(self) -> bytes | None:
+        for name in self._id_headers:
+            value = find_first_value(self._headers, name)
+            if value is not None:
+                return value.strip()
+        return None
+
+    def _is_own_answer(self) -> bool:
+        """Whether the answer whose head has come is the one to the pending request."""
+        if self._pending_answer is None or self._pending_answer.done():
+            return False
+        if not self._id_header:
+            return True
+        answered_id = self._find_answered_id()
+        if answered_id and self._expected_id:
+            return answered_id == self._expected_id
+        if self._answer_count == 0:
+            return True
+        return self._proves is not None and self._proves(self._status, self._headers)
+
+    def _may_be_answered(self) -> bool:
+        """Whether the server may have the request, if its answer need not bear the id."""
+        if self.exchange_count == 1 or (self._id_header and self._proves is None):
+            return True
+        assert self._transport is not None
+        return not (
+            self._transport.get_write_buffer_size() or self.count_unacknowledged_bytes()
+        )
+
     def _update_idle_limit(self) -> None:
         """Read the idle limit that the server announces in ``Keep-Alive``."""
         value = find_first_value(self._headers, b'keep-alive')
@@ -405,7 +497,10 @@
         )
 
     def _drop_answer(self) -> None:
-        """Release the memory of the answer that was being received."""
+        """Release the memory of the answer that was being received, and its timer."""
+        if self._wait_timer is not None:
+            self._wait_timer.cancel()
+            self._wait_timer = None
         self._limiter.remove(self._cut_off_for_memory)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
--- a/src/coltsfootstair/http1/_pool.py
+++ b/src/coltsfootstair/http1/_pool.py
@@ -37,7 +37,7 @@
     """Keeps idle connections for reuse, and hands out the most recently used one first.
 
     :param id_header: name in lower case of the header in which servers return the id of a
-        request
+        request; empty for servers that return none
     :param limiter: limits the answers on all connections of the pool
     """
 
@@ -50,31 +50,46 @@
         self._idle_by_address: dict[Address, deque[Connection]] = {}
         self.opened_count = 0
 
-    def take_idle(self, address: Address, *, max_idle_share: float = 1.0) -> Connection | None:
+    def take_idle(
+        self,
+        address: Address,
+        *,
+        max_idle_share: float = 1.0,
+        unless_refused_id: bytes | None = None,
+    ) -> Connection | None:
         """Remove an idle connection from the pool and return it.
 
-        Connections found closed or past their idle limit are closed and removed.
+        Connections are closed and removed that are found closed, past their idle limit, or
+        with bytes that no request has asked for.
 
         :param max_idle_share: share of its idle limit for which it may have been idle; below 1
             for requests that must not be repeated, which need a fresher connection
+        :param unless_refused_id: id of a request that the connection must not have refused
         :return: ``None`` if there is no such connection
         """
         idle = self._idle_by_address.get(address)
         now = self._clock.monotonic()
+        found: Connection | None = None
+        passed_over: list[Connection] = []
         while idle:
             connection = idle.pop()
             limit_s = connection.idle_limit_s
             max_idle_s = DEFAULT_IDLE_LIMIT_S if limit_s is None else limit_s - IDLE_MARGIN_S
             idle_s = now - connection.idle_since
-            if connection.is_open and idle_s < max_idle_s * max_idle_share:
-                return connection
-            if not connection.is_open or idle_s >= max_idle_s:
+            if not connection.is_open or idle_s >= max_idle_s or connection.has_unread_input():
                 connection.close()
                 continue
-            # The remaining connections have been idle for longer.
-            idle.append(connection)
-            return None
-        return None
+            if idle_s >= max_idle_s * max_idle_share:
+                # The remaining connections have been idle for longer.
+                idle.append(connection)
+                break
+            if unless_refused_id is None or not connection.has_refused(unless_refused_id):
+                found = connection
+                break
+            passed_over.append(connection)
+        if idle is not None:
+            idle.extend(reversed(passed_over))
+        return found
 
     async def open(self, address: Address, timeout_s: float) -> Connection:
         """Open a new connection.
