Take no earlier answer for that to a grant or release call

A repeated answer to a grant was taken for the release after it: the keys would go to their next owner while the last one is at work on them. A repeated 421 or 400 let a server count as ended, and a repeated 409 let a token count as refused. Servers return no id in these answers.

A connection is kept after status 200 only, so that no other status on it is a repeat. A release is answered by a handover that has not come on the connection before, a grant by an answer without one; on a connection's first call, any answer counts. A connection for each call was weighed: a busy server resets new ones, and renewals must reach it.

--- a/tests/coltsfootstair_platform/test_grant_client.py
+++ b/tests/coltsfootstair_platform/test_grant_client.py
@@ -8,12 +8,14 @@
 import multiprocessing
 import sys
 import termios
+from collections.abc import Awaitable, Callable
 
 import pytest
 
 from coltsfootstair.clock import SystemClock
 from coltsfootstair.errors import ColtsfootstairError
 from coltsfootstair.http1 import Address, BrokenExchangeError
+from coltsfootstair.keyspace import StaleFenceError
 from coltsfootstair.registry import BackendServer, ServerState
 from coltsfootstair_platform import HttpGrantClient
 from tests.coltsfootstair_platform.standin import (
@@ -204,3 +206,137 @@
         return leaving
 
     assert asyncio.run(simulate()) == ([('s1', 7)] if is_leaving else [])
+
+
+HANDOVERS = ('5c0e7a21d94b36f8', '90d1c4e2a7b35f68')
+
+
+class RepeatingOwner(Listener):
+    """Answers calls without ids, and writes an earlier answer once more before a true one.
+
+    :ivar true_answer: answer to the next calls
+    :ivar repeated: what is written before it
+    :ivar connection_count: number of connections on which a call came
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.true_answer = encode_answer(200)
+        self.repeated = b''
+        self._connections: set[asyncio.StreamWriter] = set()
+
+    @property
+    def connection_count(self) -> int:
+        return len(self._connections)
+
+    async def _serve(
+        self,
+        request: ReceivedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        self._connections.add(writer)
+        if self.repeated:
+            writer.write(self.repeated)
+            await asyncio.sleep(CALL_TIMEOUT_S / 4)
+        writer.write(self.true_answer)
+        return True
+
+
+def _run_owner(
+    scenario: Callable[[RepeatingOwner, HttpGrantClient, BackendServer], Awaitable[None]],
+) -> None:
+    async def run() -> None:
+        owner = RepeatingOwner()
+        async with run_listeners(owner):
+            address = Address('127.0.0.1', owner.port)
+            server = BackendServer(
+                's1', 1, 'slots', address, 'north', 4, ServerState.READY, 0.0
+            )
+            await scenario(owner, HttpGrantClient(SystemClock()), server)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    'repeated', [encode_answer(200), encode_answer(200, X_Handover=HANDOVERS[0])]
+)
+def test_a_release_is_not_answered_by_an_earlier_answer_without_an_id(repeated: bytes) -> None:
+    """The keys would go to their next owner while the last one is at work on them."""
+
+    async def scenario(
+        owner: RepeatingOwner, client: HttpGrantClient, server: BackendServer
+    ) -> None:
+        await client.grant(server, 0, 9, 2, 2.5, None, RECEIVE_TIMEOUT_S)
+        owner.true_answer = encode_answer(200, X_Handover=HANDOVERS[0])
+        released = await client.release(server, 0, 4, 3, RECEIVE_TIMEOUT_S)
+        assert released == HANDOVERS[0]
+        owner.repeated = repeated
+        owner.true_answer = encode_answer(200, X_Handover=HANDOVERS[1])
+        released = await client.release(server, 5, 9, 3, RECEIVE_TIMEOUT_S)
+        assert released == HANDOVERS[1]
+
+    _run_owner(scenario)
+
+
+def test_a_grant_is_not_answered_by_the_answer_to_a_release() -> None:
+    async def scenario(
+        owner: RepeatingOwner, client: HttpGrantClient, server: BackendServer
+    ) -> None:
+        owner.true_answer = encode_answer(200, X_Handover=HANDOVERS[0])
+        await client.release(server, 0, 9, 3, RECEIVE_TIMEOUT_S)
+        owner.repeated = owner.true_answer
+        owner.true_answer = encode_answer(409)
+        with pytest.raises(StaleFenceError):
+            await client.grant(server, 0, 9, 2, 2.5, None, RECEIVE_TIMEOUT_S)
+
+    _run_owner(scenario)
+
+
+@pytest.mark.parametrize('status', [421, 400, 409, 503])
+def test_an_earlier_refusal_of_a_call_does_not_answer_a_later_one(status: int) -> None:
+    """Guards against a server that counts as ended for what another life was told."""
+
+    async def scenario(
+        owner: RepeatingOwner, client: HttpGrantClient, server: BackendServer
+    ) -> None:
+        owner.true_answer = encode_answer(status)
+        with pytest.raises(ColtsfootstairError):
+            await client.grant(server, 0, 9, 2, 2.5, None, RECEIVE_TIMEOUT_S)
+        connection_count = owner.connection_count
+        owner.true_answer = encode_answer(200)
+        await client.grant(server, 0, 9, 2, 2.5, None, RECEIVE_TIMEOUT_S)
+        assert owner.connection_count == connection_count + 1
+
+    _run_owner(scenario)
+
+
+def test_calls_that_are_answered_as_they_should_be_share_a_connection() -> None:
+    """A busy server resets new connections, and renewals must reach it."""
+
+    async def scenario(
+        owner: RepeatingOwner, client: HttpGrantClient, server: BackendServer
+    ) -> None:
+        for number in range(20):
+            owner.true_answer = encode_answer(200)
+            await client.grant(server, 0, 9, 2, 2.5, None, RECEIVE_TIMEOUT_S)
+            owner.true_answer = encode_answer(200, X_Handover=f'h{number}')
+            released = await client.release(server, 0, 9, 3, RECEIVE_TIMEOUT_S)
+            assert released == f'h{number}'
+        assert owner.connection_count == 1
+
+    _run_owner(scenario)
+
+
+def test_a_release_without_a_handover_is_believed_on_a_connection_of_its_own() -> None:
+    """Guards against a server that hands nothing over and whose keys could never move."""
+
+    async def scenario(
+        owner: RepeatingOwner, client: HttpGrantClient, server: BackendServer
+    ) -> None:
+        await client.grant(server, 0, 9, 2, 2.5, None, RECEIVE_TIMEOUT_S)
+        with pytest.raises(BrokenExchangeError, match='without the id'):
+            await client.release(server, 0, 9, 3, RECEIVE_TIMEOUT_S)
+        assert await client.release(server, 0, 9, 3, RECEIVE_TIMEOUT_S) is None
+
+    _run_owner(scenario)
