--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -334,7 +334,11 @@
         finally:
             self._handler.release_body_memory(pending.reserved_bytes)
         pending.reply = reply
-        self._send_ready_replies()
+        try:
+            self._send_ready_replies()
+        except Exception:
+            logger.exception('answer not sent')
+            self.abort()
         return reply
 
     def _send_ready_replies(self) -> None:
@@ -351,7 +355,7 @@
             ):
                 closes_connection = True
             assert pending.reply is not None
-            transport.write(_render_reply(pending.reply, closes_connection))
+            transport.write(self._render(pending.reply, closes_connection))
             if closes_connection:
                 self._is_closing = True
                 self._close_after_answer()
@@ -360,6 +364,14 @@
             self._set_timer(self._handler.limits.idle_timeout_s)
         self._adjust_reading()
 
+    def _render(self, reply: Reply, closes_connection: bool) -> bytes:
+        try:
+            return _render_reply(reply, closes_connection)
+        except Exception:
+            logger.exception('answer can not be sent')
+            refusal = self._handler.build_refusal(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+            return _render_reply(refusal, closes_connection)
+
     def _close_after_answer(self) -> None:
         transport = self._transport
         if transport is None:
@@ -461,7 +473,11 @@
         try:
             while head := await reader.readuntil(b'\r\n\r\n'):
                 path = head.split(b' ', 2)[1]
-                status, body = await answer(path)
+                try:
+                    status, body = await answer(path)
+                except Exception:
+                    logger.exception('request failed inside the daemon', path=repr(path))
+                    status, body = http.HTTPStatus.INTERNAL_SERVER_ERROR, b''
                 phrase = http.HTTPStatus(status).phrase.encode()
                 length = (b'Content-Length', str(len(body)).encode())
                 writer.write(
