--- a/src/coltsfootstair/keyspace/_broadcast.py
+++ b/src/coltsfootstair/keyspace/_broadcast.py
@@ -57,7 +57,6 @@
     ) -> None:
         self._link_bytes_per_s = link_mbps * 1e6 / 8
         self._unsent: deque[tuple[DeltaPart, Address]] = deque()
-        self._sender_task: asyncio.Task[None] | None = None
         self._latest_reports = reports
         self._own_address = own_address
         self._channel: Channel | None = None
@@ -112,22 +111,23 @@
                 daemons=len(addresses),
             )
             return
+        is_sending = bool(self._unsent)
         self._unsent.extend((part, address) for address in addresses for part in parts)
-        if self._sender_task is None or self._sender_task.done():
-            self._sender_task = asyncio.create_task(self._send_unsent())
+        if not is_sending:
+            self._send_unsent()
 
-    async def _send_unsent(self) -> None:
+    def _send_unsent(self) -> None:
         """Send the datagrams that wait, no faster than a share of the link allows.
 
         More at once would overflow its queue, and all but the first ones would be lost.
         """
-        while self._unsent:
-            room_bytes = PACE_INTERVAL_S * PACE_LINK_SHARE * self._link_bytes_per_s
-            while self._unsent and room_bytes > 0:
-                part, address = self._unsent.popleft()
-                room_bytes -= len(part.data)
-                self.send(part, address)
-            await asyncio.sleep(PACE_INTERVAL_S)
+        room_bytes = PACE_INTERVAL_S * PACE_LINK_SHARE * self._link_bytes_per_s
+        while self._unsent and room_bytes > 0:
+            part, address = self._unsent.popleft()
+            room_bytes -= len(part.data)
+            self.send(part, address)
+        if self._unsent:
+            asyncio.get_running_loop().call_later(PACE_INTERVAL_S, self._send_unsent)
 
 
 def build_objects_update(relayed: RelayedChanges, epoch: int) -> ObjectsUpdate:
--- a/src/coltsfootstair/keyspace/_dependencies.py
+++ b/src/coltsfootstair/keyspace/_dependencies.py
@@ -16,6 +16,7 @@
 from coltsfootstair.peers import PermitAnswer, Report, TrialAnswer
 from coltsfootstair.placement import ServerPaths
 from coltsfootstair.registry import Registry
+from coltsfootstair.supervision import FailureLog
 
 if TYPE_CHECKING:
     from coltsfootstair.http1 import Address
@@ -83,6 +84,7 @@
     :param link_mbps: bandwidth of this VM's link, in megabits a second
     :param get_configuration_version: returns the version of the configuration in force; 0 if
         there is none
+    :param failures: records the ends of tasks that must not end
     :param are_changes_overdue: returns whether this daemon may not know all changed objects,
         since the store has not told of them in time
     """
@@ -120,3 +122,4 @@
     get_configuration_version: Callable[[], int] = lambda: 0
     on_relayed_delta: Callable[[RelayedDelta], None] = lambda _delta: None
     link_mbps: float = 1000.0
+    failures: FailureLog = FailureLog()
--- a/tests/gateway/test_subscribers.py
+++ b/tests/gateway/test_subscribers.py
@@ -12,6 +12,7 @@
 )
 from coltsfootstair.objects import Change, Listing, StoredObject, UnreadableValue
 from coltsfootstair.registry import Registry
+from coltsfootstair.supervision import FailureLog
 from coltsfootstair_platform import PlatformDecoder
 from tests.coltsfootstair_platform.standin import ServerStandin, build_configuration
 
@@ -31,7 +32,7 @@
 def test_an_unchanged_odd_entry_is_logged_once_and_not_at_each_list(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
-    subscriber = ServerSubscriber(DECODER, Registry(ManualClock()))
+    subscriber = ServerSubscriber(DECODER, Registry(ManualClock()), FailureLog())
     listing = Listing([StoredObject('s1', 4, ODD), _build_entry('s2', 5)], 6)
     for _ in range(5):
         subscriber.apply_listing(listing, after_outage=False, is_restored=False)
@@ -46,7 +47,7 @@
 def test_an_odd_entry_ends_the_use_of_its_server_and_of_no_other() -> None:
     clock = ManualClock()
     registry = Registry(clock)
-    subscriber = ServerSubscriber(DECODER, registry)
+    subscriber = ServerSubscriber(DECODER, registry, FailureLog())
     good = [_build_entry('s1', 4), _build_entry('s2', 5)]
     subscriber.apply_listing(Listing(good, 5), after_outage=False, is_restored=False)
     assert subscriber.apply_change(
@@ -66,7 +67,7 @@
 
 
 def test_an_unreadable_configuration_leaves_the_last_one_in_force() -> None:
-    subscriber = ConfigurationSubscriber(DECODER)
+    subscriber = ConfigurationSubscriber(DECODER, FailureLog())
     good = StoredObject('main', 4, build_configuration(3))
     subscriber.apply_listing(Listing([good], 4), after_outage=False, is_restored=False)
     subscriber.apply_change(Change(StoredObject('main', 5, ODD), False), after_outage=False)
@@ -81,7 +82,7 @@
 
 def test_an_evacuation_with_an_odd_name_ends_no_other_evacuation() -> None:
     registry = Registry(ManualClock())
-    subscriber = EvacuationSubscriber(DECODER, registry)
+    subscriber = EvacuationSubscriber(DECODER, registry, FailureLog())
     registry_entry = DECODER.decode_backend_server(_build_entry('s1', 1))
     registry.apply_entry(registry_entry)
     objects = [StoredObject('\ud800', 2, {}), StoredObject('north', 3, ODD)]
