Replace a keeper whose task has ended, and go on after failed work for keys

Cause: a task of the keeper that ended with an exception was logged, and nothing else. The lease was held by heartbeats while nobody confirmed it, renewed grants or planned; a key range whose grant task had failed was never tried again; an owner whose grant calls raised something else than BrokenExchangeError kept its keys; the sender of a report that failed got no heartbeat and took over from a keeper that worked.

A keeper whose own task fails steps down, tells the others, and leaves the takeover to them for 3 s. Plans and renewals of a service start again with the stored table; failing for 1.4 s, they end the term of the keeper. A grant or release call that fails in any way counts as not answered. Reports are answered also if they can't be applied.

--- a/src/coltsfootstair/keyspace/_dependencies.py
+++ b/src/coltsfootstair/keyspace/_dependencies.py
@@ -16,6 +16,7 @@
 from coltsfootstair.peers import PermitAnswer, Report, TrialAnswer
 from coltsfootstair.placement import ServerPaths
 from coltsfootstair.registry import Registry
+from coltsfootstair.supervision import FailureLog
 
 if TYPE_CHECKING:
     from coltsfootstair.http1 import Address
@@ -80,6 +81,7 @@
         issues permits for workspaces
     :param get_configuration_version: returns the version of the configuration in force; 0 if
         there is none
+    :param failures: records the ends of tasks that must not end
     :param are_changes_overdue: returns whether this daemon may not know all changed objects,
         since the store has not told of them in time
     """
@@ -115,3 +117,4 @@
     get_issued_rates: Callable[[], dict[str, float]] = dict
     on_keeper_heard: Callable[[float, bool], None] = lambda _at, _is_issuing: None
     get_configuration_version: Callable[[], int] = lambda: 0
+    failures: FailureLog = FailureLog()
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -118,6 +118,10 @@
 ISSUING_AGE_S = 0.1
 """How long the decision to issue permits for workspaces holds, in seconds."""
 
+FAILED_KEEPER_PAUSE_S = 3.0
+"""How long a keeper whose work has failed leaves the takeover to other daemons, in seconds;
+longer than all others may wait."""
+
 REPORT_NUMBER_BITS = 40
 """Bits of the random number of a daemon's first report."""
 
@@ -155,12 +159,15 @@
             lambda: self.is_keeper,
             lambda epoch: self._step_down(f'a table was written under epoch {epoch}'),
             lambda: self.unresponsive_servers,
+            self._leave_to_others,
         )
         # See ``ElectionState.keeper_alive_at``.
         self._keeper_alive_at = dependencies.clock.monotonic()
         self._keeper_store_unreachable_since: float | None = None
         self._takeover_blocked_until = -math.inf
         self._takeover_wanted_since: float | None = None
+        self._left_to_others_until = -math.inf
+        self._heartbeat_failed_at = -math.inf
         # Number of daemons that a majority is measured against; 0 if not known.
         self._majority_base_count = 0
         self._took_over_at = -math.inf
@@ -293,7 +300,15 @@
                 self._takeover_wanted_since = None
 
     def _must_leave_takeover_to_others(self) -> bool:
-        """Whether this daemon is cut off, and others have had too little time to take over."""
+        """Whether others have had too little time to take over, and are better keepers.
+
+        This daemon is cut off, or its work as keeper has failed.
+        """
+        if (
+            self._dependencies.clock.monotonic() < self._left_to_others_until
+            and self.known_daemon_count > 1
+        ):
+            return True
         paths = self._dependencies.paths
         if paths is None or not paths.is_cut_off:
             return False
@@ -317,7 +332,9 @@
 
     def _update_relay(self, now: float) -> None:
         keeper_alive = (
-            now - self._keeper_alive_at <= KEEPER_TIMEOUT_S and self._has_heartbeat_under_lease
+            now - self._keeper_alive_at <= KEEPER_TIMEOUT_S
+            and self._has_heartbeat_under_lease
+            and now - self._heartbeat_failed_at > KEEPER_TIMEOUT_S
         )
         self._dependencies.relay.set_active(
             keeper_alive
@@ -427,8 +444,38 @@
         """End the work as keeper without releasing the lease or telling other daemons."""
         self._step_down('the daemon ended without releasing the lease')
 
+    def recover(self) -> None:
+        """Prepare the next call of ``run`` after one that failed."""
+        self._leave_to_others('the work of the daemon for the keeper failed')
+        self._dependencies.relay.set_active(False)
+
+    def _leave_to_others(self, reason: str) -> None:
+        """End the work as keeper, since it has failed, so that another daemon takes over."""
+        lease = self._own_lease
+        if lease is None:
+            return
+        now = self._dependencies.clock.monotonic()
+        self._left_to_others_until = now + FAILED_KEEPER_PAUSE_S
+        self._is_releasing = self._stopping
+        self._step_down(reason)
+        # The lease is still stored, but others need not wait until heartbeats are overdue.
+        self._announce_release(lease)
+
     def on_message(self, message: Message, sender: Address) -> None:
-        """Handle a message of another daemon."""
+        """Handle a message of another daemon.
+
+        If a heartbeat can't be handled, changes are read from the store for a while: what the
+        keeper has read may not be known.
+        """
+        try:
+            self._handle_message(message, sender)
+        except Exception:
+            if isinstance(message, Heartbeat):
+                self._heartbeat_failed_at = self._dependencies.clock.monotonic()
+                self._dependencies.relay.set_active(False)
+            raise
+
+    def _handle_message(self, message: Message, sender: Address) -> None:
         now = self._dependencies.clock.monotonic()
         match message:
             case Heartbeat():
@@ -640,10 +687,16 @@
             return
         self._takeover_blocked_until = -math.inf
         self._latest_reports.put(report, sender)
-        self._workspace_issuer.on_report(report)
-        self._update_issuing()
-        self._apply_report(report, now)
-        self.admitted_share_by_server = self._services.compute_admitted_shares(now)
+        try:
+            self._workspace_issuer.on_report(report)
+            self._update_issuing()
+            self._apply_report(report, now)
+            self.admitted_share_by_server = self._services.compute_admitted_shares(now)
+        except Exception as error:
+            # Without a heartbeat the sender would take over from a keeper that works.
+            self._dependencies.failures.record(
+                'message of daemon', error, kind='Report', sender=str(sender)
+            )
         heartbeat = Heartbeat(
             self.name,
             self._own_lease.epoch,
@@ -832,6 +885,12 @@
         )
         self._workspace_issuer.add_earlier_rates(self.name, own_rates)
         self._keeper_task = asyncio.create_task(self._run_as_keeper(lease, previous_lease))
+        self._keeper_task.add_done_callback(self._on_keeper_task_ended)
+
+    def _on_keeper_task_ended(self, task: asyncio.Task[None]) -> None:
+        self._dependencies.failures.record_end('lease of the keeper', task)
+        if task is self._keeper_task:
+            self._leave_to_others('the task that confirms the lease ended')
 
     def _step_down(self, reason: str) -> None:
         lease, self._own_lease = self._own_lease, None
--- a/src/coltsfootstair/keyspace/_owner_grants.py
+++ b/src/coltsfootstair/keyspace/_owner_grants.py
@@ -138,12 +138,26 @@
             self._refused_fences.add(key_range.fence)
             self._dependencies.count_grant_call('refused')
             return False
+        except Exception as error:
+            # A server that can't be called loses its keys; others go on.
+            self._on_call_not_answered(
+                server, key_range, self._record_failed_call(server, error)
+            )
+            return False
         self._dependencies.count_grant_call('accepted')
         if self._dependencies.paths is not None:
             self._dependencies.paths.record_answer(server.incarnation)
         self._failing_since_by_incarnation.pop(server.incarnation, None)
         return True
 
+    def _record_failed_call(
+        self, server: BackendServer, error: Exception
+    ) -> BrokenExchangeError:
+        self._dependencies.failures.record(
+            'key grants', error, service=self.service, server=repr(server.name)
+        )
+        return BrokenExchangeError(f'call failed: {type(error).__name__}', sent=True)
+
     def _on_call_not_answered(
         self, server: BackendServer, key_range: KeyRange, error: BrokenExchangeError
     ) -> None:
@@ -227,7 +241,10 @@
                 )
             except WrongServerError:
                 return None
-            except (BrokenExchangeError, StaleFenceError) as error:
+            except Exception as raised:
+                error = raised
+                if not isinstance(raised, BrokenExchangeError | StaleFenceError):
+                    error = self._record_failed_call(server, raised)
                 if not logged:
                     logger.info(
                         'release not answered',
--- a/src/coltsfootstair/keyspace/_service.py
+++ b/src/coltsfootstair/keyspace/_service.py
@@ -28,9 +28,10 @@
 from coltsfootstair.keyspace._view import OWNERSHIP_KIND, TABLE_PREFIX
 from coltsfootstair.objects import era_of
 from coltsfootstair.permits import MIN_LIMIT_PER_S
+from coltsfootstair.supervision import SupervisedTask
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from coltsfootstair.keyspace._dependencies import KeeperDependencies
     from coltsfootstair.keyspace._table import Incarnation
@@ -68,6 +69,14 @@
 """Multiple of an owner's capacity that is admitted. The capacity is an estimate, and the
 daemons refuse the excess by their own view of the owner's queue."""
 
+MAX_FAILING_S = 1.4
+"""How long the work for a service may fail again and again before another daemon becomes
+keeper, in seconds; grants last longer."""
+
+MAX_FAILING_FROM_START_S = 15.0
+"""The same for work that has never succeeded here, in seconds: it probably failed at the
+previous keeper too, and would fail at the next one."""
+
 STORE_RETRY_DELAY_S = 0.3
 """Seconds to the next try of a read or write of the table that failed."""
 
@@ -92,6 +101,7 @@
     :param on_superseded: called with the epoch of a later keeper that has written the table
     :param send_to_all: sends an update of the table to all daemons
     :param get_unresponsive_servers: returns the servers that answer no daemon
+    :param on_failing: called when the work fails again and again
     """
 
     def __init__(
@@ -107,6 +117,7 @@
         on_superseded: Callable[[int], None],
         send_to_all: Callable[[TableUpdate], None],
         get_unresponsive_servers: Callable[[], list[str]],
+        on_failing: Callable[[str], None] = lambda _reason: None,
     ) -> None:
         self.service = service
         self.demand = KeyDemand()
@@ -122,6 +133,7 @@
         self._on_superseded = on_superseded
         self._send_to_all = send_to_all
         self._get_unresponsive_servers = get_unresponsive_servers
+        self._on_failing = on_failing
         self._owner_grants = OwnerGrants(
             service, dependencies, inherited_expiry, get_grant_duration_s
         )
@@ -143,10 +155,27 @@
         self._seen_candidate_count = 0
         self._all_granted = asyncio.Event()
         self._work_stopped = False
+        self._renews = False
 
     def start(self) -> None:
         """Start the tasks that read and plan the table and renew the grants."""
-        self._start_task(self._run())
+        self._start_work('key plans', self._run, self._on_plans_ended)
+
+    def _start_work(
+        self,
+        name: str,
+        run: Callable[[], Awaitable[None]],
+        on_ended: Callable[[SupervisedTask], None],
+    ) -> None:
+        supervised = SupervisedTask(
+            name,
+            run,
+            self._dependencies.clock,
+            self._dependencies.failures,
+            on_ended,
+            lambda: not self._work_stopped and self._is_keeper(),
+        )
+        self._start_task(supervised.run())
 
     @property
     def table(self) -> KeyTable:
@@ -177,12 +206,21 @@
 
     def _on_task_ended(self, task: asyncio.Task[None]) -> None:
         self._tasks.pop(task, None)
-        if not task.cancelled() and task.exception() is not None:
-            logger.error(
-                'work of the keeper failed',
-                service=self.service,
-                reason=repr(task.exception()),
-            )
+        self._dependencies.failures.record_end('key grants', task)
+        # A key range whose task has failed is granted at the next step.
+        for fence, grant_task in list(self._grant_task_by_fence.items()):
+            if grant_task is task:
+                del self._grant_task_by_fence[fence]
+
+    def _on_plans_ended(self, task: SupervisedTask) -> None:
+        # An unfinished step may have changed the table here, but not in the store.
+        self._revision = None
+        self._check_failing(task)
+
+    def _check_failing(self, task: SupervisedTask) -> None:
+        longest_s = MAX_FAILING_S if task.has_worked else MAX_FAILING_FROM_START_S
+        if task.failing_s > longest_s:
+            self._on_failing(f'{task.name} of {self.service} failed again and again')
 
     async def _run(self) -> None:
         while self._revision is None:
@@ -191,7 +229,9 @@
             except (StoreUnavailableError, StoreConflictError, ProtocolError) as error:
                 logger.warning('table not read', service=self.service, reason=str(error))
                 await asyncio.sleep(STORE_RETRY_DELAY_S)
-        self._start_task(self._renew_until_stopped())
+        if not self._renews:
+            self._renews = True
+            self._start_work('key renewals', self._renew_until_stopped, self._check_failing)
         while not self._work_stopped:
             try:
                 await self._plan_write_and_grant()
--- a/src/coltsfootstair/keyspace/_services.py
+++ b/src/coltsfootstair/keyspace/_services.py
@@ -35,6 +35,7 @@
     :param is_keeper: returns whether this daemon is still the keeper
     :param on_superseded: called with the epoch of a later keeper that has written a table
     :param get_unresponsive_servers: returns the servers that answer no daemon
+    :param on_failing: called when the work for a service fails again and again
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         is_keeper: Callable[[], bool],
         on_superseded: Callable[[int], None],
         get_unresponsive_servers: Callable[[], list[str]],
+        on_failing: Callable[[str], None] = lambda _reason: None,
     ) -> None:
         self._dependencies = dependencies
         self._broadcaster = broadcaster
@@ -52,6 +54,7 @@
         self._is_keeper = is_keeper
         self._on_superseded = on_superseded
         self._get_unresponsive_servers = get_unresponsive_servers
+        self._on_failing = on_failing
         self._service_keeper_by_name: dict[str, ServiceKeeper] = {}
         self._admitted_shares_computed_at = -math.inf
         self._admitted_share_by_server: dict[str, float] = {}
@@ -99,6 +102,7 @@
                 self._on_superseded,
                 self._broadcaster.send_to_all,
                 self._get_unresponsive_servers,
+                self._on_failing,
             )
             self._service_keeper_by_name[service] = service_keeper
             service_keeper.start()
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -31,6 +31,7 @@
 from coltsfootstair.peers import Message, Report
 from coltsfootstair.placement import ServerPaths
 from coltsfootstair.registry import BackendServer, Registry, ServerState
+from coltsfootstair.supervision import FailureLog, SupervisedTask
 from coltsfootstair.workspaces import WorkspaceGate
 from tests.virtual_time import LoopClock
 
@@ -352,7 +353,10 @@
         self._world = world
         self.keeper = Keeper(name, Address(name, 1), dependencies)
         self.keeper.attach(ModelChannel(world, name))
-        self.task = asyncio.create_task(self.keeper.run())
+        supervised = SupervisedTask(
+            'keeper', self.keeper.run, clock, FailureLog(), lambda _task: self.keeper.recover()
+        )
+        self.task = asyncio.create_task(supervised.run())
 
     def _collect_report(
         self, epoch: int, store_reachable: bool, interval_s: float, revisions: dict[str, int]
@@ -509,13 +513,19 @@
                 if fence >= last_fence:
                     self._last_owner_by_key[key] = (fence, model.server.name)
 
-    def compute_served_share(self) -> float:
+    def compute_served_share(self, but_of: str = '') -> float:
         """Return the share of keys whose owner has a grant in force.
 
         The owner is taken from the table of the first running daemon.
+
+        :param but_of: a daemon whose table is not used
         """
         count = 65536 // ModelServer.KEY_STEP
-        alive = (name for name in self._daemon_names if name not in self.ended_daemons)
+        alive = (
+            name
+            for name in self._daemon_names
+            if name not in self.ended_daemons and name != but_of
+        )
         view = self.daemon_by_name[next(alive)].view
         served_count = 0
         for key in range(count):
