Start tasks of a daemon again that end, and don't look ready without them

Cause: a follower, the keeper's loop, housekeeping or the path prober that ended with an exception was logged, and the daemon served on with what it last knew. If the follower had been the one that retried while the store was away, the others waited for it for ever. Changes of a message that failed half way counted as known; heartbeats that failed kept the relay active, so that followers waited for revisions that nobody set.

Change: supervision.Supervisor runs all of them and starts them again, after their state is in order: a follower lists anew and is waited for no longer, the relay is off, a keeper steps down. While an essential task has failed four times in a row the daemon is not ready; after 30 s, if it has run for 10 min, it stops gracefully with status 1. An object that can't be applied for a fault of the program is left out like an invalid one; housekeeping is three tasks; what the event loop catches is logged and counted; a message that fails or can't be encoded is dropped by itself.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -38,6 +38,7 @@
 from coltsfootstair.peers import PeerChannel
 from coltsfootstair.registry import Registry
 from coltsfootstair.results import Ran, Refusal, ResultCode
+from coltsfootstair.supervision import FailureLog, RestartPolicy, Supervisor
 from coltsfootstair.workspaces import ConfigurationAge, WorkspaceGate
 
 if TYPE_CHECKING:
@@ -112,6 +113,8 @@
 """Connections that may wait to be accepted. If the queue is full, callers lose seconds until
 TCP tries again."""
 
+DEFAULT_RESTART_POLICY = RestartPolicy()
+
 _RESULT_CODE_BY_STATUS = {
     http.HTTPStatus.BAD_REQUEST: ResultCode.MALFORMED,
     http.HTTPStatus.REQUEST_TIMEOUT: ResultCode.HEADERS_TIMEOUT,
@@ -127,6 +130,8 @@
     """Gateway daemon: serves callers in ``run`` until ``stop`` is called.
 
     :param get_dropped_line_count: returns the number of log lines dropped so far
+    :param restart_policy: how tasks that end are started again
+    :ivar given_up_task: name of the task for which the daemon has stopped itself
     :ivar callers_address: where callers are served; once the daemon runs, with the port that
         the system chose if the settings have port 0
     :ivar helper_address: where requests of other daemons are taken, once the daemon runs
@@ -138,9 +143,13 @@
         ports: PlatformPorts,
         clock: Clock,
         get_dropped_line_count: Callable[[], int] = lambda: 0,
+        restart_policy: RestartPolicy = DEFAULT_RESTART_POLICY,
     ) -> None:
         self.clock = clock
         self.metrics = GatewayMetrics(settings.name)
+        self.given_up_task: str | None = None
+        self._failures = FailureLog(self.metrics.count_task_failure)
+        self._supervisor = Supervisor(clock, self._failures, self._give_up, restart_policy)
         self._request_log = RequestLog(clock)
         self._get_dropped_line_count = get_dropped_line_count
         self._settings = settings
@@ -156,7 +165,7 @@
         self._health = StoreHealth()
         self._relay = Relay()
         self._registry = Registry(clock)
-        self._configuration_subscriber = ConfigurationSubscriber(ports.decoder)
+        self._configuration_subscriber = ConfigurationSubscriber(ports.decoder, self._failures)
         self._services = ServicesInForce(lambda: self._configuration_subscriber.route_table)
         self._ownership = OwnershipView()
         self._answer_limiter = AnswerLimiter(
@@ -281,6 +290,12 @@
         """Begin a graceful stop."""
         self._stop_requested.set()
 
+    def _give_up(self, task: str) -> None:
+        """Stop, so that the platform starts the daemon again."""
+        if not self.is_draining:
+            self.given_up_task = task
+            self.stop()
+
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings.
 
@@ -302,7 +317,10 @@
         """Serve until stopped and no request is in progress, or the grace time is over."""
         loop = asyncio.get_running_loop()
         settings = self._settings
-        channel = await PeerChannel.open(settings.inner, self._keeper.on_message)
+        loop.set_exception_handler(self._failures.handle_loop_exception)
+        channel = await PeerChannel.open(
+            settings.inner, self._keeper.on_message, self._failures
+        )
         self._keeper.attach(channel)
         listeners = [
             await loop.create_server(
@@ -347,20 +365,14 @@
                 )
         self._fleet.data_centre = settings.data_centre
         self._register_gauges()
-        tasks = [asyncio.create_task(follower.run()) for follower in self._followers]
-        tasks.append(asyncio.create_task(self._keeper.run()))
-        tasks.append(asyncio.create_task(self._run_housekeeping()))
-        tasks.append(asyncio.create_task(self._path_prober.run()))
-        for task in tasks:
-            task.add_done_callback(_log_failure)
+        self._start_tasks()
         gc.freeze()
         logger.info(
             'ready', callers=str(self.callers_address), data_centre=settings.data_centre
         )
         await self._stop_requested.wait()
         await self._finish_requests(listeners[0])
-        for task in tasks:
-            task.cancel()
+        self._supervisor.cancel()
         for listener in listeners:
             listener.close()
         channel.close()
@@ -369,7 +381,34 @@
         self._request_log.flush()
         logger.info('stopped', requests_cut=self._requests_in_progress)
 
+    def _start_tasks(self) -> None:
+        for follower in self._followers:
+            self._supervisor.start(
+                f'follower of {follower.kind}',
+                follower.run,
+                is_essential=True,
+                on_ended=follower.recover,
+            )
+        self._supervisor.start(
+            'keeper', self._keeper.run, is_essential=True, on_ended=self._keeper.recover
+        )
+        self._supervisor.start(
+            'expiry of servers', self._remove_expired_servers, is_essential=True
+        )
+        for name, run in (
+            ('expiry of connections', self._close_expired_connections),
+            ('counts of requests', self._log_counts),
+            ('path prober', self._path_prober.run),
+        ):
+            self._supervisor.start(name, run, is_essential=False)
+
     def _register_gauges(self) -> None:
+        self.metrics.add_gauge(
+            'coltsfootstair.tasks_down',
+            'Tasks that have failed again and again and do not work at present',
+            lambda: dict.fromkeys(self._supervisor.list_down(), 1),
+            'task',
+        )
         self.metrics.add_gauge(
             'coltsfootstair.state',
             'The version in force, whether the daemon is ready, has the store, or is keeper',
@@ -502,7 +541,7 @@
     def is_ready(self) -> bool:
         """Whether load balancers may send callers to this daemon."""
         route_table = self._configuration_subscriber.route_table
-        if self.is_draining or route_table is None:
+        if self.is_draining or route_table is None or self._supervisor.is_essential_down:
             return False
         return (
             not route_table.configuration.has_workspaces or self._configuration_age.is_current
@@ -530,7 +569,7 @@
         )
         for connection in list(self._connections):
             connection.close_after_pending_requests()
-        lease_release_task = asyncio.create_task(self._keeper.stop())
+        lease_release_task = self._supervisor.spawn('lease release', self._keeper.stop())
         while (now := self.clock.monotonic()) < time_out_at:
             if now - started_at >= BALANCER_REACTION_S:
                 # The closed socket refuses further connections, so callers use another daemon.
@@ -549,24 +588,29 @@
         self._dispatcher.time_out_all()
         await asyncio.sleep(FINAL_ANSWER_TIME_S)
 
-    async def _run_housekeeping(self) -> None:
-        next_log_at = self.clock.monotonic() + LOG_COUNTS_INTERVAL_S
-        logged_dropped_line_count = 0
+    async def _remove_expired_servers(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._registry.remove_expired()
+
+    async def _close_expired_connections(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._pool.close_expired()
-            if self.clock.monotonic() >= next_log_at:
-                next_log_at += LOG_COUNTS_INTERVAL_S
-                self._request_log.flush()
-                if count_by_cause := self._answer_limiter.take_new_counts():
-                    logger.warning('answers cut off', count_by_cause=count_by_cause)
-                if self._get_dropped_line_count() > logged_dropped_line_count:
-                    logger.warning(
-                        'log lines dropped',
-                        count=self._get_dropped_line_count() - logged_dropped_line_count,
-                    )
-                    logged_dropped_line_count = self._get_dropped_line_count()
+
+    async def _log_counts(self) -> None:
+        logged_dropped_line_count = self._get_dropped_line_count()
+        while True:
+            await asyncio.sleep(LOG_COUNTS_INTERVAL_S)
+            self._request_log.flush()
+            if count_by_cause := self._answer_limiter.take_new_counts():
+                logger.warning('answers cut off', count_by_cause=count_by_cause)
+            dropped_line_count = self._get_dropped_line_count()
+            if dropped_line_count > logged_dropped_line_count:
+                logger.warning(
+                    'log lines dropped', count=dropped_line_count - logged_dropped_line_count
+                )
+                logged_dropped_line_count = dropped_line_count
 
     def _build_keeper_dependencies(self, random_source: random.Random) -> KeeperDependencies:
         return KeeperDependencies(
@@ -603,6 +647,7 @@
                 heard_at, is_issuing=is_issuing
             ),
             self._get_configuration_version,
+            self._failures,
         )
 
     @property
@@ -642,8 +687,8 @@
     def _make_followers(self, random_source: random.Random) -> list[Follower]:
         kinds = self._ports.kinds
         decoder = self._ports.decoder
-        server_subscriber = ServerSubscriber(decoder, self._registry)
-        evacuation_subscriber = EvacuationSubscriber(decoder, self._registry)
+        server_subscriber = ServerSubscriber(decoder, self._registry, self._failures)
+        evacuation_subscriber = EvacuationSubscriber(decoder, self._registry, self._failures)
         return [
             Follower(
                 self._ports.store,
@@ -678,8 +723,3 @@
                 ),
             )
         ]
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        logger.error('task failed', task=repr(task), reason=repr(task.exception()))
--- a/src/coltsfootstair/gateway/_subscribers.py
+++ b/src/coltsfootstair/gateway/_subscribers.py
@@ -14,21 +14,30 @@
     from coltsfootstair.gateway._types import ObjectDecoder
     from coltsfootstair.objects import Change, Listing, StoredObject
     from coltsfootstair.registry import Registry
+    from coltsfootstair.supervision import FailureLog
 
 __all__ = ['ConfigurationSubscriber', 'EvacuationSubscriber', 'ServerSubscriber']
 
 logger = structlog.get_logger()
 
 
-def _log_refused_object(kind: str, item: StoredObject, error: BadInputError) -> None:
-    logger.warning(
-        'object refused',
-        kind=kind,
-        name=item.name,
-        revision=item.revision,
-        field=error.field,
-        allowed=error.allowed,
-    )
+def _record_refused_object(
+    failures: FailureLog, kind: str, item: StoredObject, error: Exception
+) -> None:
+    """Log an object that can't be applied; all others are applied nevertheless."""
+    if isinstance(error, BadInputError):
+        logger.warning(
+            'object refused',
+            kind=kind,
+            name=item.name,
+            revision=item.revision,
+            field=error.field,
+            allowed=error.allowed,
+        )
+    else:
+        failures.record(
+            f'{kind} object', error, name=repr(item.name), revision=str(item.revision)
+        )
 
 
 class ConfigurationSubscriber:
@@ -38,8 +47,9 @@
     operators write again what the store has lost.
     """
 
-    def __init__(self, decoder: ObjectDecoder) -> None:
+    def __init__(self, decoder: ObjectDecoder, failures: FailureLog) -> None:
         self._decoder = decoder
+        self._failures = failures
         self._era = 0
         self.route_table: RouteTable | None = None
 
@@ -58,10 +68,12 @@
 
     def _apply(self, item: StoredObject) -> None:
         try:
-            configuration = self._decoder.decode_configuration(item)
-        except BadInputError as error:
-            _log_refused_object('configuration', item, error)
-            return
+            self._apply_valid(item)
+        except Exception as error:
+            _record_refused_object(self._failures, 'configuration', item, error)
+
+    def _apply_valid(self, item: StoredObject) -> None:
+        configuration = self._decoder.decode_configuration(item)
         if configuration is None:
             return
         known_version = (
@@ -72,8 +84,8 @@
             configuration.version == known_version and era <= self._era
         ):
             return
-        self._era = era
         self.route_table = RouteTable(configuration)
+        self._era = era
         logger.info(
             'configuration in force',
             version=configuration.version,
@@ -86,8 +98,11 @@
 class ServerSubscriber:
     """Applies the entries of backend servers to the registry."""
 
-    def __init__(self, decoder: ObjectDecoder, registry: Registry) -> None:
+    def __init__(
+        self, decoder: ObjectDecoder, registry: Registry, failures: FailureLog
+    ) -> None:
         self._decoder = decoder
+        self._failures = failures
         self._registry = registry
 
     def apply_listing(
@@ -98,8 +113,8 @@
         for item in listing.objects:
             try:
                 servers.append(self._decoder.decode_backend_server(item))
-            except BadInputError as error:
-                _log_refused_object('backend server', item, error)
+            except Exception as error:
+                _record_refused_object(self._failures, 'backend server', item, error)
                 known = self._registry.get(item.name)
                 if known is not None:
                     servers.append(known)
@@ -118,8 +133,8 @@
             return True
         try:
             return self._registry.apply_entry(self._decoder.decode_backend_server(item))
-        except BadInputError as error:
-            _log_refused_object('backend server', item, error)
+        except Exception as error:
+            _record_refused_object(self._failures, 'backend server', item, error)
         # Relayed too: the other daemons refuse and log it themselves.
         return True
 
@@ -127,8 +142,11 @@
 class EvacuationSubscriber:
     """Applies evacuations of data centres to the registry."""
 
-    def __init__(self, decoder: ObjectDecoder, registry: Registry) -> None:
+    def __init__(
+        self, decoder: ObjectDecoder, registry: Registry, failures: FailureLog
+    ) -> None:
         self._decoder = decoder
+        self._failures = failures
         self._registry = registry
         self._data_centres: set[str] = set()
 
@@ -142,7 +160,9 @@
         """
         missing = self._data_centres
         self._data_centres = {
-            self._decoder.decode_evacuation(item) for item in listing.objects
+            data_centre
+            for item in listing.objects
+            if (data_centre := self._decode(item)) is not None
         }
         self._registry.set_evacuated_data_centres(frozenset(self._data_centres))
         if is_restored:
@@ -151,10 +171,19 @@
 
     def apply_change(self, change: Change, *, after_outage: bool) -> bool:
         """Apply the start or the end of an evacuation."""
-        data_centre = self._decoder.decode_evacuation(change.object)
+        data_centre = self._decode(change.object)
+        if data_centre is None:
+            return True
         if change.deleted:
             self._data_centres.discard(data_centre)
         else:
             self._data_centres.add(data_centre)
         self._registry.set_evacuated_data_centres(frozenset(self._data_centres))
         return True
+
+    def _decode(self, item: StoredObject) -> str | None:
+        try:
+            return self._decoder.decode_evacuation(item)
+        except Exception as error:
+            _record_refused_object(self._failures, 'evacuation', item, error)
+            return None
--- a/src/coltsfootstair/metrics/_gateway.py
+++ b/src/coltsfootstair/metrics/_gateway.py
@@ -63,6 +63,10 @@
             'coltsfootstair.workspace_requests',
             description='Requests of workspaces that were denied or limited, by outcome',
         )
+        self._task_failures = self._meter.create_counter(
+            'coltsfootstair.task_failures',
+            description='Unwanted ends of tasks, and exceptions in callbacks, by task',
+        )
         self._labelled_routes: set[str] = set()
         self._labelled_workspaces: set[str] = set()
 
@@ -110,6 +114,10 @@
         self._labelled_workspaces.add(workspace)
         self._workspace_requests.add(1, {'workspace': workspace, 'outcome': outcome})
 
+    def count_task_failure(self, task: str) -> None:
+        """Count a long-lived task that has ended, or an exception in a callback."""
+        self._task_failures.add(1, {'task': task})
+
     def count_suspect(self, outcome: str) -> None:
         """Count what happens to a request under which backend servers ended."""
         self._suspects.add(1, {'outcome': outcome})
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -84,6 +84,11 @@
         self._retrying_follower = None
         self._reachable_event.set()
 
+    def release(self, follower: object) -> None:
+        """End the wait of other followers for ``follower``, whose work has failed."""
+        if self._retrying_follower is follower:
+            self.record_answer(follower)
+
     async def wait_until_allowed(self, follower: object) -> None:
         """Wait until ``follower`` may call the store.
 
@@ -150,6 +155,7 @@
         self._watch_pause_s = watch_pause_s
         self._watch_timeout_s = min(max_watch_s, WATCH_HISTORY_SHARE * history_s)
         self._revision: int | None = None
+        self._must_list = False
         self._consecutive_failure_count = 0
         self._outage_ended_at: float | None = None
         self._must_catch_up = False
@@ -176,7 +182,7 @@
 
         :param confirmed_at: monotonic time at which ``revision`` was the latest of the kind
         """
-        if self._revision is not None and revision <= self._revision:
+        if self._revision is not None and revision <= self._revision and not self._must_list:
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
     def _on_state_told(self, began_at: float) -> None:
@@ -240,8 +246,22 @@
             return
         self._revision = update.revision
         self._known_at = self._clock.monotonic()
-        for change in update.changes:
-            self._subscriber.apply_change(change, after_outage=self._may_be_outage_effect())
+        try:
+            for change in update.changes:
+                self._subscriber.apply_change(
+                    change, after_outage=self._may_be_outage_effect()
+                )
+        except Exception:
+            self._must_list = True
+            raise
+
+    def recover(self) -> None:
+        """Prepare the next call of ``run`` after one that failed.
+
+        What an unfinished step has changed is not known, so the kind is listed anew.
+        """
+        self._must_list = True
+        self._health.release(self)
 
     async def run(self) -> None:
         """Follow the kind until the task is cancelled."""
@@ -262,13 +282,14 @@
                 await self._health.wait_until_allowed(self)
 
     async def _list_or_watch_once(self) -> None:
-        if self._revision is None:
+        if self._revision is None or self._must_list:
             # A stale state is good enough to start from, since the watch from its revision
             # returns what has changed since. It is not listed again: its history may be gone.
             may_be_stale, self._may_list_stale = self._may_list_stale, False
             began_at = self._clock.monotonic()
             listing = await self._store.list(self._kind, may_be_stale=may_be_stale)
             self._on_call_answered()
+            self._must_list = False
             era = era_of(listing.revision)
             is_restored = self._listed_era is not None and era > self._listed_era
             if is_restored:
--- a/src/coltsfootstair/peers/_channel.py
+++ b/src/coltsfootstair/peers/_channel.py
@@ -11,6 +11,7 @@
 from coltsfootstair.errors import ProtocolError
 from coltsfootstair.http1 import Address
 from coltsfootstair.peers._messages import Message, decode_message, encode_message
+from coltsfootstair.supervision import FailureLog
 
 __all__ = ['PeerChannel']
 
@@ -23,25 +24,42 @@
     """Sends and receives messages; lost datagrams are not retried.
 
     :param on_message: called with each message and the address of its sender
+    :param failures: records what ``on_message`` raises, and messages that can't be encoded
     """
 
-    def __init__(self, on_message: MessageHandler) -> None:
+    def __init__(self, on_message: MessageHandler, failures: FailureLog | None = None) -> None:
         self._on_message = on_message
+        self._failures = failures or FailureLog()
         self._transport: asyncio.DatagramTransport | None = None
 
     @classmethod
-    async def open(cls, address: Address, on_message: MessageHandler) -> PeerChannel:
+    async def open(
+        cls,
+        address: Address,
+        on_message: MessageHandler,
+        failures: FailureLog | None = None,
+    ) -> PeerChannel:
         """Return a channel that is bound to ``address``."""
         loop = asyncio.get_running_loop()
         _, channel = await loop.create_datagram_endpoint(
-            lambda: cls(on_message), local_addr=(address.host, address.port)
+            lambda: cls(on_message, failures), local_addr=(address.host, address.port)
         )
         return channel
 
     def send(self, message: Message, address: Address) -> None:
         """Send ``message`` to the daemon at ``address``; do nothing once closed."""
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        try:
             self._transport.sendto(encode_message(message), (address.host, address.port))
+        except Exception as error:
+            # Any datagram may be lost, so nobody depends on this one.
+            self._failures.record(
+                'message to daemon',
+                error,
+                kind=type(message).__name__,
+                receiver=f'{address.host}:{address.port}',
+            )
 
     def close(self) -> None:
         """Close the socket."""
@@ -63,7 +81,20 @@
                 'malformed datagram dropped', sender=f'{addr[0]}:{addr[1]}', reason=str(error)
             )
             return
-        self._on_message(message, Address(addr[0], addr[1]))
+        except Exception as error:
+            self._failures.record(
+                'message of daemon', error, kind='unread', sender=f'{addr[0]}:{addr[1]}'
+            )
+            return
+        try:
+            self._on_message(message, Address(addr[0], addr[1]))
+        except Exception as error:
+            self._failures.record(
+                'message of daemon',
+                error,
+                kind=type(message).__name__,
+                sender=f'{addr[0]}:{addr[1]}',
+            )
 
     def error_received(self, exc: Exception) -> None:
         """Log that a datagram could not be delivered."""
--- a/tests/coltsfootstair_platform/test_program.py
+++ b/tests/coltsfootstair_platform/test_program.py
@@ -10,7 +10,11 @@
 import sys
 from pathlib import Path
 
+import pytest
+
+from coltsfootstair.gateway import Gateway
 from coltsfootstair.http1 import serve_status
+from coltsfootstair_platform import _program
 from tests.coltsfootstair_platform.standin import (
     StoreStandin,
     build_configuration,
@@ -98,6 +102,23 @@
     assert status == 0
 
 
+@pytest.mark.parametrize(('given_up_task', 'status'), [(None, 0), ('keeper', 1)])
+def test_a_daemon_that_gave_up_a_task_ends_with_status_1(
+    given_up_task: str | None, status: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / 'node.toml'
+    path.write_text(SETTINGS.format(grace=5, store=1))
+    monkeypatch.setenv('COLTSFOOTSTAIR_SETTINGS', str(path))
+    monkeypatch.setattr(_program, 'configure', lambda **_fields: None)
+    monkeypatch.setattr(_program, 'DroppingStream', lambda _descriptor: None)
+
+    async def run_gateway(gateway: Gateway) -> None:
+        gateway.given_up_task = given_up_task
+
+    monkeypatch.setattr(Gateway, 'run', run_gateway)
+    assert _program.main() == status
+
+
 def test_open_status_connections_cause_no_error_when_the_server_closes() -> None:
     """Asyncio printed a traceback for each open load balancer connection at daemon exit."""
     loop_errors: list[dict[str, object]] = []
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -18,6 +18,7 @@
     WorkspaceSettings,
 )
 from coltsfootstair.http1 import Address
+from coltsfootstair.supervision import RestartPolicy
 from coltsfootstair_platform import (
     KINDS,
     HeaderDialect,
@@ -44,6 +45,7 @@
 T = TypeVar('T')
 
 DEFAULT_WORKSPACES = WorkspaceSettings()
+DEFAULT_RESTART_POLICY = RestartPolicy()
 
 
 class ReceivedAnswer(NamedTuple):
@@ -151,11 +153,13 @@
     store: StoreStandin | None = None,
     workspaces: WorkspaceSettings = DEFAULT_WORKSPACES,
     configuration: dict[str, Any] | None = None,
+    restart_policy: RestartPolicy = DEFAULT_RESTART_POLICY,
 ) -> AsyncIterator[list[RunningGateway]]:
     """Run several gateways that share a store until the block ends.
 
     :param servers: service and stand-in of each backend server
     :param configuration: the operators' configuration; by default one without workspaces
+    :param restart_policy: how tasks that end are started again
     :param store: the store to use, not yet started; by default one without faults
     """
     store = store or StoreStandin()
@@ -164,7 +168,13 @@
         for service, server in servers:
             await store.put('servers', server.name, server.build_entry(service))
         gateways = [
-            _build_gateway(f'd{number}', Address('127.0.0.1', store.port), grace_s, workspaces)
+            _build_gateway(
+                f'd{number}',
+                Address('127.0.0.1', store.port),
+                grace_s,
+                workspaces,
+                restart_policy,
+            )
             for number in range(1, count + 1)
         ]
         tasks = [asyncio.create_task(gateway.run()) for gateway in gateways]
@@ -185,7 +195,11 @@
 
 
 def _build_gateway(
-    name: str, store_address: Address, grace_s: float, workspaces: WorkspaceSettings
+    name: str,
+    store_address: Address,
+    grace_s: float,
+    workspaces: WorkspaceSettings,
+    restart_policy: RestartPolicy,
 ) -> Gateway:
     clock = SystemClock()
     settings = GatewaySettings(
@@ -208,7 +222,7 @@
         HttpGrantClient(clock),
         PlatformDecoder(),
     )
-    return Gateway(settings, ports, clock)
+    return Gateway(settings, ports, clock, restart_policy=restart_policy)
 
 
 def run_with_time_limit(work: Coroutine[Any, Any, T]) -> T:
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from typing import Any
 
@@ -20,6 +21,7 @@
     WatchAnswer,
     compose_revision,
 )
+from coltsfootstair.supervision import FailureLog, SupervisedTask
 
 
 class ScriptedStore:
@@ -68,6 +70,7 @@
 
     def __init__(self) -> None:
         self.events: list[tuple[str, bool]] = []
+        self.odd_name = ''
 
     def apply_listing(
         self, listing: Listing, *, after_outage: bool, is_restored: bool
@@ -77,6 +80,8 @@
         self.events.append((f'{verb} {names}', after_outage))
 
     def apply_change(self, change: Change, *, after_outage: bool) -> bool:
+        if change.object.name == self.odd_name:
+            raise RuntimeError('a fault of the test')
         verb = 'deleted' if change.deleted else 'changed'
         self.events.append((f'{verb} {change.object.name}', after_outage))
         return True
@@ -333,3 +338,76 @@
     assert store.calls == ['list', 'lost', 'watch 5 0', 'watch 6 0.6']
     assert [revision for _, revision in seen] == [5, 5, 5, 5, 5, 6]
     assert not any(is_overdue for is_overdue, _ in seen)
+
+
+def _start_supervised(
+    store: ScriptedStore, subscriber: RecordingSubscriber, health: StoreHealth, relay: Relay
+) -> Follower:
+    clock = LoopClock()
+    follower = Follower(
+        store, 'servers', subscriber, clock, random.Random(1), health, relay, 0.1, 50.0
+    )
+    supervised = SupervisedTask(
+        'follower', follower.run, clock, FailureLog(), lambda _task: follower.recover()
+    )
+    follower.task = asyncio.create_task(supervised.run())  # type: ignore[attr-defined]
+    return follower
+
+
+def test_a_follower_lists_anew_after_a_change_that_failed_half_way() -> None:
+    async def scenario() -> list[str]:
+        store = ScriptedStore(
+            Listing([], 5),
+            WatchAnswer([Change(_object('odd', 6), False), Change(_object('b', 7), False)], 7),
+            Listing([_object('b', 7)], 7),
+        )
+        subscriber = RecordingSubscriber()
+        subscriber.odd_name = 'odd'
+        _start_supervised(store, subscriber, StoreHealth(), Relay())
+        await asyncio.sleep(5.0)
+        assert store.calls[:3] == ['list', 'watch 5 30', 'list']
+        return [event for event, _ in subscriber.events]
+
+    assert run(scenario()) == ['listed ', 'listed b']
+
+
+def test_relayed_changes_that_failed_half_way_are_neither_confirmed_nor_lost() -> None:
+    async def scenario() -> list[str]:
+        store = ScriptedStore(Listing([], 5), Listing([_object('b', 7)], 7))
+        subscriber = RecordingSubscriber()
+        subscriber.odd_name = 'odd'
+        relay = Relay()
+        relay.set_active(True)
+        follower = _start_supervised(store, subscriber, StoreHealth(), relay)
+        await asyncio.sleep(1.0)
+        changes = [Change(_object('odd', 6), False), Change(_object('b', 7), False)]
+        with contextlib.suppress(RuntimeError):
+            follower.apply_relayed(RelayedChanges('servers', 5, 7, changes))
+        now = asyncio.get_running_loop().time()
+        follower.confirm(7, now)
+        assert follower.confirmed_at < now
+        relay.set_keeper_revisions({'servers': 7})
+        await asyncio.sleep(1.0)
+        return [event for event, _ in subscriber.events]
+
+    assert run(scenario()) == ['listed ', 'listed b']
+
+
+def test_followers_do_not_wait_for_one_that_has_failed() -> None:
+    """The one that retried while the store was away ended, and all others waited for ever."""
+
+    async def scenario() -> list[str]:
+        health = StoreHealth()
+        failing = ScriptedStore(
+            Listing([], 5), StoreUnavailableError('down'), RuntimeError('a fault of the test')
+        )
+        waiting = ScriptedStore(
+            Listing([], 5), StoreUnavailableError('down'), WatchAnswer([], 9)
+        )
+        for store in (failing, waiting):
+            _start_supervised(store, RecordingSubscriber(), health, Relay())
+        await asyncio.sleep(10.0)
+        assert health.is_reachable
+        return waiting.calls
+
+    assert 'watch 9 30' in run(scenario())
