Go on when nobody reads the log any more

What callers saw: not seen by any. A daemon whose log pipe was closed by its reader raised BrokenPipeError from each log line, in whatever task wrote one.

The line is dropped and counted, as when the pipe is full. The test in tests/logs/test_stream.py failed before and passes.

--- a/src/coltsfootstair/logs/_stream.py
+++ b/src/coltsfootstair/logs/_stream.py
@@ -8,7 +8,7 @@
 
 
 class DroppingStream:
-    """Writes whole lines to a file descriptor; drops lines that the pipe has no room for.
+    """Writes whole lines to a file descriptor; drops lines that the pipe doesn't take.
 
     :param descriptor: file descriptor to write to; it is made non-blocking
     """
@@ -43,5 +43,6 @@
     def _try_write(self, data: bytes) -> int:
         try:
             return os.write(self._descriptor, data)
-        except BlockingIOError:
+        except OSError:
+            # The pipe is full, or nobody reads it any more. Who logs must not fail by it.
             return 0
--- a/tests/logs/test_stream.py
+++ b/tests/logs/test_stream.py
@@ -23,3 +23,12 @@
     assert set(received.split(b'\n')[:-1]) == {b'x' * 999}, 'no line is truncated'
     os.close(reader)
     os.close(writer)
+
+
+def test_a_line_that_nobody_reads_any_more_does_not_fail_its_writer() -> None:
+    reader, writer = os.pipe()
+    stream = DroppingStream(writer)
+    os.close(reader)
+    stream.write('x\n')
+    os.close(writer)
+    assert stream.dropped_count == 1
