Answer a request whose handling fails before or after its work

What callers saw: 400 for a request that failed inside the daemon while it was read, and no answer until their deadline for one whose answer could not be rendered.

Cause: httptools wraps what its callbacks raise into an error of the parser; an exception in sending the answer ended the task of the request.

A status or metrics page that fails is answered with 500. The two tests at the end of tests/gateway/test_ended_tasks.py failed before and pass.

--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -213,6 +213,10 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse(http.HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserCallbackError as error:
+            if not self._is_closing:
+                self._refuse_failed(error)
+            return
         except httptools.HttpParserError as error:
             if not self._is_closing:
                 logger.info('malformed request refused', reason=str(error))
@@ -334,7 +338,11 @@
         finally:
             self._handler.release_body_memory(pending.reserved_bytes)
         pending.reply = reply
-        self._send_ready_replies()
+        try:
+            self._send_ready_replies()
+        except Exception:
+            logger.exception('request failed inside the daemon')
+            self.abort()
         return reply
 
     def _send_ready_replies(self) -> None:
@@ -351,7 +359,7 @@
             ):
                 closes_connection = True
             assert pending.reply is not None
-            transport.write(_render_reply(pending.reply, closes_connection))
+            transport.write(self._render(pending.reply, closes_connection))
             if closes_connection:
                 self._is_closing = True
                 self._close_after_answer()
@@ -360,6 +368,14 @@
             self._set_timer(self._handler.limits.idle_timeout_s)
         self._adjust_reading()
 
+    def _render(self, reply: Reply, closes_connection: bool) -> bytes:
+        try:
+            return _render_reply(reply, closes_connection)
+        except Exception:
+            logger.exception('request failed inside the daemon')
+            refusal = self._handler.build_refusal(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+            return _render_reply(refusal, closes_connection)
+
     def _close_after_answer(self) -> None:
         transport = self._transport
         if transport is None:
@@ -382,6 +398,16 @@
         self._pending_replies.append(pending)
         self._send_ready_replies()
 
+    def _refuse_failed(self, error: httptools.HttpParserCallbackError) -> None:
+        """Refuse a request for which one of the callbacks below has failed."""
+        cause = error.__context__
+        if isinstance(cause, ValueError):
+            logger.info('malformed request refused', reason=str(cause))
+            self._refuse(http.HTTPStatus.BAD_REQUEST)
+        else:
+            logger.error('request failed inside the daemon', exc_info=cause)
+            self._refuse(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+
     def _start_message(self) -> None:
         self._reset_message()
         self._message_started_at = self._handler.clock.monotonic()
@@ -461,7 +487,11 @@
         try:
             while head := await reader.readuntil(b'\r\n\r\n'):
                 path = head.split(b' ', 2)[1]
-                status, body = await answer(path)
+                try:
+                    status, body = await answer(path)
+                except Exception:
+                    logger.exception('request failed inside the daemon', path=repr(path))
+                    status, body = http.HTTPStatus.INTERNAL_SERVER_ERROR, b''
                 phrase = http.HTTPStatus(status).phrase.encode()
                 length = (b'Content-Length', str(len(body)).encode())
                 writer.write(
--- a/tests/gateway/test_ended_tasks.py
+++ b/tests/gateway/test_ended_tasks.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from coltsfootstair.http1 import Reply
 from coltsfootstair.supervision import RestartPolicy
 from tests.coltsfootstair_platform.standin import ServerStandin, build_configuration
 from tests.gateway.harness import (
@@ -256,6 +257,37 @@
     assert 'task="callback"' in run_with_time_limit(work())
 
 
+def test_a_caller_gets_an_answer_if_the_one_made_for_it_can_not_be_sent() -> None:
+    async def work() -> tuple[int, int]:
+        server = ServerStandin('c1')
+        async with run_gateway(('calendar', server)) as running:
+            handle = running.gateway._dispatcher.handle
+
+            async def answer_wrongly(_request: Any) -> Reply:
+                return Reply(200, [(b'x', None)], b'')  # type: ignore[list-item]
+
+            running.gateway._dispatcher.handle = answer_wrongly  # type: ignore[assignment, method-assign]
+            caller = await running.connect()
+            caller.send('lookups')
+            async with asyncio.timeout(2.0):
+                first = await caller.read_answer()
+            running.gateway._dispatcher.handle = handle  # type: ignore[method-assign]
+            caller.send('lookups')
+            async with asyncio.timeout(2.0):
+                return first.status, (await caller.read_answer()).status
+
+    assert run_with_time_limit(work())[0] == 500
+
+
+def test_a_caller_gets_an_answer_if_its_request_fails_while_it_is_read() -> None:
+    async def work() -> int:
+        async with run_gateway() as running:
+            Fault(running.gateway, 'reserve_body_memory')
+            return (await running.call('bookings', '/x/a', b'body')).status
+
+    assert run_with_time_limit(work()) == 500
+
+
 async def _find_keeper(gateways: list[RunningGateway], longest_s: float = 5.0) -> Gateway:
     def find() -> list[Gateway]:
         return [running.gateway for running in gateways if running.gateway._keeper.is_keeper]
