Refuse answers in other transfer codings, which passed for whole when cut off

An answer with Transfer-Encoding: gzip and, in a header of its own, chunked was parsed in chunks, but counted as one that ends with its connection: cut off at any byte behind its head, it was passed on with 200 and the body so far, framed as whole. With any other coding, the coded bytes were passed on without the header that names it. Only chunked is accepted now.

--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -386,8 +386,17 @@
             self._on_head(self._status, self._headers, self._is_own_answer())
         self._in_final_body = self._status >= FIRST_FINAL_STATUS
         length = find_first_value(self._headers, b'content-length')
-        coding = find_first_value(self._headers, b'transfer-encoding') or b''
-        self._is_ended_by_close = length is None and b'chunked' not in coding.lower()
+        codings = [
+            value.strip().lower()
+            for name, value in self._headers
+            if name.lower() == b'transfer-encoding'
+        ]
+        if codings not in ([], [b'chunked']):
+            self._cut_off(
+                CutOffReason.MALFORMED, f'{self.address} sent the transfer codings {codings}'
+            )
+            raise _CutOffError
+        self._is_ended_by_close = length is None and not codings
         # The answer to a HEAD request has no body, but the parser would wait for one.
         if self._is_head_request and self._in_final_body:
             self.is_reusable = False
