Show that an extra answer of the store does not answer the next call

An extra answer that had arrived on an idle connection, but was not read yet, passed for the next object that was read.

--- a/tests/coltsfootstair_platform/test_store.py
+++ b/tests/coltsfootstair_platform/test_store.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
+import socket
+import threading
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -19,6 +24,8 @@
 from coltsfootstair_platform import HttpObjectStore
 from tests.coltsfootstair_platform.standin import StoreStandin
 
+EXTRA_AFTER_S = 0.01
+
 
 class _StandinWithLostWatchAnswers(StoreStandin):
     async def _watch(self, kind: str, after: int, wait_s: float) -> dict[str, Any]:
@@ -26,6 +33,21 @@
         raise AssertionError
 
 
+class _StandinThatAnswersTwice(StoreStandin):
+    """Sends each answer once more a moment later, from a thread of its own."""
+
+    async def _send(self, answer: bytes, writer: asyncio.StreamWriter) -> None:
+        await super()._send(answer, writer)
+        raw_socket = writer.get_extra_info('socket')
+        duplicate = socket.socket(fileno=os.dup(raw_socket.fileno()))
+        threading.Timer(EXTRA_AFTER_S, _send_and_close, (duplicate, answer)).start()
+
+
+def _send_and_close(connection: socket.socket, answer: bytes) -> None:
+    with connection, contextlib.suppress(OSError):
+        connection.send(answer)
+
+
 def _run(
     scenario: Callable[[StoreStandin, HttpObjectStore], Awaitable[None]],
     standin_type: type[StoreStandin] = StoreStandin,
@@ -135,3 +157,26 @@
         assert store.era == 7
 
     _run(scenario)
+
+
+@pytest.mark.parametrize(('pause_s', 'blocked_s'), [(0.15, 0.0), (0.0, 0.15)])
+def test_an_extra_answer_of_the_store_does_not_answer_the_next_call(
+    pause_s: float, blocked_s: float
+) -> None:
+    """An extra answer that had arrived, but was not read yet, passed for another object.
+
+    :param pause_s: time between the calls
+    :param blocked_s: for how long nothing is read before the next call
+    """
+
+    async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
+        for name in ('a', 'b', 'c'):
+            await standin.put('kind', name, {'of': name})
+        for name in ('a', 'b', 'c', 'a'):
+            item = await store.get('kind', name)
+            assert item is not None
+            assert item.value == {'of': name}
+            await asyncio.sleep(pause_s)
+            time.sleep(blocked_s)
+
+    _run(scenario, _StandinThatAnswersTwice)
