Show that a refusal repeated by another daemon answers no later request

A refusal that another daemon had written once more on a kept connection was believed for the next request that was relayed there: it went to a third daemon while the second had sent it on.

--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -3,17 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import Counter
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import pytest
 
+from coltsfootstair.clock import SystemClock
+from coltsfootstair.gateway._relay import RelayClient
+from coltsfootstair.gateway._sender import Outcome, RequestState
+from coltsfootstair.gateway._trace import RequestTrace
+from coltsfootstair.http1 import Address, ConnectionPool, IncomingRequest
+from coltsfootstair_platform import HeaderDialect
 from tests.coltsfootstair_platform.standin import (
     ReceivedRequest,
     ServerStandin,
     build_configuration,
     build_route,
     encode_answer,
+    read_request,
 )
 from tests.gateway.harness import (
     ReceivedAnswer,
@@ -23,6 +31,9 @@
     run_with_time_limit,
 )
 
+if TYPE_CHECKING:
+    from coltsfootstair.gateway._relay import RelayResult
+
 RUN_S = 0.03
 
 
@@ -156,3 +167,82 @@
     answers = run_with_time_limit(work())
     assert [answer.status for _, answer in answers] == [200] * 20
     assert all(server.runs[request_id] == 1 for request_id, _ in answers)
+
+
+def _build_refusal(request_id: str | None) -> bytes:
+    headers = {} if request_id is None else {'Coltsfootstair_Request_Id': request_id}
+    return encode_answer(503, b'{}', Coltsfootstair_Result='200', **headers)
+
+
+class _Helper:
+    """Another daemon: refuses its first request, and writes that again before each answer.
+
+    :param returns_id: whether its refusals name their request; earlier versions' do not
+    """
+
+    def __init__(self, *, returns_id: bool) -> None:
+        self.connection_count = 0
+        self._returns_id = returns_id
+        self._first = b''
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connection_count += 1
+        has_refused_here = False
+        while (request := await read_request(reader)) is not None:
+            request_id = request.headers.get('x-request-id', '')
+            if not self._first:
+                self._first = _build_refusal(request_id if self._returns_id else None)
+                has_refused_here = True
+                writer.write(self._first)
+                continue
+            if has_refused_here:
+                writer.write(self._first)
+                await asyncio.sleep(RUN_S)
+            writer.write(
+                encode_answer(
+                    200,
+                    request_id.encode(),
+                    X_Request_Id=request_id,
+                    Coltsfootstair_Served_By='s1',
+                )
+            )
+        writer.close()
+
+
+def _build_request(request_id: bytes) -> RequestState:
+    headers = [(b'Host', b'a'), (b'X-Request-Id', request_id)]
+    incoming = IncomingRequest(b'GET', b'/x/a', b'/x/a', headers, b'', 0.0)
+    request = RequestState(incoming, request_id, RequestTrace(request_id, 0.0))
+    request.times_out_at = SystemClock().monotonic() + 1.0
+    return request
+
+
+@pytest.mark.parametrize(('returns_id', 'connection_count'), [(True, 1), (False, 2)])
+@pytest.mark.parametrize('second_id', [b'r2', b'r1'])
+def test_a_refusal_that_another_daemon_repeats_answers_no_later_request(
+    returns_id: bool, connection_count: int, second_id: bytes
+) -> None:
+    """Guards against sending to a third daemon what the second one has sent on."""
+
+    async def work() -> tuple[list[RelayResult], int]:
+        helper = _Helper(returns_id=returns_id)
+        listener = await asyncio.start_server(helper.serve, '127.0.0.1', 0)
+        address = Address(*listener.sockets[0].getsockname()[:2])
+        clock, dialect = SystemClock(), HeaderDialect()
+        pool = ConnectionPool(clock, dialect.request_id_header)
+        client = RelayClient(dialect, pool, clock, random.Random(1), lambda: [address])
+        results = [
+            await client.send(_build_request(request_id), address)
+            for request_id in (b'r1', second_id)
+        ]
+        pool.close()
+        listener.close()
+        await asyncio.sleep(RUN_S)
+        return results, helper.connection_count
+
+    (refused, answered), count = run_with_time_limit(work())
+    assert refused.outcome is Outcome.NOT_RUN
+    assert answered.outcome is Outcome.ANSWERED
+    assert answered.answer is not None
+    assert answered.answer.body == second_id
+    assert count == (2 if second_id == b'r1' else connection_count)
