Don't believe an era that revisions have no room for

An era of the store of 10^30 in the header of one answer would have ended the tasks that send messages, as revisions and fencing tokens contain it, and no answer would have been taken any more, all of them being of an earlier era.

--- a/tests/coltsfootstair_platform/test_odd_answers.py
+++ b/tests/coltsfootstair_platform/test_odd_answers.py
@@ -13,7 +13,11 @@
 from hypothesis import strategies as st
 
 from coltsfootstair.clock import SystemClock
-from coltsfootstair.errors import StoreConflictError, UnusableAnswerError
+from coltsfootstair.errors import (
+    StoreConflictError,
+    StoreUnavailableError,
+    UnusableAnswerError,
+)
 from coltsfootstair.http1 import Address
 from coltsfootstair.objects import UnreadableValue
 from coltsfootstair.peers import ObjectsUpdate, encode_message
@@ -66,6 +70,20 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize('era', [2**22 + 1, 10**30])
+def test_an_era_that_revisions_have_no_room_for_is_not_believed(era: int) -> None:
+    async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
+        await store.list('kind')
+        standin.answered_era = era
+        with pytest.raises(StoreUnavailableError, match='era'):
+            await store.list('kind')
+        standin.answered_era = None
+        await store.list('kind')
+        assert store.era == 1
+
+    _run(scenario)
+
+
 def test_a_refused_write_to_an_unreadable_object_is_a_conflict_and_not_an_outage() -> None:
     async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
         item = await store.create('kind', 'lease', {'holder': 'a'})
