List a kind if the answer to its watch can't be used

A watch whose answer can't be used was asked again from the same revision, and so got the same answer until the store had dropped that history. A list may hold where the watch doesn't: both are now tried in turn, and what is known stays meanwhile. The new test failed before.

--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -159,6 +159,7 @@
         self._must_catch_up = False
         self._is_watch_dead = False
         self._is_answer_unusable = False
+        self._must_list = False
         self._may_list_stale = True
         self._listed_era: int | None = None
         self._publish: Callable[[RelayedChanges], None] | None = None
@@ -260,8 +261,10 @@
                 self._revision = None
                 await asyncio.sleep(FIRST_RETRY_DELAY_S * self._random.random())
             except UnusableAnswerError as error:
-                # The store can be reached, so other kinds go on.
+                # The store can be reached, so other kinds go on. What makes a watch unusable
+                # may be missing in a list, and the other way round.
                 self._health.record_answer(self)
+                self._must_list = self._revision is not None and not self._must_list
                 if not self._is_answer_unusable:
                     self._is_answer_unusable = True
                     logger.warning(
@@ -278,13 +281,18 @@
                 await self._health.wait_until_allowed(self)
 
     async def _list_or_watch_once(self) -> None:
-        if self._revision is None:
+        if self._revision is None or self._must_list:
             # A stale state is good enough to start from, since the watch from its revision
             # returns what has changed since. It is not listed again: its history may be gone.
             may_be_stale, self._may_list_stale = self._may_list_stale, False
             began_at = self._clock.monotonic()
             listing = await self._store.list(self._kind, may_be_stale=may_be_stale)
             self._on_call_answered()
+            if listing.revision < self.revision:
+                # Changes have been relayed meanwhile.
+                await asyncio.sleep(FIRST_RETRY_DELAY_S)
+                return
+            self._must_list = False
             era = era_of(listing.revision)
             is_restored = self._listed_era is not None and era > self._listed_era
             if is_restored:
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -370,3 +370,29 @@
             task.cancel()
 
     run(scenario())
+
+
+def test_a_kind_is_listed_if_the_answer_to_its_watch_can_not_be_used() -> None:
+    store = ScriptedStore(
+        Listing([_object('a', 3)], 5),
+        UnusableAnswerError('odd'),
+        UnusableAnswerError('odd'),
+        UnusableAnswerError('odd'),
+        Listing([_object('a', 3), _object('b', 6)], 6),
+        WatchAnswer([Change(_object('c', 7), False)], 7),
+    )
+    subscriber = _run_follower(store)
+    assert [event for event, _ in subscriber.events] == [
+        'listed a',
+        'listed a b',
+        'changed c',
+    ]
+    assert store.calls == [
+        'list',
+        'watch 5 30',
+        'list',
+        'watch 5 30',
+        'list',
+        'watch 6 30',
+        'watch 7 30',
+    ]
