Don't release a lease that can't be read

A keeper that stopped, or handed its lease over, wrote the release over an odd lease with its own epoch. If that had hidden the lease of a later keeper, the next one would have had the same epoch again. Now it steps down without a write; the next keeper takes over when its heartbeats are missing.

--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -377,6 +377,10 @@
         """Write the release of the lease until the store has taken or refused it."""
         self._is_releasing = True
         while (lease := self._own_lease) is not None:
+            if not self._dependencies.ownership_view.is_lease_readable:
+                # It may hide the lease of a later keeper, which must not be written over.
+                self._step_down('the stored lease can not be read')
+                return
             released = KeeperLease(
                 '', self._address, lease.epoch, self.known_daemon_count, self._is_settled
             )
--- a/tests/keyspace/test_odd_objects.py
+++ b/tests/keyspace/test_odd_objects.py
@@ -194,6 +194,28 @@
         assert least > 0.5
 
 
+def test_a_keeper_that_stops_does_not_release_a_lease_that_it_can_not_read() -> None:
+    """It could write over the lease of a later keeper, whose epoch was then used again."""
+
+    async def simulate() -> tuple[int, int]:
+        world = World(1)
+        await asyncio.sleep(6.0)
+        (keeper,) = (
+            daemon.keeper
+            for daemon in world.daemon_by_name.values()
+            if daemon.keeper.is_keeper
+        )
+        world.write_odd('keeper', ODD)
+        odd_revision = world.revision
+        await keeper.stop()
+        await asyncio.sleep(5.0)
+        assert world.violations == []
+        return decode_lease(world.objects['keeper'].value).epoch, odd_revision
+
+    epoch, odd_revision = run(simulate())
+    assert epoch > odd_revision
+
+
 async def _simulate_faults(seed: int) -> World:
     """Write odd objects among the other faults."""
     world = World(seed)
