--- a/tests/coltsfootstair_platform/test_odd_answers.py
+++ b/tests/coltsfootstair_platform/test_odd_answers.py
@@ -13,13 +13,17 @@
 from hypothesis import strategies as st
 
 from coltsfootstair.clock import SystemClock
-from coltsfootstair.errors import StoreConflictError, UnusableAnswerError
+from coltsfootstair.errors import (
+    StoreConflictError,
+    StoreUnavailableError,
+    UnusableAnswerError,
+)
 from coltsfootstair.http1 import Address
 from coltsfootstair.objects import UnreadableValue
 from coltsfootstair.peers import ObjectsUpdate, encode_message
 from coltsfootstair_platform import HttpObjectStore
 from coltsfootstair_platform._answers import decode_events, decode_item, decode_page
-from coltsfootstair_platform._json_parts import split_elements, split_members
+from coltsfootstair_platform._json_parts import find_members, split_list
 from tests.coltsfootstair_platform.odd import UNREADABLE_BY_FORM
 from tests.coltsfootstair_platform.standin import StoreStandin
 
@@ -66,6 +70,20 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize('era', [2**22 + 1, 10**30])
+def test_an_era_that_revisions_have_no_room_for_is_not_believed(era: int) -> None:
+    async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
+        await store.list('kind')
+        standin.answered_era = era
+        with pytest.raises(StoreUnavailableError, match='era'):
+            await store.list('kind')
+        standin.answered_era = None
+        await store.list('kind')
+        assert store.era == 1
+
+    _run(scenario)
+
+
 def test_a_refused_write_to_an_unreadable_object_is_a_conflict_and_not_an_outage() -> None:
     async def scenario(standin: StoreStandin, store: HttpObjectStore) -> None:
         item = await store.create('kind', 'lease', {'holder': 'a'})
@@ -166,14 +184,17 @@
 def test_json_is_split_as_the_standard_library_reads_it(
     values: list[Any], members: dict[str, Any]
 ) -> None:
-    parts = split_elements(json.dumps(values).encode())
+    text = json.dumps({'before': members, 'list': values, 'after': 1}, indent=1).encode()
+    parts = split_list(text, b'"list"')
     assert parts is not None
-    assert [json.dumps(json.loads(part)) for part in parts] == [
-        json.dumps(value) for value in values
-    ]
-    split = split_members(json.dumps(members, indent=1).encode())
-    assert split is not None
-    assert json.dumps({json.loads(key): json.loads(part) for key, part in split.items()}) == (
+    rest, elements = parts
+    assert json.dumps([json.loads(element) for element in elements]) == json.dumps(values)
+    assert json.dumps(json.loads(rest)) == json.dumps(
+        {'before': members, 'list': [], 'after': 1}
+    )
+    keys = [json.dumps(key).encode() for key in members]
+    found = find_members(json.dumps(members).encode(), keys)
+    assert json.dumps({json.loads(key): json.loads(part) for key, part in found.items()}) == (
         json.dumps(members)
     )
 
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -490,3 +490,29 @@
         return waiting.calls
 
     assert 'watch 9 30' in run(scenario())
+
+
+def test_a_kind_is_listed_if_the_answer_to_its_watch_can_not_be_used() -> None:
+    store = ScriptedStore(
+        Listing([_object('a', 3)], 5),
+        UnusableAnswerError('odd'),
+        UnusableAnswerError('odd'),
+        UnusableAnswerError('odd'),
+        Listing([_object('a', 3), _object('b', 6)], 6),
+        WatchAnswer([Change(_object('c', 7), False)], 7),
+    )
+    subscriber = _run_follower(store)
+    assert [event for event, _ in subscriber.events] == [
+        'listed a',
+        'listed a b',
+        'changed c',
+    ]
+    assert store.calls == [
+        'list',
+        'watch 5 30',
+        'list',
+        'watch 5 30',
+        'list',
+        'watch 6 30',
+        'watch 7 30',
+    ]
