--- a/tests/coltsfootstair_platform/standin.py
+++ b/tests/coltsfootstair_platform/standin.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 import urllib.parse
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -27,6 +28,47 @@
 """Time between two pieces of an answer that is sent slowly, in seconds."""
 
 
+class RawItem(dict[str, Any]):
+    """An object that the store sends as given bytes, which need not be JSON.
+
+    :param encoded: the bytes of the whole object, with its metadata and value
+    """
+
+    def __init__(self, revision: int, encoded: bytes) -> None:
+        super().__init__(metadata={'revision': revision}, spec=None)
+        self.encoded = encoded
+
+
+class EncodedItem(dict[str, Any]):
+    """An object that is encoded once for all answers that have it."""
+
+    def __init__(self, name: str, revision: int, spec: Any) -> None:
+        super().__init__(metadata={'name': name, 'revision': revision}, spec=spec)
+        self._encoded: bytes | None = None
+
+    @property
+    def encoded(self) -> bytes:
+        """The bytes of the object in an answer."""
+        if self._encoded is None:
+            self._encoded = json.dumps(self).encode()
+        return self._encoded
+
+
+def _encode_body(body: Any) -> bytes:
+    """Return the JSON of an answer, in which each object has its own bytes."""
+    if isinstance(body, (RawItem, EncodedItem)):
+        return body.encoded
+    if isinstance(body, list):
+        return b'[' + b', '.join(_encode_body(each) for each in body) + b']'
+    if isinstance(body, dict):
+        fields = [
+            json.dumps(name).encode() + b': ' + _encode_body(value)
+            for name, value in body.items()
+        ]
+        return b'{' + b', '.join(fields) + b'}'
+    return json.dumps(body).encode()
+
+
 class ReceivedRequest(NamedTuple):
     """A request that a stand-in has received completely."""
 
@@ -103,8 +145,9 @@
 class StoreStandin(Listener):
     """Holds objects by kind and name, with one revision counter for all.
 
-    Set ``down`` to answer every call with 503, and ``bytes_per_s`` to send each answer no
-    faster than that, as over a narrow link. ``take_copy`` and ``restore`` bring it back
+    Set ``down`` to answer every call with 503, ``bytes_per_s`` to send each answer no
+    faster than that, as over a narrow link, and ``max_event_count`` to drop older events than
+    the last of that number. ``take_copy`` and ``restore`` bring it back
     from an older copy of itself; set ``answered_era`` to answer with another era than its own.
     """
 
@@ -112,10 +155,11 @@
         super().__init__()
         self.down = False
         self.bytes_per_s: float | None = None
+        self.max_event_count: int | None = None
         self.calls = 0
         self.era = 1
         self.answered_era: int | None = None
-        self._copy: tuple[int, str] = (1, '{}')
+        self._copy: tuple[int, dict[str, dict[str, dict[str, Any]]]] = (1, {})
         self._revision = 1
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[str, int, dict[str, Any], bool]] = []
@@ -124,13 +168,13 @@
 
     def take_copy(self) -> None:
         """Keep a copy of all objects for ``restore``."""
-        self._copy = (self._revision, json.dumps(self._objects))
+        self._copy = (self._revision, copy.deepcopy(self._objects))
 
     async def restore(self) -> None:
         """Come back from the copy, in a new era: later revisions are given out again."""
         self.era += 1
         self._revision, objects = self._copy
-        self._objects = json.loads(objects)
+        self._objects = copy.deepcopy(objects)
         self.discard_history()
         async with self._changed:
             self._changed.notify_all()
@@ -138,7 +182,22 @@
     async def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object, as operators and backend servers do."""
         self._revision += 1
-        item = {'metadata': {'name': name, 'revision': self._revision}, 'spec': spec}
+        item = EncodedItem(name, self._revision, spec)
+        self._objects.setdefault(kind, {})[name] = item
+        await self._record_event(kind, item, deleted=False)
+
+    async def put_raw(
+        self, kind: str, name: str, spec: bytes, encoded_name: bytes | None = None
+    ) -> None:
+        """Write an object whose value is sent as the bytes ``spec``, be they JSON or not.
+
+        :param name: the name by which ``delete`` and calls know the object
+        :param encoded_name: the bytes that are sent as its name, quotation marks included
+        """
+        self._revision += 1
+        sent_name = json.dumps(name).encode() if encoded_name is None else encoded_name
+        metadata = b'{"name": %s, "revision": %d}' % (sent_name, self._revision)
+        item = RawItem(self._revision, b'{"metadata": %s, "spec": %s}' % (metadata, spec))
         self._objects.setdefault(kind, {})[name] = item
         await self._record_event(kind, item, deleted=False)
 
@@ -148,6 +207,10 @@
         item = self._objects[kind].pop(name)
         await self._record_event(kind, item, deleted=True)
 
+    def get(self, kind: str, name: str) -> Any:
+        """Return the value of an object, or ``None`` if there is no such object."""
+        return self._objects.get(kind, {}).get(name, {}).get('spec')
+
     def discard_history(self) -> None:
         """Drop all events so far; watches from an earlier revision are answered with 410."""
         self._events.clear()
@@ -155,6 +218,8 @@
 
     async def _record_event(self, kind: str, item: dict[str, Any], *, deleted: bool) -> None:
         self._events.append((kind, self._revision, item, deleted))
+        if self.max_event_count is not None and len(self._events) > self.max_event_count:
+            _, self._oldest_watchable_revision, _, _ = self._events.pop(0)
         async with self._changed:
             self._changed.notify_all()
 
@@ -173,7 +238,7 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         status, body = await self._answer(request, parts, query)
         era = self.era if self.answered_era is None else self.answered_era
-        answer = encode_answer(status, json.dumps(body).encode(), Store_Era=str(era))
+        answer = encode_answer(status, _encode_body(body), Store_Era=str(era))
         await self._send(answer, writer)
         return True
 
