--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -8,7 +8,12 @@
 
 import structlog
 
-from coltsfootstair.errors import RevisionTooOldError, StoreUnavailableError
+from coltsfootstair.errors import (
+    AnswerTooLargeError,
+    RevisionTooOldError,
+    StoreUnavailableError,
+    UnusableAnswerError,
+)
 from coltsfootstair.objects._types import Change, RelayedChanges, era_of
 
 if TYPE_CHECKING:
@@ -51,6 +56,10 @@
 """How long after the store has come back from an older copy others may take to write again
 what it has lost, in seconds. Until then its latest state may be an old one."""
 
+MAX_HISTORY_BYTES = 64 * 1024
+"""Size of the answer to a watch above which the latest state is listed instead, in bytes: the
+answer has each version in full that was written since."""
+
 MAX_RELAY_DELAY_S = 0.1
 """How long a relayed change may arrive after the keeper has reported its revision, in seconds.
 After that the change is read from the store."""
@@ -125,6 +134,9 @@
         so that changes in quick succession need only one call
     :param max_watch_s: longest wait of a watch for a change, in seconds; a dead watch hides
         changes for as long
+    :param is_latest_only: whether only the latest state of the kind counts. Changes that are
+        too many or too large are then skipped in favour of a list, and the first list, which
+        may be stale, is followed by a call that tells the latest state without a wait
     """
 
     def __init__(
@@ -139,6 +151,8 @@
         watch_pause_s: float,
         history_s: float,
         max_watch_s: float = MAX_WATCH_TIMEOUT_S,
+        *,
+        is_latest_only: bool = False,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -153,7 +167,11 @@
         self._consecutive_failure_count = 0
         self._outage_ended_at: float | None = None
         self._must_catch_up = False
+        self._is_latest_only = is_latest_only
+        self._must_list = False
         self._is_watch_dead = False
+        self._is_receiving = False
+        self._is_answer_unusable = False
         self._may_list_stale = True
         self._listed_era: int | None = None
         self._publish: Callable[[RelayedChanges], None] | None = None
@@ -214,15 +232,19 @@
             return f'{self._consecutive_failure_count} calls to the store failed'
         if self._revision is None:
             return 'the first list is awaited'
+        if self._is_answer_unusable:
+            return 'an answer of the store can not be used'
         if self._is_watch_dead:
             return 'a watch was not answered'
+        if self._is_receiving:
+            return 'an answer of the store is being received'
         return 'the keeper tells' if self._relay.is_active else 'the store tells'
 
     @property
     def is_overdue(self) -> bool:
         """Whether changes may be unknown, since the last watch is not answered in time."""
         longest_s = self._watch_timeout_s + self._watch_pause_s + WATCH_ANSWER_DELAY_S
-        return self.unheard_s > longest_s
+        return self.unheard_s > longest_s and not self._is_receiving
 
     def publish_to(self, receiver: Callable[[RelayedChanges], None]) -> None:
         """Call ``receiver`` with the changes worth relaying of each answer to a watch."""
@@ -252,6 +274,15 @@
                 logger.info('history gone', kind=self._kind, after_revision=self._revision)
                 self._revision = None
                 await asyncio.sleep(FIRST_RETRY_DELAY_S * self._random.random())
+            except UnusableAnswerError as error:
+                # The store can be reached, so other kinds go on.
+                self._health.record_answer(self)
+                if not self._is_answer_unusable:
+                    self._is_answer_unusable = True
+                    logger.warning(
+                        'answer of the store unusable', kind=self._kind, reason=str(error)
+                    )
+                await asyncio.sleep(MAX_RETRY_DELAY_S * (0.5 + self._random.random() / 2))
             except StoreUnavailableError as error:
                 self._on_call_failed(error)
                 delay_s = min(
@@ -262,7 +293,7 @@
                 await self._health.wait_until_allowed(self)
 
     async def _list_or_watch_once(self) -> None:
-        if self._revision is None:
+        if self._revision is None or self._must_list:
             # A stale state is good enough to start from, since the watch from its revision
             # returns what has changed since. It is not listed again: its history may be gone.
             may_be_stale, self._may_list_stale = self._may_list_stale, False
@@ -275,11 +306,23 @@
                 self._outage_ended_at = self._clock.monotonic()
                 self._distrusted_until = self._outage_ended_at + RESTORED_WRITES_S
             self._listed_era = era
-            self._revision = listing.revision
+            previous_revision, self._revision = self._revision, listing.revision
+            self._must_list = False
             self._subscriber.apply_listing(
                 listing, after_outage=self._may_be_outage_effect(), is_restored=is_restored
             )
-            if not may_be_stale:
+            if previous_revision is not None and not is_restored:
+                self._publish_changes(
+                    previous_revision,
+                    [
+                        Change(item, False)
+                        for item in listing.objects
+                        if item.revision > previous_revision
+                    ],
+                )
+            if may_be_stale:
+                self._must_catch_up = self._is_latest_only
+            else:
                 self._on_state_told(began_at)
             return
         if self._relay.is_active and not self._consecutive_failure_count:
@@ -298,12 +341,25 @@
         previous_revision = self._revision
         began_at = self._clock.monotonic()
         try:
-            # A call without a wait has the time-out of the store's client.
-            async with asyncio.timeout(wait_s + WATCH_ANSWER_DELAY_S if wait_s else None):
-                answer = await self._store.watch(self._kind, previous_revision, wait_s)
+            # A call without a wait has the time-out of the store's client, and so has one
+            # whose answer has begun to arrive.
+            delay_s = wait_s + WATCH_ANSWER_DELAY_S if wait_s else None
+            async with asyncio.timeout(delay_s) as timeout:
+                answer = await self._store.watch(
+                    self._kind,
+                    previous_revision,
+                    wait_s,
+                    on_answer=lambda: self._on_answer_began(timeout),
+                    max_bytes=MAX_HISTORY_BYTES if self._is_latest_only else None,
+                )
+        except AnswerTooLargeError:
+            self._must_list = True
+            return
         except TimeoutError:
             self._on_watch_dead(previous_revision)
             return
+        finally:
+            self._is_receiving = False
         self._is_watch_dead = self._is_watch_dead and not wait_s
         self._on_call_answered()
         if answer.revision <= self._revision:
@@ -316,15 +372,14 @@
             if self._subscriber.apply_change(change, after_outage=self._may_be_outage_effect())
         ]
         self._on_state_told(began_at)
-        if self._publish is not None:
-            self._publish(
-                RelayedChanges(
-                    self._kind, previous_revision, answer.revision, changes_to_relay
-                )
-            )
+        self._publish_changes(previous_revision, changes_to_relay)
         if answer.changes:
             await asyncio.sleep(self._watch_pause_s)
 
+    def _publish_changes(self, after_revision: int, changes: list[Change]) -> None:
+        if self._publish is not None:
+            self._publish(RelayedChanges(self._kind, after_revision, self.revision, changes))
+
     async def _is_behind_after_wait(self) -> bool:
         """Return whether changes that the keeper has read are missing.
 
@@ -335,6 +390,11 @@
         await asyncio.sleep(MAX_RELAY_DELAY_S)
         return self._relay.get_keeper_revision(self._kind) > self.revision
 
+    def _on_answer_began(self, timeout: asyncio.Timeout) -> None:
+        self._is_receiving = True
+        if not timeout.expired():
+            timeout.reschedule(None)
+
     def _on_watch_dead(self, after_revision: int) -> None:
         """Ask at once what the watch has missed."""
         self._must_catch_up = True
@@ -352,6 +412,7 @@
 
     def _on_call_answered(self) -> None:
         self._health.record_answer(self)
+        self._is_answer_unusable = False
         self._known_at = self._clock.monotonic()
         if not self._consecutive_failure_count:
             return
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -8,7 +8,12 @@
 
 from tests.virtual_time import LoopClock, run
 
-from coltsfootstair.errors import RevisionTooOldError, StoreUnavailableError
+from coltsfootstair.errors import (
+    AnswerTooLargeError,
+    RevisionTooOldError,
+    StoreUnavailableError,
+    UnusableAnswerError,
+)
 from coltsfootstair.objects import (
     Change,
     Follower,
@@ -47,7 +52,9 @@
         listing: Listing = await self._next('list')
         return listing
 
-    async def watch(self, kind: str, after_revision: int, wait_s: float) -> WatchAnswer:
+    async def watch(
+        self, kind: str, after_revision: int, wait_s: float, **_: Any
+    ) -> WatchAnswer:
         changes: WatchAnswer = await self._next(f'watch {after_revision} {wait_s:g}')
         return changes
 
@@ -298,7 +305,9 @@
     gap = object()
 
     class DeafStore(ScriptedStore):
-        async def watch(self, kind: str, after_revision: int, wait_s: float) -> WatchAnswer:
+        async def watch(
+            self, kind: str, after_revision: int, wait_s: float, **_: Any
+        ) -> WatchAnswer:
             if self.script and self.script[0] is gap:
                 self.script.pop(0)
                 self.calls.append('lost')
@@ -333,3 +342,72 @@
     assert store.calls == ['list', 'lost', 'watch 5 0', 'watch 6 0.6']
     assert [revision for _, revision in seen] == [5, 5, 5, 5, 5, 6]
     assert not any(is_overdue for is_overdue, _ in seen)
+
+
+def test_an_unusable_answer_is_no_outage_and_holds_no_other_kind_up() -> None:
+    """One kind's list was refused again and again, and all kinds waited for its follower."""
+
+    async def scenario() -> None:
+        clock, health, relay = LoopClock(), StoreHealth(), Relay()
+        health.record_failure('another follower')
+        stores = [
+            ScriptedStore(*[UnusableAnswerError('odd')] * 30, Listing([_object('a', 3)], 5)),
+            ScriptedStore(Listing([_object('b', 3)], 5), WatchAnswer([], 5)),
+        ]
+        subscribers = [RecordingSubscriber(), RecordingSubscriber()]
+        followers = [
+            Follower(
+                store, kind, subscriber, clock, random.Random(1), health, relay, 0.1, 50.0
+            )
+            for store, subscriber, kind in zip(
+                stores, subscribers, ('servers', 'config'), strict=True
+            )
+        ]
+        tasks = [asyncio.create_task(follower.run()) for follower in followers]
+        await asyncio.sleep(5.0)
+        assert health.is_reachable
+        assert subscribers[0].events == []
+        assert subscribers[1].events == [('listed b', False)]
+        assert followers[0].activity == 'the first list is awaited'
+        await asyncio.sleep(15.0)
+        assert subscribers[0].events == [('listed a', False)]
+        for task in tasks:
+            task.cancel()
+
+    run(scenario())
+
+
+def test_a_history_that_is_too_large_is_replaced_by_the_latest_state() -> None:
+    """Guards against reading each version in full, of which only the last one counts."""
+
+    async def work() -> tuple[list[tuple[str, bool]], list[RelayedChanges]]:
+        subscriber = RecordingSubscriber()
+        published: list[RelayedChanges] = []
+        follower = Follower(
+            store,
+            'config',
+            subscriber,
+            LoopClock(),
+            random.Random(1),
+            StoreHealth(),
+            Relay(),
+            0.1,
+            50.0,
+            is_latest_only=True,
+        )
+        follower.publish_to(published.append)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+        return subscriber.events, published
+
+    store = ScriptedStore(
+        Listing([_object('main', 3)], 5),
+        AnswerTooLargeError('history'),
+        Listing([_object('main', 90), _object('other', 4)], 95),
+    )
+    events, published = run(work())
+    assert events == [('listed main', False), ('listed main other', False)]
+    assert store.calls == ['list', 'watch 5 0', 'list', 'watch 95 30']
+    assert store.listed_stale == [True, False]
+    assert published == [RelayedChanges('config', 5, 95, [Change(_object('main', 90), False)])]
