--- a/tests/coltsfootstair_platform/standin.py
+++ b/tests/coltsfootstair_platform/standin.py
@@ -7,6 +7,7 @@
 import copy
 import json
 import urllib.parse
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -157,6 +158,7 @@
         self.bytes_per_s: float | None = None
         self.max_event_count: int | None = None
         self.calls = 0
+        self.answer_bytes_by_kind: Counter[str] = Counter()
         self.era = 1
         self.answered_era: int | None = None
         self._copy: tuple[int, dict[str, dict[str, dict[str, Any]]]] = (1, {})
@@ -239,6 +241,8 @@
         status, body = await self._answer(request, parts, query)
         era = self.era if self.answered_era is None else self.answered_era
         answer = encode_answer(status, _encode_body(body), Store_Era=str(era))
+        if parts:
+            self.answer_bytes_by_kind[parts[0]] += len(answer)
         await self._send(answer, writer)
         return True
 
