--- a/tests/coltsfootstair_platform/programs.py
+++ b/tests/coltsfootstair_platform/programs.py
@@ -61,6 +61,8 @@
     :ivar failures: lines of all its logs that tell of a failure inside it, and ends of its
         process that nobody asked for
     :ivar started_at: when the present process was started, in seconds of the event loop
+    :ivar versions: versions of the configuration that came into force, each with the time, in
+        seconds of the event loop
     :ivar cpu_s: processor time of its ended processes, in seconds
     """
 
@@ -69,6 +71,7 @@
         self.link = link
         self.lines: list[str] = []
         self.failures: list[str] = []
+        self.versions: list[tuple[float, int]] = []
         self.started_at = 0.0
         self.restart_count = 0
         self.cpu_s = 0.0
@@ -114,6 +117,9 @@
         async for line in process.stdout:
             text = line.decode(errors='replace').rstrip()
             self.lines.append(text)
+            if '"configuration in force"' in text:
+                now = asyncio.get_running_loop().time()
+                self.versions.append((now, json.loads(text)['version']))
             if 'Traceback' in text or any(f'"{event}"' in text for event in FAILURE_EVENTS):
                 self.failures.append(f'{self.name}: {text[:400]}')
         status = await process.wait()
