Deny again once an unreadable configuration has been deleted

A version that can't be decoded is no ground for a denial (404 and others). After one that was deleted again, nothing could be denied until the next version. Whether the newest version can be read now follows from the objects that are refused at present.

tests/gateway/test_subscribers.py: the new test failed before at the deletion.

--- a/src/coltsfootstair/gateway/_subscribers.py
+++ b/src/coltsfootstair/gateway/_subscribers.py
@@ -77,7 +77,6 @@
     operators write again what the store has lost.
 
     :ivar route_table: routes in force; ``None`` before the first version
-    :ivar is_newest_readable: whether the version that was read last could be decoded
     """
 
     def __init__(self, decoder: ObjectDecoder, failures: FailureLog) -> None:
@@ -85,7 +84,11 @@
         self._era = 0
         self.refused = RefusedObjects('configuration', failures)
         self.route_table: RouteTable | None = None
-        self.is_newest_readable = True
+
+    @property
+    def is_newest_readable(self) -> bool:
+        """Whether the version that was read last could be decoded, or has been deleted."""
+        return not self.refused
 
     def apply_listing(
         self, listing: Listing, *, after_outage: bool, is_restored: bool
@@ -108,10 +111,8 @@
             configuration = self._decoder.decode_configuration(item)
             if configuration is not None:
                 self._put_in_force(configuration, item)
-                self.is_newest_readable = True
         except Exception as error:
             self.refused.add(item, error)
-            self.is_newest_readable = False
         else:
             self.refused.discard(item.name)
 
--- a/tests/gateway/test_subscribers.py
+++ b/tests/gateway/test_subscribers.py
@@ -80,6 +80,24 @@
     assert len(subscriber.refused) == 0
 
 
+def test_requests_are_denied_again_once_an_unreadable_version_is_replaced_or_deleted() -> None:
+    """Guards against a daemon that can deny nothing any more after one odd version."""
+    subscriber = ConfigurationSubscriber(DECODER, FailureLog())
+    good = StoredObject('main', 4, build_configuration(3))
+    subscriber.apply_listing(Listing([good], 4), after_outage=False, is_restored=False)
+    seen = [subscriber.is_newest_readable]
+    for change in (
+        Change(StoredObject('main', 5, ODD), False),
+        Change(StoredObject('main', 6, None), True),
+        Change(StoredObject('main', 7, ODD), False),
+        Change(StoredObject('main', 8, build_configuration(4)), False),
+        Change(StoredObject('notes', 9, ODD), False),
+    ):
+        subscriber.apply_change(change, after_outage=False)
+        seen.append(subscriber.is_newest_readable)
+    assert seen == [True, False, True, False, True, True]
+
+
 def test_an_evacuation_with_an_odd_name_ends_no_other_evacuation() -> None:
     registry = Registry(ManualClock())
     subscriber = EvacuationSubscriber(DECODER, registry, FailureLog())
