--- a/src/coltsfootstair/keyspace/_version_lag.py
+++ b/src/coltsfootstair/keyspace/_version_lag.py
@@ -62,18 +62,20 @@
     def list_lagging(self, reports: list[Report]) -> list[LaggingDaemon]:
         """Return the daemons that lag, the one that lags longest first."""
         now = self._clock.monotonic()
+        newest = max(self._in_force_at_by_version, default=0)
         lagging = []
         for report in reports:
             version = report.configuration_version
+            if not 0 < version < newest:
+                continue
             missing = [
                 in_force_at
                 for known, in_force_at in self._in_force_at_by_version.items()
                 if known > version
             ]
-            if version and missing:
-                lagging.append(
-                    LaggingDaemon(report.daemon, version, len(missing), now - missing[0])
-                )
+            lagging.append(
+                LaggingDaemon(report.daemon, version, len(missing), now - missing[0])
+            )
         return sorted(lagging, key=lambda daemon: -daemon.lag_s)
 
     def log(self, reports: list[Report]) -> None:
