Teach the soak odd objects, refusals written once more, and tasks that end

Change: OddObjects writes a form of ODD_FORMS as each kind and as the configuration; servers may write a refusal once more before the next answer of its connection, with its id or without; soak/_program.py is the real program with a hook (real-time signals) by which a named long-lived task fails once; series of signals, restarts and changes overlap; some callers keep connections open until the daemon has closed them.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, NamedTuple
 
 from soak._checker import (
@@ -34,6 +35,10 @@
 If their callers leave early, half of the batches ask for long work.
 """
 
+KEEPING_SHARE = 0.3
+"""Share of the connections that callers keep open after an answer that says it is the last,
+until the daemon closes them."""
+
 PIPELINED_COUNT = 3
 """Number of requests in a pipelined batch."""
 
@@ -84,6 +89,7 @@
         self._reader: asyncio.StreamReader
         self._writer: asyncio.StreamWriter | None = None
         self._abandoned_checks: set[asyncio.Task[None]] = set()
+        self._kept: set[asyncio.Task[None]] = set()
 
     async def run(self, get_pause_s: Callable[[], float]) -> None:
         """Send batches until cancelled.
@@ -98,6 +104,8 @@
                 await self._send_batch(self._random.choice(self._kinds))
         finally:
             self._close()
+            for task in self._kept:
+                task.cancel()
 
     async def _connect(self) -> bool:
         """Connect to a daemon within a second; return whether there is a connection."""
@@ -199,6 +207,11 @@
         is_intact = body == expected and 'x-upstream-signature' in headers
         self._checker.on_answer(request, int(status_line.split(' ')[1]), is_intact=is_intact)
         if headers.get('connection', '').lower() == 'close':
+            if self._random.random() < KEEPING_SHARE and self._writer is not None:
+                task = asyncio.ensure_future(_keep_open(self._reader, self._writer))
+                self._kept.add(task)
+                task.add_done_callback(self._kept.discard)
+                self._writer = None
             self._close()
             return False
         return True
@@ -223,3 +236,12 @@
         arrival_count = request.arrival_count
         await asyncio.sleep(LATE_SEND_WATCH_S)
         self._abandoned_checker.check_sends(request, arrival_count)
+
+
+async def _keep_open(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Keep a connection open until the daemon closes it or its process has ended."""
+    try:
+        with contextlib.suppress(OSError):
+            await reader.read()
+    finally:
+        writer.transport.abort()
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from soak._checker import Promise
+from soak._program import INJECTED, SIGNAL_BY_TASK
 
 if TYPE_CHECKING:
     from soak._bounds import Bounds
@@ -45,6 +46,9 @@
 PROBE_INTERVAL_S = 0.5
 """Time between two readiness probes of the load balancer, and the timeout of each."""
 
+STARTING_S = 1.0
+"""Time after the start of a process in which SIGHUP may find no handler, in seconds."""
+
 FAILED_PROBES_COUNT = 2
 """Consecutive probes not answered with 200 after which a daemon leaves the rotation."""
 
@@ -134,6 +138,7 @@
         self._may_start.set()
         self._is_end_expected = False
         self._is_closing = False
+        self._started_at = 0.0
 
     async def keep_running(self) -> None:
         """Start the process, and restart it whenever it ends, until ``close`` is called."""
@@ -141,6 +146,7 @@
             await self._may_start.wait()
             self.is_stopping = self._is_end_expected = False
             self.start_count += 1
+            self._started_at = asyncio.get_running_loop().time()
             process = self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 *self._command,
@@ -165,6 +171,8 @@
         async for line in process.stdout:
             text = line.decode(errors='replace').rstrip()
             self.log_lines.append(text)
+            if INJECTED in text:
+                continue
             if any(f'"{event}"' in text for event in FAILURE_EVENTS) or 'Traceback' in text:
                 self._checker.report_violation(
                     Promise.NO_DAEMON_FAILURE, f'{self.name}: {text[:500]}'
@@ -213,7 +221,17 @@
             writer.transport.abort()
         return failed_count
 
-    def send_signal(self, number: signal.Signals) -> None:
+    def reload(self) -> None:
+        """Send a SIGHUP, unless the interpreter may not run the program's first line yet."""
+        if asyncio.get_running_loop().time() - self._started_at > STARTING_S:
+            self.send_signal(signal.SIGHUP)
+
+    def end_task(self, task: str) -> None:
+        """Let a long-lived task fail, if the daemon is ready and thus has the hook."""
+        if self.is_in_rotation and not self.is_stopping:
+            self.send_signal(SIGNAL_BY_TASK[task])
+
+    def send_signal(self, number: int) -> None:
         """Send a signal to the process if it is running."""
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,6 +8,9 @@
 import random
 from typing import NamedTuple
 
+from tests.coltsfootstair_platform.odd_entries import ODD_FORMS
+
+from soak._program import KEEPER_TASKS, TASKS
 from soak._proxy import LinkState
 
 __all__ = [
@@ -22,6 +25,7 @@
     'Fault',
     'HistoryLoss',
     'KillAll',
+    'OddObjects',
     'ServerBusy',
     'ServerCrash',
     'ServerDrain',
@@ -30,6 +34,7 @@
     'ServerMisbehaviour',
     'StoreLink',
     'StoreRestore',
+    'TaskEnd',
     'draw_faults',
 ]
 
@@ -43,6 +48,12 @@
 REPEATED_SHARE = 0.3
 """Share of the faults that occur again within 0.5 s, so that there are series of faults."""
 
+SERIES_SHARE = 0.1
+"""Share of the faults that come with a series of signals, restarts and changes."""
+
+MAX_SERIES_DURATION_S = 2.0
+"""Time within which the faults of a series begin, in seconds."""
+
 
 class DaemonKill(NamedTuple):
     """A daemon is killed and does not restart for ``down_s`` seconds."""
@@ -163,6 +174,32 @@
     for_s: float
 
 
+class OddObjects(NamedTuple):
+    """Objects that no honest writer writes are in the store for ``for_s`` seconds.
+
+    There is one of each kind that daemons follow, and one was the configuration for a moment.
+
+    :param form: one of ``ODD_FORMS``
+    """
+
+    form: str
+    for_s: float
+
+
+class TaskEnd(NamedTuple):
+    """A long-lived task of a daemon fails, by the hook of ``soak._program``.
+
+    :param task: one of ``TASKS``; the keeper is asked for those that only it has
+    """
+
+    task: str
+
+    @property
+    def is_keepers(self) -> bool:
+        """Whether only the keeper has such a task."""
+        return self.task in KEEPER_TASKS
+
+
 class ConfigurationChange(NamedTuple):
     """A new configuration is written, which may route uploads to another service."""
 
@@ -185,6 +222,8 @@
     | DataCentreCut
     | ServerMisbehaviour
     | Evacuation
+    | OddObjects
+    | TaskEnd
     | ConfigurationChange
 )
 
@@ -204,7 +243,14 @@
     LinkState.DELAYED,
     LinkState.LOSING_ANSWERS,
 ]
-MISBEHAVIOURS = ['hangs', 'slow', 'loses answers', 'answers twice', 'late orders']
+MISBEHAVIOURS = [
+    'hangs',
+    'slow',
+    'loses answers',
+    'answers twice',
+    'late orders',
+    'repeats refusals',
+]
 
 
 def draw_faults(seed: int, duration_s: float) -> list[tuple[float, Fault]]:
@@ -218,6 +264,11 @@
         faults.append((starts_at, fault))
         if random_source.random() < REPEATED_SHARE:
             faults.append((starts_at + random_source.uniform(0.0, 0.5), fault))
+        if random_source.random() < SERIES_SHARE:
+            faults += [
+                (starts_at + random_source.uniform(0.0, MAX_SERIES_DURATION_S), other)
+                for other in _draw_series(random_source)
+            ]
         if isinstance(fault, StoreRestore):
             for lost in _draw_lost_changes(random_source):
                 lost_at = starts_at + random_source.uniform(0.1, 0.8) * fault.age_s
@@ -235,10 +286,23 @@
     return [ConfigurationChange(), KillAll(random_source.uniform(0.1, 0.5))]
 
 
+def _draw_series(random_source: random.Random) -> list[Fault]:
+    """Return faults that overlap: signals and restarts amid changes of the store."""
+    form = random_source.choice(list(ODD_FORMS))
+    return [
+        ConfigurationChange(),
+        DaemonReload(),
+        DaemonStop(),
+        OddObjects(form, random_source.uniform(2.0, 5.0)),
+        TaskEnd(random_source.choice(TASKS)),
+        ConfigurationChange(),
+    ]
+
+
 def _draw_fault(random_source: random.Random) -> Fault:
     for_s = random_source.uniform(0.5, 5.0)
     # The number of cases of a fault is its weight.
-    match random_source.randrange(25):
+    match random_source.randrange(29):
         case 0 | 1:
             return DaemonKill(random_source.uniform(0.1, 3.0))
         case 2 | 3:
@@ -274,5 +338,9 @@
             return ServerLeave(for_s)
         case 22:
             return ServerBusy(random_source.uniform(1.0, 4.0), for_s)
+        case 23 | 24:
+            return OddObjects(random_source.choice(list(ODD_FORMS)), for_s + 2.0)
+        case 25 | 26:
+            return TaskEnd(random_source.choice(TASKS))
         case _:
             return ConfigurationChange()
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -270,6 +270,8 @@
                 server.loses_answers = is_active
             case 'answers twice':
                 server.answers_twice = is_active
+            case 'repeats refusals':
+                server.repeats_refusals = is_active
             case 'late orders':
                 server.applies_grants_late = is_active
             case _:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -5,12 +5,12 @@
 import asyncio
 import contextlib
 import random
-import signal
 import tempfile
 from collections import Counter
 from pathlib import Path
 from typing import NamedTuple
 
+from tests.coltsfootstair_platform.odd_entries import ODD_FORMS, encode_odd_value
 from tests.coltsfootstair_platform.standin import build_route, build_service
 
 from soak._bounds import Bounds
@@ -30,6 +30,7 @@
     Fault,
     HistoryLoss,
     KillAll,
+    OddObjects,
     ServerBusy,
     ServerCrash,
     ServerDrain,
@@ -38,16 +39,20 @@
     ServerMisbehaviour,
     StoreLink,
     StoreRestore,
+    TaskEnd,
     draw_faults,
 )
 from soak._fleet import ServerFleet
+from soak._program import VALID_S
 from soak._proxy import LinkState, Proxy
 from soak._store import RestorableStore
 
 __all__ = ['RunOptions', 'RunResult', 'run_soak']
 
 DATA_CENTRES = ['north', 'south']
-PROGRAM = 'platform/daemon.py'
+PROGRAM = 'soak._program'
+KEY_KIND, LEASE_NAME = 'coltsfootstair-keys', 'keeper'
+"""Kind of the objects of the daemons themselves, and which of them names the keeper."""
 
 REQUEST_KINDS = [
     RequestKind('lookups', 'GET', is_idempotent=True, body_bytes=0),
@@ -61,6 +66,12 @@
 KEYED_SERVICES = frozenset({'slots'})
 """Services that are divided by key."""
 
+SERVICES = ('calendar', *UPLOAD_SERVICES, *KEYED_SERVICES)
+"""All services."""
+
+FOLLOWED_KINDS = ('config', 'servers', 'evacuations')
+"""Kinds of objects of which odd ones are written."""
+
 SERVERS_PER_SERVICE_COUNT = 4
 
 CALLERS_PER_DAEMON_COUNT = 6
@@ -128,18 +139,19 @@
         self._upload_service = UPLOAD_SERVICES[0]
         self._evacuated_data_centres: set[str] = set()
         self._is_copy_in_use = False
+        self._odd_count = 0
 
     async def start(self) -> None:
         """Start the store, backend servers and daemons."""
         await self.store.start()
         await self.write_next_configuration()
-        for service_name in ('calendar', *UPLOAD_SERVICES, *KEYED_SERVICES):
+        for service_name in SERVICES:
             for number in range(SERVERS_PER_SERVICE_COUNT):
                 await self.fleet.start_server(
                     service_name, DATA_CENTRES[number % len(DATA_CENTRES)]
                 )
         variant = self.options.variant
-        command = ['-m', 'soak._variants', variant] if variant else [PROGRAM]
+        command = ['-m', 'soak._variants', variant] if variant else ['-m', PROGRAM]
         ports = find_free_ports(len(DaemonPorts._fields) * self.options.daemon_count)
         for number in range(self.options.daemon_count):
             link = Proxy(self.store.port, self.random)
@@ -207,7 +219,7 @@
             case DaemonPause(duration_s):
                 await daemon.pause(duration_s)
             case DaemonReload():
-                daemon.send_signal(signal.SIGHUP)
+                daemon.reload()
             case KillAll(down_s):
                 await asyncio.gather(*(each.kill(down_s) for each in self.daemons))
             case StoreLink(state, share, duration_s):
@@ -236,6 +248,10 @@
                 await self.fleet.apply_misbehaviour(fault)
             case Evacuation(duration_s):
                 await self._evacuate_data_centre(duration_s)
+            case OddObjects(form_name, for_s):
+                await self._write_odd_objects(form_name, for_s)
+            case TaskEnd(task):
+                await self._end_task(self._find_keeper() if fault.is_keepers else daemon, task)
             case ConfigurationChange():
                 await self.write_next_configuration()
 
@@ -274,6 +290,33 @@
         self.fault_log.record_end(STORE, is_thaw_or_heal=True)
         self._is_copy_in_use = False
 
+    def _find_keeper(self) -> Daemon:
+        """Return the keeper by the store, or any daemon if there is none."""
+        holder = (self.store.get(KEY_KIND, LEASE_NAME) or {}).get('holder')
+        named = [daemon for daemon in self.daemons if daemon.name == holder]
+        return self.random.choice(named or self.daemons)
+
+    async def _end_task(self, daemon: Daemon, task: str) -> None:
+        self.fault_log.record_start(daemon.name)
+        daemon.end_task(task)
+        await asyncio.sleep(VALID_S)
+        self.fault_log.record_end(daemon.name)
+
+    async def _write_odd_objects(self, form_name: str, duration_s: float) -> None:
+        """Write odd objects, which are no fault: daemons must do all as without them."""
+        self._odd_count += 1
+        name = f'odd {self._odd_count}'
+        value, encoded_name = encode_odd_value(
+            ODD_FORMS[form_name], self.random.choice(SERVICES), name
+        )
+        for kind in FOLLOWED_KINDS:
+            await self.store.write_raw(kind, name, value, encoded_name)
+        await self.store.write_raw('config', 'main', value, b'"main"')
+        await self.write_next_configuration()
+        await asyncio.sleep(duration_s)
+        for kind in FOLLOWED_KINDS:
+            await self.store.remove(kind, name)
+
     async def _evacuate_data_centre(self, duration_s: float) -> None:
         data_centre = self.random.choice(DATA_CENTRES)
         if self._evacuated_data_centres:
--- a/soak/_servers.py
+++ b/soak/_servers.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 from typing import TYPE_CHECKING, Any
+from weakref import WeakKeyDictionary
 
 from tests.coltsfootstair_platform.standin import Listener, ReceivedRequest, encode_answer
 
@@ -51,6 +52,8 @@
 
     :param record: what the checker knows about this incarnation
     :param divided_by_key: whether the server needs grants for the keys of its requests
+    :ivar repeats_refusals: whether some refusals are written once more in front of the answer
+        to the next request of their connection, with their request's id or without any
     :ivar is_leaving: whether its answers say that it is leaving
     :ivar pause_s: if above 0, a share of the requests is answered with 503 and this
         ``Retry-After``, in seconds
@@ -72,6 +75,7 @@
         self.loses_answers = False
         self.answers_twice = False
         self.applies_grants_late = False
+        self.repeats_refusals = False
         self.is_leaving = False
         self.pause_s = 0.0
         self.slowdown = 1.0
@@ -82,6 +86,9 @@
         self._slots = asyncio.Semaphore(SLOT_COUNT)
         self._accepted_count = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._refusal_by_writer: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
+            WeakKeyDictionary()
+        )
 
     def _encode_answer(self, status: int, body: bytes = b'', **headers: str) -> bytes:
         """Return the bytes of an answer, which says whether the server is leaving."""
@@ -89,6 +96,28 @@
             headers['Server_Leaving'] = '1'
         return encode_answer(status, body, **headers)
 
+    def _encode_refusal(self, status: int, request_id: str, **headers: str) -> bytes:
+        """Return the bytes of an answer which says that the request has not run."""
+        if request_id:
+            headers['X_Request_Id'] = request_id
+        return self._encode_answer(status, b'', **headers, X_Not_Executed='1')
+
+    def _repeat_refusal(self, request_id: str, writer: asyncio.StreamWriter) -> bool:
+        """Refuse a request, or write an earlier refusal of the connection once more.
+
+        :return: whether the request is to be run
+        """
+        if (earlier := self._refusal_by_writer.pop(writer, None)) is not None:
+            writer.write(earlier)
+            return True
+        if self._random.random() >= MISBEHAVED_SHARE:
+            return True
+        refusal = self._encode_refusal(503, request_id)
+        writer.write(refusal)
+        nameless = self._encode_refusal(503, '')
+        self._refusal_by_writer[writer] = self._random.choice([refusal, nameless])
+        return False
+
     def shut_down(self) -> None:
         """Stop listening, drop all grants and cancel all work."""
         self.record.is_up = False
@@ -106,7 +135,8 @@
         """Serve one request; return whether the connection stays open."""
         target_name = request.headers.get('x-target-instance')
         if target_name is not None and target_name != self.record.name:
-            writer.write(self._encode_answer(421, X_Not_Executed='1'))
+            request_id = request.headers.get('x-request-id', '')
+            writer.write(self._encode_refusal(421, request_id))
             return True
         if self.hangs:
             await reader.read()
@@ -197,23 +227,20 @@
         self._checker.on_request_arrived(self.record, request_id)
         key = int(request.headers['x-shard-key']) if self.divided_by_key else None
         if key is not None and not self._has_grant(key):
-            writer.write(self._encode_answer(421, X_Not_Executed='1'))
+            writer.write(self._encode_refusal(421, request_id))
             return True
         self._checker.on_request_taken(self.record, request_id)
         if self.pause_s and self._random.random() < MISBEHAVED_SHARE:
             self._checker.on_server_answer(
                 self.record, request_id, is_leaving=self.is_leaving, pause_s=self.pause_s
             )
-            refusal = self._encode_answer(
-                503,
-                X_Not_Executed='1',
-                X_Request_Id=request_id,
-                Retry_After=f'{self.pause_s:.1f}',
-            )
-            writer.write(refusal)
+            retry_after = f'{self.pause_s:.1f}'
+            writer.write(self._encode_refusal(503, request_id, Retry_After=retry_after))
             return True
         if self._accepted_count >= SLOT_COUNT + MAX_QUEUED_COUNT:
-            writer.write(self._encode_answer(503, X_Not_Executed='1', X_Request_Id=request_id))
+            writer.write(self._encode_refusal(503, request_id))
+            return True
+        if self.repeats_refusals and not self._repeat_refusal(request_id, writer):
             return True
         self._accepted_count += 1
         execution = asyncio.ensure_future(self._execute(request, request_id, key))
@@ -223,7 +250,7 @@
             if not execution.done():
                 return False  # The sender closed the connection; the work is cancelled.
             if not execution.result():
-                writer.write(self._encode_answer(421, X_Not_Executed='1'))
+                writer.write(self._encode_refusal(421, request_id))
                 return True
             return self._write_answer(request, request_id, writer)
         finally:
--- a/soak/_store.py
+++ b/soak/_store.py
@@ -42,6 +42,11 @@
         self._spec_by_object[kind, name] = spec
         await self.put(kind, name, spec)
 
+    async def write_raw(self, kind: str, name: str, spec: bytes, encoded_name: bytes) -> None:
+        """Write an object as given bytes once the store is there; nobody writes it again."""
+        await self._is_back.wait()
+        await self.put_raw(kind, name, spec, encoded_name)
+
     async def remove(self, kind: str, name: str) -> None:
         """Remove an object, if it exists, once the store is there."""
         await self._is_back.wait()
--- a/soak/_variants.py
+++ b/soak/_variants.py
@@ -6,20 +6,17 @@
 
 from __future__ import annotations
 
-import signal
 import sys
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from soak._checker import Promise
+from soak._program import prepare
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 __all__ = ['PROMISE_BY_VARIANT']
 
-ROOT = Path(__file__).parents[1]
-
 PROMISE_BY_VARIANT = {
     'moves-without-release': Promise.SOLE_OWNER,
     'closes-without-reset': Promise.SOLE_OWNER,
@@ -42,6 +39,7 @@
     'stops-at-once': Promise.GRACEFUL_STOP,
     'never-recovers': Promise.RECOVERED,
     'fails-by-itself': Promise.NO_DAEMON_FAILURE,
+    'refuses-odd-lists': Promise.CONFIGURATION_IN_TIME,
 }
 
 
@@ -150,6 +148,14 @@
             from coltsfootstair.gateway._dispatcher import Dispatcher
 
             _replace_attribute(Dispatcher, '_pass_on_answer', lambda *_: 1 / 0)
+        case 'refuses-odd-lists':
+            from coltsfootstair.errors import StoreUnavailableError
+            from coltsfootstair_platform import _answers
+
+            def refuse_answer(_: bytes, error: Exception) -> None:
+                raise StoreUnavailableError(f'the answer has an odd object: {error}')
+
+            _replace_attribute(_answers, '_salvage_item', refuse_answer)
         case _:
             raise ValueError(
                 f'variant {name!r} is unknown: it must be one of {sorted(PROMISE_BY_VARIANT)}'
@@ -221,9 +227,7 @@
 
 
 if __name__ == '__main__':
-    for folder in ('src', 'platform'):
-        sys.path.insert(0, str(ROOT / folder))
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    prepare()
     _apply_variant(sys.argv[1])
     from coltsfootstair_platform import main
 
--- a/tests/coltsfootstair_platform/odd_entries.py
+++ b/tests/coltsfootstair_platform/odd_entries.py
@@ -26,7 +26,7 @@
     build_service,
 )
 
-__all__ = ['ODD_FORMS', 'OddForm', 'play_odd_entries']
+__all__ = ['ODD_FORMS', 'OddForm', 'encode_odd_value', 'play_odd_entries']
 
 FOLLOWING_LIMIT_S = 5.0
 """Time within which each daemon must act on a change of the store, in seconds."""
@@ -144,17 +144,12 @@
 
     async def write_odd(self, form_name: str) -> None:
         """Write an odd form as an object of each kind, and in place of the configuration."""
-        form = ODD_FORMS[form_name]
-        entry = {
-            name: json.dumps(value).encode()
-            for name, value in ServerStandin('odd').build_entry(self._services[0][0]).items()
-        }
-        entry['address'] = b'"127.0.0.1:9"'
-        spec = form.spec or _encode_object(entry | dict(form.fields))
+        name = _object_name(form_name)
+        spec, encoded_name = encode_odd_value(ODD_FORMS[form_name], self._services[0][0], name)
         for kind in ('servers', 'evacuations', 'config', 'coltsfootstair-keys'):
-            await self.store.put_raw(kind, _object_name(form_name), spec, form.encoded_name)
+            await self.store.put_raw(kind, name, spec, encoded_name)
         resources = b'[{"resource-kind": "routes", "metadata": %s, "spec": %s}]' % (
-            b'{"name": %s}' % (form.encoded_name or b'"odd"'),
+            b'{"name": %s}' % encoded_name,
             spec,
         )
         configuration = b'{"version": "%08x", "resources": %s}' % (
@@ -261,6 +256,18 @@
             server.stop()
 
 
+def encode_odd_value(form: OddForm, service: str, name: str) -> tuple[bytes, bytes]:
+    """Return the JSON of an odd object's value and name.
+
+    :param service: the service that a backend server's entry of this form belongs to
+    :param name: its name, unless the form has one
+    """
+    usual = ServerStandin('odd').build_entry(service, address='127.0.0.1:9')
+    entry = {field: json.dumps(value).encode() for field, value in usual.items()}
+    value = form.spec or _encode_object(entry | dict(form.fields))
+    return value, form.encoded_name or json.dumps(name).encode()
+
+
 def _object_name(form_name: str) -> str:
     return f'odd {form_name}'
 
