Repeat a lookup on another connection than the one that has refused it, if one is idle

A lookup that was refused and sent again on the same connection was answered by its first refusal, written once more, while its server ran it: 503, or 502 for the next. It goes to another idle connection first; if there is none, to the same one, as a busy server resets new ones.

Test: failed before with 200, 503 and 502 for three lookups, all of which ran.

--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -377,8 +377,11 @@
             idle_connection = self._pool.take_idle(
                 server.address,
                 max_idle_share=1.0 if is_idempotent else AT_MOST_ONCE_MAX_IDLE_SHARE,
-                unless_refused_id=None if is_idempotent else request.request_id,
+                unless_refused_id=request.request_id,
             )
+            if idle_connection is None and is_idempotent:
+                # A wrong refusal costs it less than a busy server's reset of a new connection.
+                idle_connection = self._pool.take_idle(server.address)
             if idle_connection is not None:
                 return idle_connection
         remaining_s = request.times_out_at - self._clock.monotonic()
--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -64,9 +64,12 @@
             self._refusals[writer] = refusal
             writer.write(refusal)
             return True
-        self.runs[request_id] += 1
         if writer in self._refusals:
             writer.write(self._refusals[writer])
+        return await self.run(request, writer)
+
+    async def run(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        self.runs[request.headers.get('x-request-id', '')] += 1
         await asyncio.sleep(RUN_S)
         writer.write(self.build_answer(request))
         return True
@@ -169,6 +172,25 @@
     assert all(server.runs[request_id] == 1 for request_id, _ in answers)
 
 
+def test_a_lookup_is_repeated_on_another_connection_than_the_one_that_refused_it() -> None:
+    """Guards against a refusal for what its server runs, where another connection is idle."""
+    server = RepeatingServer('s1', 503, returns_id=True)
+
+    async def work() -> list[tuple[str, ReceivedAnswer]]:
+        async with run_gateway(('calendar', server)) as running:
+            refuse_or_run, server.behaviour = server.behaviour, server.run
+            # Each opens a connection.
+            warm_up = [running.call('lookups', X_Request_Id=f'w{n}') for n in range(2)]
+            await asyncio.gather(*warm_up)
+            server.behaviour = refuse_or_run
+            server.received.clear()
+            return await _call_often(running, 'lookups', ['r0', 'r1', 'r2'])
+
+    answers = run_with_time_limit(work())
+    assert [answer.status for _, answer in answers] == [200] * 3
+    assert all(server.runs[request_id] == 1 for request_id, _ in answers)
+
+
 def _build_refusal(request_id: str | None) -> bytes:
     headers = {} if request_id is None else {'Coltsfootstair_Request_Id': request_id}
     return encode_answer(503, b'{}', Coltsfootstair_Result='200', **headers)
