Keep local variables of failed requests out of the log

A request that failed inside the daemon was logged with the local variables of each frame, so that callers' keys and bodies came into the log; docs promise that no key does. Tracebacks are logged without them.

tests/logs/test_setup.py failed before and passes.

--- a/src/coltsfootstair/logs/_setup.py
+++ b/src/coltsfootstair/logs/_setup.py
@@ -23,7 +23,10 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
-            structlog.processors.dict_tracebacks,
+            structlog.processors.ExceptionRenderer(
+                # Local variables would write callers' keys and bodies into the log.
+                structlog.tracebacks.ExceptionDictTransformer(show_locals=False)
+            ),
             _make_context_processor(context),
             structlog.processors.JSONRenderer(default=str),
         ],
