--- a/soak/_variants.py
+++ b/soak/_variants.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import signal
 import sys
 from pathlib import Path
@@ -30,6 +32,7 @@
     'uses-leaving-servers': Promise.DRAINED,
     'ignores-evacuations': Promise.EVACUATED,
     'keeps-first-configuration': Promise.CONFIGURATION_IN_TIME,
+    'ends-followers': Promise.CONFIGURATION_IN_TIME,
     'takes-restored-configurations': Promise.CONFIGURATION_IN_TIME,
     'takes-restored-tables': Promise.SOLE_OWNER,
     'ignores-store-eras': Promise.SOLE_OWNER,
@@ -106,6 +109,13 @@
             from coltsfootstair.gateway._subscribers import ConfigurationSubscriber
 
             _keep_first_table(ConfigurationSubscriber)
+        case 'ends-followers':
+            from coltsfootstair.objects import Follower
+            from coltsfootstair.supervision import SupervisedTask
+
+            _replace_attribute(Follower, 'run', _ending(Follower.run))
+            # Each task runs once only.
+            _replace_attribute(SupervisedTask, 'run', lambda task: task._run())
         case 'takes-restored-configurations':
             from coltsfootstair.gateway._subscribers import ConfigurationSubscriber
 
@@ -175,6 +185,17 @@
     return value
 
 
+def _ending(run: Callable[..., Any]) -> Callable[..., Any]:
+    """Return ``run`` so that it ends after some seconds, without an exception."""
+
+    async def run_for_a_while(follower: object) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(15.0):
+                await run(follower)
+
+    return run_for_a_while
+
+
 def _keep_first_table(subscriber: type) -> None:
     """Let a subscriber keep its first table and ignore later ones."""
 
