--- a/tests/gateway/test_subscribers.py
+++ b/tests/gateway/test_subscribers.py
@@ -94,3 +94,15 @@
     assert not registry.is_usable('s1')
     subscriber.apply_change(Change(objects[1], True), after_outage=False)
     assert registry.is_usable('s1')
+
+
+def test_a_deleted_odd_configuration_does_not_forbid_denials_for_good() -> None:
+    """The version in force was the newest again, but no path could be denied any more."""
+    subscriber = ConfigurationSubscriber(DECODER, FailureLog())
+    good = StoredObject('main', 1, build_configuration(1))
+    subscriber.apply_listing(Listing([good], 1), after_outage=False, is_restored=False)
+    subscriber.apply_change(Change(StoredObject('main', 2, ODD), False), after_outage=False)
+    assert not subscriber.is_newest_readable
+    subscriber.apply_change(Change(StoredObject('main', 3, ODD), True), after_outage=False)
+    subscriber.apply_listing(Listing([], 4), after_outage=False, is_restored=False)
+    assert subscriber.is_newest_readable
