--- a/tests/objects/test_follower_under_changes.py
+++ b/tests/objects/test_follower_under_changes.py
@@ -80,6 +80,7 @@
         relay,
         0.05,
         50.0,
+        0.6,
         is_latest_only=True,
     )
 
@@ -139,3 +140,24 @@
     assert newest - known <= 3
     assert list_count <= 3
     assert age_s < 1.8
+
+
+def test_a_list_that_is_being_read_is_not_overdue() -> None:
+    """A keeper that read a large version slowly told all others that it had no store."""
+
+    async def scenario() -> int:
+        clock, store, relay = LoopClock(), _LargeStore(), Relay()
+        follower = _build_follower(store, relay, clock)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(4.0)
+        store.revision += 1
+        overdue_count = 0
+        for _ in range(40):
+            await asyncio.sleep(0.05)
+            overdue_count += follower.is_overdue
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        return overdue_count
+
+    assert run(scenario()) == 0
