Follow a large configuration that changes while it is read

A daemon that missed one difference listed the configuration, dropped all differences that came meanwhile, and so was outdated again by the end of each list: 21 versions behind after 20 s. Differences now wait for the object that they change, up to 64 of them, and follow from what the list has brought.

A list that was begun instead of a large history was repeated without end if the differences came after all, and evidence did not count meanwhile. A list that is older than what is known now ends that, and is evidence itself. Only after a change that failed half way are relayed changes ignored until the list.

A follower took itself for behind whenever the keeper had read something newer at the end of the wait; what it waits for is now what the keeper had read at its beginning.

Differences that wait to be sent had no bound over several versions: version 22 was the last one sent when 31 was published. What waits counts for the limit, and is dropped with the lease. (The test let its daemons' reports grow old, so that nothing was sent at its end on any code; it repeats them now.)

A list that is being read counted as overdue after 1.05 s, so that a keeper with a narrow link told all others that it had no store.

Parts of differences are told apart by the epoch of their keeper, too. A watch whose answer comes slowly has a test of its own, which the review missed.

--- a/src/coltsfootstair/keyspace/_broadcast.py
+++ b/src/coltsfootstair/keyspace/_broadcast.py
@@ -33,8 +33,8 @@
 larger changes from the store itself, unless what differs is sent."""
 
 MAX_BURST_S = 0.2
-"""Longest change that is sent, as the time for which it would take this VM's whole link, in
-seconds."""
+"""Most that waits to be sent of large changes, as the time for which it would take this VM's
+whole link, in seconds."""
 
 PACE_INTERVAL_S = 0.01
 """Time between two groups of datagrams of a large change, in seconds."""
@@ -57,6 +57,7 @@
     ) -> None:
         self._link_bytes_per_s = link_mbps * 1e6 / 8
         self._unsent: deque[tuple[DeltaPart, Address]] = deque()
+        self._unsent_bytes = 0
         self._latest_reports = reports
         self._own_address = own_address
         self._channel: Channel | None = None
@@ -102,7 +103,8 @@
         parts = build_delta_parts(changes, epoch)
         addresses = self._latest_reports.list_addresses(self._own_address)
         delta_bytes = sum(len(part.data) for part in parts)
-        if not parts or len(addresses) * delta_bytes > MAX_BURST_S * self._link_bytes_per_s:
+        burst_bytes = self._unsent_bytes + len(addresses) * delta_bytes
+        if not parts or burst_bytes > MAX_BURST_S * self._link_bytes_per_s:
             logger.info(
                 'change left to the store',
                 kind=changes.kind,
@@ -113,9 +115,15 @@
             return
         is_sending = bool(self._unsent)
         self._unsent.extend((part, address) for address in addresses for part in parts)
+        self._unsent_bytes = burst_bytes
         if not is_sending:
             self._send_unsent()
 
+    def drop_unsent(self) -> None:
+        """Forget what waits to be sent, since this daemon is not the keeper any more."""
+        self._unsent.clear()
+        self._unsent_bytes = 0
+
     def _send_unsent(self) -> None:
         """Send the datagrams that wait, no faster than a share of the link allows.
 
@@ -125,6 +133,7 @@
         while self._unsent and room_bytes > 0:
             part, address = self._unsent.popleft()
             room_bytes -= len(part.data)
+            self._unsent_bytes -= len(part.data)
             self.send(part, address)
         if self._unsent:
             asyncio.get_running_loop().call_later(PACE_INTERVAL_S, self._send_unsent)
--- a/src/coltsfootstair/keyspace/_delta_parts.py
+++ b/src/coltsfootstair/keyspace/_delta_parts.py
@@ -77,7 +77,8 @@
     """Puts the parts of the newest difference together, in whichever order they arrive."""
 
     def __init__(self) -> None:
-        self._revision = 0
+        # Epoch of the keeper that sends the newest difference, and its revision.
+        self._newest = (0, 0)
         self._data_by_number: dict[int, bytes] = {}
 
     def add(self, part: DeltaPart) -> RelayedDelta | None:
@@ -85,10 +86,11 @@
 
         :raises ProtocolError: the parts are no difference
         """
-        if part.revision < self._revision or not 0 <= part.number < part.part_count:
+        version = (part.epoch, part.revision)
+        if version < self._newest or not 0 <= part.number < part.part_count:
             return None
-        if part.revision > self._revision:
-            self._revision = part.revision
+        if version > self._newest:
+            self._newest = version
             self._data_by_number = {}
         if part.part_count > MAX_PART_COUNT or len(part.data) > MAX_PART_BYTES:
             raise ProtocolError(
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -930,6 +930,7 @@
         if lease is None:
             return
         logger.info('no longer keeper', reason=reason, epoch=lease.epoch)
+        self._broadcaster.drop_unsent()
         if self._keeper_task is not None:
             self._keeper_task.cancel()
             self._keeper_task = None
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -61,11 +61,14 @@
 """Size of the answer to a watch above which the latest state is listed instead, in bytes: the
 answer has each version in full that was written since."""
 
+MAX_PENDING_DELTAS = 64
+"""Changes that wait for the object that they change; the oldest one is dropped."""
+
 MAX_RELAY_DELAY_S = 0.1
 """How long a relayed change may arrive after the keeper has reported its revision, in seconds.
 After that the change is read from the store."""
 
-MAX_LARGE_RELAY_DELAY_S = 0.2
+MAX_LARGE_RELAY_DELAY_S = 0.3
 """The same for a kind whose changes may be large; the keeper sends them more slowly."""
 
 
@@ -174,12 +177,13 @@
         self._watch_pause_s = watch_pause_s
         self._watch_timeout_s = min(max_watch_s, WATCH_HISTORY_SHARE * history_s)
         self._revision: int | None = None
-        self._must_list = False
         self._consecutive_failure_count = 0
         self._outage_ended_at: float | None = None
         self._must_catch_up = False
         self._is_latest_only = is_latest_only
+        self._skips_history = False
         self._object_by_name: dict[str, StoredObject] = {}
+        self._pending_deltas: dict[tuple[str, Revision], RelayedDelta] = {}
         self._is_watch_dead = False
         self._is_receiving = False
         self._is_answer_unusable = False
@@ -269,13 +273,18 @@
         """
         if (
             self._revision is None
+            or self._must_list
             or not update.after_revision <= self._revision < update.revision
         ):
             return
-        self._revision = update.revision
+        self._apply_changes_of_keeper(update.revision, update.changes)
+        self._apply_pending_deltas()
+
+    def _apply_changes_of_keeper(self, revision: Revision, changes: list[Change]) -> None:
+        self._revision = revision
         self._known_at = self._clock.monotonic()
         try:
-            for change in update.changes:
+            for change in changes:
                 self._keep(change)
                 self._subscriber.apply_change(
                     change, after_outage=self._may_be_outage_effect()
@@ -295,21 +304,39 @@
     def apply_relayed_delta(self, update: RelayedDelta) -> None:
         """Apply a change of a large object that the keeper has read.
 
-        Ignored if this daemon does not have the object at the revision that it changes; the
-        change is then read from the store.
+        If the object is at an earlier revision than the one that is changed, the change waits
+        for it: what was missed is read from the store, while further changes come.
 
         :raises ProtocolError: the change does not fit the object
         """
-        before = self._object_by_name.get(update.name)
-        if before is None or before.revision != update.before_revision:
+        known = self._object_by_name.get(update.name)
+        if known is None or known.revision < update.before_revision:
+            if len(self._pending_deltas) >= MAX_PENDING_DELTAS:
+                del self._pending_deltas[next(iter(self._pending_deltas))]
+            self._pending_deltas[update.name, update.before_revision] = update
             return
-        value = apply_delta(before.value, update.delta)
+        if known.revision == update.before_revision:
+            self._apply_delta(known, update)
+            self._apply_pending_deltas()
+
+    def _apply_pending_deltas(self) -> None:
+        """Apply the changes that follow from the objects as they are known now."""
+        for name in list(self._object_by_name):
+            while True:
+                known = self._object_by_name[name]
+                delta = self._pending_deltas.pop((name, known.revision), None)
+                if delta is None:
+                    break
+                self._apply_delta(known, delta)
+                if self._object_by_name.get(name, known) is known:
+                    break
+
+    def _apply_delta(self, known: StoredObject, update: RelayedDelta) -> None:
+        if self._must_list or update.revision <= self.revision:
+            return
+        value = apply_delta(known.value, update.delta)
         item = StoredObject(update.name, update.object_revision, value)
-        self.apply_relayed(
-            RelayedChanges(
-                update.kind, update.after_revision, update.revision, [Change(item, False)]
-            )
-        )
+        self._apply_changes_of_keeper(update.revision, [Change(item, False)])
 
     def _keep(self, change: Change) -> Change:
         """Keep the newest state of an object; return its change with the state before."""
@@ -334,7 +361,7 @@
                 # The store can be reached, so other kinds go on. What makes a watch unusable
                 # may be missing in a list, and the other way round.
                 self._health.record_answer(self)
-                self._must_list = self._revision is not None and not self._must_list
+                self._skips_history = self._revision is not None and not self._skips_history
                 if not self._is_answer_unusable:
                     self._is_answer_unusable = True
                     logger.warning(
@@ -351,41 +378,54 @@
                 await self._health.wait_until_allowed(self)
 
     async def _list_or_watch_once(self) -> None:
-        if self._revision is None or self._must_list:
-            # A stale state is good enough to start from, since the watch from its revision
-            # returns what has changed since. It is not listed again: its history may be gone.
-            may_be_stale, self._may_list_stale = self._may_list_stale, False
-            began_at = self._clock.monotonic()
+        if self._revision is None or self._must_list or self._skips_history:
+            await self._list_once()
+        else:
+            await self._watch_once()
+
+    async def _list_once(self) -> None:
+        # A stale state is good enough to start from, since the watch from its revision returns
+        # what has changed since. It is not listed again: its history may be gone.
+        may_be_stale, self._may_list_stale = self._may_list_stale, False
+        began_at = self._clock.monotonic()
+        # One large object takes long to read, which is no sign of a store that is away.
+        self._is_receiving = self._is_latest_only
+        try:
             listing = await self._store.list(self._kind, may_be_stale=may_be_stale)
-            self._on_call_answered()
-            if listing.revision < self.revision:
-                # Changes have been relayed meanwhile.
-                await asyncio.sleep(FIRST_RETRY_DELAY_S)
-                return
-            self._must_list = False
-            era = era_of(listing.revision)
-            is_restored = self._listed_era is not None and era > self._listed_era
-            if is_restored:
-                self._outage_ended_at = self._clock.monotonic()
-                self._distrusted_until = self._outage_ended_at + RESTORED_WRITES_S
-            self._listed_era = era
-            previous_revision, self._revision = self._revision, listing.revision
-            self._must_list = False
-            self._subscriber.apply_listing(
-                listing, after_outage=self._may_be_outage_effect(), is_restored=is_restored
-            )
-            changes = [
-                self._keep(Change(item, False))
-                for item in listing.objects
-                if previous_revision is None or item.revision > previous_revision
-            ]
-            if previous_revision is not None and not is_restored:
-                self._publish_changes(previous_revision, changes)
-            if may_be_stale:
-                self._must_catch_up = self._is_latest_only
-            else:
-                self._on_state_told(began_at)
-            return
+        finally:
+            self._is_receiving = False
+        self._on_call_answered()
+        self._skips_history = False
+        if listing.revision >= self.revision:
+            self._apply_listing(listing)
+        if may_be_stale:
+            self._must_catch_up = self._is_latest_only
+        else:
+            # Also if later changes have been relayed meanwhile.
+            self._on_state_told(began_at)
+
+    def _apply_listing(self, listing: Listing) -> None:
+        era = era_of(listing.revision)
+        is_restored = self._listed_era is not None and era > self._listed_era
+        if is_restored:
+            self._outage_ended_at = self._clock.monotonic()
+            self._distrusted_until = self._outage_ended_at + RESTORED_WRITES_S
+        self._listed_era = era
+        previous_revision, self._revision = self._revision, listing.revision
+        self._subscriber.apply_listing(
+            listing, after_outage=self._may_be_outage_effect(), is_restored=is_restored
+        )
+        self._must_list = False
+        changes = [
+            self._keep(Change(item, False))
+            for item in listing.objects
+            if previous_revision is None or item.revision > previous_revision
+        ]
+        if previous_revision is not None and not is_restored:
+            self._publish_changes(previous_revision, changes)
+        self._apply_pending_deltas()
+
+    async def _watch_once(self) -> None:
         if self._relay.is_active and not self._consecutive_failure_count:
             self._must_catch_up = True
             if not await self._is_behind_after_wait():
@@ -399,7 +439,7 @@
             else self._watch_timeout_s
         )
         self._must_catch_up = False
-        previous_revision = self._revision
+        previous_revision = self.revision
         began_at = self._clock.monotonic()
         try:
             # A call without a wait has the time-out of the store's client, and so has one
@@ -414,7 +454,8 @@
                     max_bytes=MAX_HISTORY_BYTES if self._is_latest_only else None,
                 )
         except AnswerTooLargeError:
-            self._must_list = True
+            self._skips_history = True
+            self._on_call_answered()
             return
         except TimeoutError:
             self._on_watch_dead(previous_revision)
@@ -423,7 +464,7 @@
             self._is_receiving = False
         self._is_watch_dead = self._is_watch_dead and not wait_s
         self._on_call_answered()
-        if answer.revision <= self._revision:
+        if answer.revision <= self.revision:
             self._on_state_told(began_at)
             return
         self._revision = answer.revision
@@ -434,6 +475,7 @@
         ]
         self._on_state_told(began_at)
         self._publish_changes(previous_revision, changes_to_relay)
+        self._apply_pending_deltas()
         if answer.changes:
             await asyncio.sleep(self._watch_pause_s)
 
@@ -449,12 +491,14 @@
 
         Waits for missing ones to arrive.
         """
-        if self._relay.get_keeper_revision(self._kind) <= self.revision:
+        read_by_keeper = self._relay.get_keeper_revision(self._kind)
+        if read_by_keeper <= self.revision:
             return False
         await asyncio.sleep(
             MAX_LARGE_RELAY_DELAY_S if self._is_latest_only else MAX_RELAY_DELAY_S
         )
-        return self._relay.get_keeper_revision(self._kind) > self.revision
+        # What the keeper has read since then may still be on its way.
+        return read_by_keeper > self.revision
 
     def _on_answer_began(self, timeout: asyncio.Timeout) -> None:
         self._is_receiving = True
--- a/tests/keyspace/test_pacing.py
+++ b/tests/keyspace/test_pacing.py
@@ -31,15 +31,15 @@
 
     async def scenario() -> list[int]:
         reports = LatestReports(LoopClock())
-        for number in range(80):
-            report = Report(f'd{number}', 1, True, 0.3, {}, {}, {})
-            reports.put(report, Address(f'10.0.0.{number + 2}', 1))
         broadcaster = Broadcaster(reports, Address('10.0.0.1', 1), 300.0)
         channel = _Channel()
         broadcaster.attach(channel)
         source = random.Random(1)
         values = [{'r': [source.randbytes(30_000).hex()]} for _ in range(31)]
         for version in range(1, 31):
+            for number in range(80):
+                report = Report(f'd{number}', 1, True, 0.3, {}, {}, {})
+                reports.put(report, Address(f'10.0.0.{number + 2}', 1))
             before = StoredObject('main', version, values[version - 1])
             change = Change(StoredObject('main', version + 1, values[version]), False, before)
             changes = RelayedChanges('configuration', version, version + 1, [change])
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -516,3 +516,46 @@
         'watch 6 30',
         'watch 7 30',
     ]
+
+
+def test_a_watch_whose_answer_comes_slowly_is_not_replaced() -> None:
+    """Guards against a watch that is taken for dead in the middle of its answer."""
+
+    class SlowStore(ScriptedStore):
+        async def watch(
+            self, kind: str, after_revision: int, wait_s: float, **options: Any
+        ) -> WatchAnswer:
+            on_answer = options.get('on_answer')
+            if on_answer is not None and wait_s:
+                await asyncio.sleep(wait_s)
+                on_answer()
+                await asyncio.sleep(2.0)
+            return await super().watch(kind, after_revision, wait_s)
+
+    async def scenario() -> bool:
+        clock = LoopClock()
+        subscriber = RecordingSubscriber()
+        follower = Follower(
+            store,
+            'servers',
+            subscriber,
+            clock,
+            random.Random(1),
+            StoreHealth(),
+            Relay(),
+            0.1,
+            50.0,
+            max_watch_s=0.6,
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(2.0)
+        was_overdue = follower.is_overdue
+        await asyncio.sleep(1.0)
+        task.cancel()
+        assert subscriber.events == [('listed a', False), ('changed b', False)]
+        return was_overdue
+
+    change = Change(_object('b', 6), False)
+    store = SlowStore(Listing([_object('a', 3)], 5), WatchAnswer([change], 6))
+    assert not run(scenario())
+    assert store.calls[:2] == ['list', 'watch 5 0.6']
