Deny nothing by a lower version than that of the keeper

After a return of the store from an older copy, a daemon that has just started finds an older version of the configuration there than the one in force at the others, and could answer 404 for its routes until the operator writes again.

Heartbeats tell the keeper's version; with a lower one nothing is denied.

tests/gateway/test_large_configurations.py: the new test asks a daemon that has heard of a higher version; the field is new, so that it could not fail first.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -219,7 +219,7 @@
         self._configuration_age = ConfigurationAge(
             clock,
             lambda: self._configuration_follower.confirmed_at,
-            lambda: self._configuration_subscriber.is_newest_readable,
+            self._is_newest_known_version_in_force,
             settings.configuration_deadline_s,
             settings.workspaces.revocation_s,
             is_strict=settings.workspaces.is_revocation_strict,
@@ -550,6 +550,17 @@
         servers = [self._registry.get(name) for name, _ in self._fleet.limits.list_limited()]
         return Counter(server.service for server in servers if server is not None)
 
+    def _is_newest_known_version_in_force(self) -> bool:
+        """Whether no version is known of that could not be read or has not come yet.
+
+        After a return of the store from an older copy, a daemon that has just started finds an
+        older version there than the one in force at others.
+        """
+        return (
+            self._configuration_subscriber.is_newest_readable
+            and self._get_configuration_version() >= self._keeper.keepers_configuration_version
+        )
+
     def _get_configuration_version(self) -> int:
         route_table = self._configuration_subscriber.route_table
         return route_table.configuration.version if route_table else 0
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -144,11 +144,14 @@
 
     :param name: name of this daemon
     :param address: where this daemon listens for messages of other daemons
+    :ivar keepers_configuration_version: version of the configuration that is in force at the
+        keeper, by its last heartbeat
     """
 
     def __init__(self, name: str, address: Address, dependencies: KeeperDependencies) -> None:
         self.name = name
         self.daemon_count = 0
+        self.keepers_configuration_version = 0
         self._address = address
         self._dependencies = dependencies
         self._own_lease: KeeperLease | None = None
@@ -646,6 +649,7 @@
                 self._dependencies.suspects.tell_again()
             self._dependencies.suspects.apply(heartbeat.suspect_statements)
         self._heard_epoch = heartbeat.epoch
+        self.keepers_configuration_version = heartbeat.configuration_version
         self._set_helpers([Address(*helper) for helper in heartbeat.helpers])
         if heartbeat.store_reachable:
             self._keeper_store_unreachable_since = None
@@ -722,6 +726,7 @@
             report.number,
             self._get_configuration_age_s(),
             self._workspace_issuer.is_issuing,
+            self._dependencies.get_configuration_version(),
         )
         self._broadcaster.send(heartbeat, sender)
         self._services.send_missed_updates(report, sender, now)
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -155,6 +155,8 @@
         configuration, up to the revision in ``revision_by_kind``, was the latest one, in
         seconds; ``None`` if not known
     :param issues_permits: whether the keeper issues permits for workspaces
+    :param configuration_version: version of the configuration that is in force at the keeper;
+        0 if none is
     """
 
     keeper: str
@@ -170,6 +172,7 @@
     report_number: int = 0
     configuration_age_s: float | None = None
     issues_permits: bool = False
+    configuration_version: int = 0
 
 
 class PermitRequest(msgspec.Struct, tag='ask', array_like=True):
--- a/src/coltsfootstair/routes/_age.py
+++ b/src/coltsfootstair/routes/_age.py
@@ -28,8 +28,7 @@
     """Age of the last moment at which the configuration is known to have been the latest.
 
     :param get_confirmed_at: returns that moment, in monotonic seconds
-    :param is_newest_readable: returns whether the newest version that was read could be
-        decoded
+    :param is_newest_in_force: returns whether no newer version is known of
     :param deadline_s: time in which a new version must be in force, in seconds
     :param revocation_s: time after which a key that was taken away must not be served, in
         seconds
@@ -41,7 +40,7 @@
         self,
         clock: Clock,
         get_confirmed_at: Callable[[], float],
-        is_newest_readable: Callable[[], bool],
+        is_newest_in_force: Callable[[], bool],
         deadline_s: float,
         revocation_s: float,
         *,
@@ -49,7 +48,7 @@
     ) -> None:
         self._clock = clock
         self._get_confirmed_at = get_confirmed_at
-        self._is_newest_readable = is_newest_readable
+        self._is_newest_in_force = is_newest_in_force
         self._max_denial_age_s = MAX_DENIAL_AGE_SHARE * deadline_s
         self._max_age_s = MAX_AGE_SHARE * revocation_s
         self._is_strict = is_strict
@@ -70,4 +69,4 @@
 
         Every version that must be in force by now is then known.
         """
-        return self.age_s <= self._max_denial_age_s and self._is_newest_readable()
+        return self.age_s <= self._max_denial_age_s and self._is_newest_in_force()
--- a/tests/gateway/test_large_configurations.py
+++ b/tests/gateway/test_large_configurations.py
@@ -169,3 +169,17 @@
             return {(await running.call('nowhere')).status for running in gateways}
 
     assert run_with_time_limit(work()) == {404}
+
+
+def test_no_route_is_denied_by_a_lower_version_than_that_of_the_keeper() -> None:
+    """Guards against a daemon that has just read an older copy of the store."""
+
+    async def work() -> tuple[int, int]:
+        async with run_gateways(2, ('calendar', ServerStandin('s1'))) as gateways:
+            await asyncio.sleep(CONFIGURATION_DEADLINE_S)
+            other = next(each for each in gateways if not each.gateway._keeper.is_keeper)
+            before = (await other.call('nowhere')).status
+            other.gateway._keeper.keepers_configuration_version = 99
+            return before, (await other.call('nowhere')).status
+
+    assert run_with_time_limit(work()) == (404, 503)
