--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -350,13 +350,18 @@
             on_keeper_heard=lambda heard_at, is_issuing: self.workspace_gate.on_keeper_heard(
                 heard_at, is_issuing=is_issuing
             ),
+            failures=FailureLog(world.on_task_failed),
         )
         self._random = world.random
         self._world = world
         self.keeper = Keeper(name, Address(name, 1), dependencies)
         self.keeper.attach(ModelChannel(world, name))
         supervised = SupervisedTask(
-            'keeper', self.keeper.run, clock, FailureLog(), lambda _task: self.keeper.recover()
+            'keeper',
+            self.keeper.run,
+            clock,
+            FailureLog(world.on_task_failed),
+            lambda _task: self.keeper.recover(),
         )
         self.task = asyncio.create_task(supervised.run())
 
@@ -392,7 +397,12 @@
 
 
 class World:
-    """The daemons, backend servers, store and faults of a run; a seed makes it repeatable."""
+    """The daemons, backend servers, store and faults of a run; a seed makes it repeatable.
+
+    A task that fails is a violation, unless ``expects_task_failures`` is set.
+    """
+
+    expects_task_failures = False
 
     def __init__(self, seed: int, daemon_count: int = 4, server_count: int = 5) -> None:
         self.random = random.Random(seed)
@@ -501,6 +511,10 @@
             self.daemon_by_name[name].registry.apply_entry(server)
         self.ended_daemons.discard(name)
 
+    def on_task_failed(self, name: str) -> None:
+        if not self.expects_task_failures:
+            self.violations.append(f'{self.now:.3f}: task {name} failed')
+
     def check_owners(self, keys: range) -> None:
         """Record keys with two owners, and new owners without a higher fencing token."""
         for key in keys:
--- a/tests/keyspace/test_ended_tasks.py
+++ b/tests/keyspace/test_ended_tasks.py
@@ -23,6 +23,11 @@
 """Time in which another daemon has taken over, in seconds."""
 
 
+@pytest.fixture(autouse=True)
+def _expect_task_failures(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(World, 'expects_task_failures', True)
+
+
 class Fault:
     """Makes a method raise at its next calls."""
 
