--- a/soak/_servers.py
+++ b/soak/_servers.py
@@ -85,6 +85,7 @@
         self._fenced_ranges: list[tuple[int, int, int]] = []
         self._slots = asyncio.Semaphore(SLOT_COUNT)
         self._accepted_count = 0
+        self._handover_count = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._refusal_by_writer: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
             WeakKeyDictionary()
@@ -156,7 +157,9 @@
         arrived_at = asyncio.get_running_loop().time()
         if request.target == '/-/release':
             await self._apply_release(call)
-            writer.write(self._encode_answer(200, X_Handover='handover'))
+            self._handover_count += 1
+            handover = f'handover-{self._handover_count}'
+            writer.write(self._encode_answer(200, X_Handover=handover))
             return True
         if self.applies_grants_late and self._random.random() < MISBEHAVED_SHARE:
             task = asyncio.ensure_future(self._apply_grant_late(call, arrived_at))
--- a/src/coltsfootstair/gateway/_subscribers.py
+++ b/src/coltsfootstair/gateway/_subscribers.py
@@ -14,6 +14,8 @@
     from coltsfootstair.gateway._types import ObjectDecoder
     from coltsfootstair.objects import Change, Listing, StoredObject
     from coltsfootstair.registry import Registry
+    from coltsfootstair.routes import Configuration
+    from coltsfootstair.supervision import FailureLog
 
 __all__ = ['ConfigurationSubscriber', 'EvacuationSubscriber', 'ServerSubscriber']
 
@@ -26,19 +28,28 @@
     :param kind: what to name in log lines
     """
 
-    def __init__(self, kind: str) -> None:
+    def __init__(self, kind: str, failures: FailureLog) -> None:
         self._kind = kind
+        self._failures = failures
         self._revision_by_name: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of objects that can't be used."""
         return len(self._revision_by_name)
 
-    def add(self, item: StoredObject, error: BadInputError) -> None:
-        """Record that an object can't be used."""
+    def add(self, item: StoredObject, error: Exception) -> None:
+        """Record that an object can't be used; all others are applied nevertheless."""
         if self._revision_by_name.get(item.name) == item.revision:
             return
         self._revision_by_name[item.name] = item.revision
+        if not isinstance(error, BadInputError):
+            self._failures.record(
+                f'{self._kind} object',
+                error,
+                name=repr(item.name),
+                revision=str(item.revision),
+            )
+            return
         logger.warning(
             'object refused',
             kind=self._kind,
@@ -69,10 +80,10 @@
     :ivar is_newest_readable: whether the version that was read last could be decoded
     """
 
-    def __init__(self, decoder: ObjectDecoder) -> None:
+    def __init__(self, decoder: ObjectDecoder, failures: FailureLog) -> None:
         self._decoder = decoder
         self._era = 0
-        self.refused = RefusedObjects('configuration')
+        self.refused = RefusedObjects('configuration', failures)
         self.route_table: RouteTable | None = None
         self.is_newest_readable = True
 
@@ -95,14 +106,16 @@
     def _apply(self, item: StoredObject) -> None:
         try:
             configuration = self._decoder.decode_configuration(item)
-        except BadInputError as error:
+            if configuration is not None:
+                self._put_in_force(configuration, item)
+                self.is_newest_readable = True
+        except Exception as error:
             self.refused.add(item, error)
             self.is_newest_readable = False
-            return
-        self.refused.discard(item.name)
-        if configuration is None:
-            return
-        self.is_newest_readable = True
+        else:
+            self.refused.discard(item.name)
+
+    def _put_in_force(self, configuration: Configuration, item: StoredObject) -> None:
         known_version = (
             self.route_table.configuration.version if self.route_table is not None else -1
         )
@@ -111,8 +124,8 @@
             configuration.version == known_version and era <= self._era
         ):
             return
-        self._era = era
         self.route_table = RouteTable(configuration)
+        self._era = era
         logger.info(
             'configuration in force',
             version=configuration.version,
@@ -132,10 +145,12 @@
     it at once would let one odd write take the keys of a server that is well.
     """
 
-    def __init__(self, decoder: ObjectDecoder, registry: Registry) -> None:
+    def __init__(
+        self, decoder: ObjectDecoder, registry: Registry, failures: FailureLog
+    ) -> None:
         self._decoder = decoder
         self._registry = registry
-        self.refused = RefusedObjects('backend server')
+        self.refused = RefusedObjects('backend server', failures)
 
     def apply_listing(
         self, listing: Listing, *, after_outage: bool, is_restored: bool
@@ -147,7 +162,7 @@
         for item in listing.objects:
             try:
                 servers.append(self._decoder.decode_backend_server(item))
-            except BadInputError as error:
+            except Exception as error:
                 self.refused.add(item, error)
                 unreadable_names.add(item.name)
             else:
@@ -170,24 +185,26 @@
                 self._registry.remove(item.name)
             return True
         try:
-            server = self._decoder.decode_backend_server(item)
-        except BadInputError as error:
+            is_changed = self._registry.apply_entry(self._decoder.decode_backend_server(item))
+        except Exception as error:
             self.refused.add(item, error)
             self._registry.on_entry_unreadable(item.name)
             # Relayed too: the other daemons refuse and log it themselves.
             return True
         self.refused.discard(item.name)
-        return self._registry.apply_entry(server)
+        return is_changed
 
 
 class EvacuationSubscriber:
     """Applies evacuations of data centres to the registry."""
 
-    def __init__(self, decoder: ObjectDecoder, registry: Registry) -> None:
+    def __init__(
+        self, decoder: ObjectDecoder, registry: Registry, failures: FailureLog
+    ) -> None:
         self._decoder = decoder
         self._registry = registry
         self._data_centres: set[str] = set()
-        self.refused = RefusedObjects('evacuation')
+        self.refused = RefusedObjects('evacuation', failures)
 
     def apply_listing(
         self, listing: Listing, *, after_outage: bool, is_restored: bool
@@ -223,6 +240,6 @@
     def _decode(self, item: StoredObject) -> str | None:
         try:
             return self._decoder.decode_evacuation(item)
-        except BadInputError as error:
+        except Exception as error:
             self.refused.add(item, error)
             return None
--- a/src/coltsfootstair/keyspace/_broadcast.py
+++ b/src/coltsfootstair/keyspace/_broadcast.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+import msgspec
 import structlog
 
+from coltsfootstair.errors import ProtocolError
 from coltsfootstair.keyspace._delta_parts import build_delta_parts
-from coltsfootstair.objects import Change, RelayedChanges, StoredObject
+from coltsfootstair.objects import Change, RelayedChanges, StoredObject, UnreadableValue
 from coltsfootstair.peers import ObjectsUpdate, encode_message
 
 if TYPE_CHECKING:
@@ -18,9 +20,13 @@
     from coltsfootstair.keyspace._reports import LatestReports
     from coltsfootstair.peers import DeltaPart, Message
 
+__all__ = ['Broadcaster', 'build_objects_update', 'read_objects_update']
+
 logger = structlog.get_logger()
 
-__all__ = ['Broadcaster', 'build_objects_update', 'read_objects_update']
+_UNREADABLE_CODE = 1
+"""Code of the extension type of msgpack that stands for an unreadable value, with its reason;
+part of the format between daemons."""
 
 MAX_UPDATE_BYTES = 16 * 1024
 """Largest message of changed objects that is sent as a datagram, in bytes; each daemon reads
@@ -51,7 +57,6 @@
     ) -> None:
         self._link_bytes_per_s = link_mbps * 1e6 / 8
         self._unsent: deque[tuple[DeltaPart, Address]] = deque()
-        self._sender_task: asyncio.Task[None] | None = None
         self._latest_reports = reports
         self._own_address = own_address
         self._channel: Channel | None = None
@@ -77,10 +82,21 @@
         """Send changed objects to all daemons, or what differs in a large one.
 
         Nothing is sent if that is too much for the link; each daemon then reads the changes
-        from the store itself.
+        from the store itself. Contents that can't be sent are sent as unreadable, so that
+        nobody waits for them.
         """
         update = build_objects_update(changes, epoch)
-        if len(encode_message(update)) <= MAX_UPDATE_BYTES:
+        try:
+            size = len(encode_message(update))
+        except ProtocolError:
+            changes = changes._replace(changes=list(map(_make_sendable, changes.changes)))
+            update = build_objects_update(changes, epoch)
+            try:
+                size = len(encode_message(update))
+            except ProtocolError as error:
+                logger.error('changes not relayed', kind=changes.kind, reason=str(error))
+                return
+        if size <= MAX_UPDATE_BYTES:
             self.send_to_all(update)
             return
         parts = build_delta_parts(changes, epoch)
@@ -95,22 +111,23 @@
                 daemons=len(addresses),
             )
             return
+        is_sending = bool(self._unsent)
         self._unsent.extend((part, address) for address in addresses for part in parts)
-        if self._sender_task is None or self._sender_task.done():
-            self._sender_task = asyncio.create_task(self._send_unsent())
+        if not is_sending:
+            self._send_unsent()
 
-    async def _send_unsent(self) -> None:
+    def _send_unsent(self) -> None:
         """Send the datagrams that wait, no faster than a share of the link allows.
 
         More at once would overflow its queue, and all but the first ones would be lost.
         """
-        while self._unsent:
-            room_bytes = PACE_INTERVAL_S * PACE_LINK_SHARE * self._link_bytes_per_s
-            while self._unsent and room_bytes > 0:
-                part, address = self._unsent.popleft()
-                room_bytes -= len(part.data)
-                self.send(part, address)
-            await asyncio.sleep(PACE_INTERVAL_S)
+        room_bytes = PACE_INTERVAL_S * PACE_LINK_SHARE * self._link_bytes_per_s
+        while self._unsent and room_bytes > 0:
+            part, address = self._unsent.popleft()
+            room_bytes -= len(part.data)
+            self.send(part, address)
+        if self._unsent:
+            asyncio.get_running_loop().call_later(PACE_INTERVAL_S, self._send_unsent)
 
 
 def build_objects_update(relayed: RelayedChanges, epoch: int) -> ObjectsUpdate:
@@ -120,14 +137,45 @@
         relayed.kind,
         relayed.after_revision,
         relayed.revision,
-        [(*change.object, change.deleted) for change in relayed.changes],
+        [
+            (
+                change.object.name,
+                change.object.revision,
+                _encode_value(change.object.value),
+                change.deleted,
+            )
+            for change in relayed.changes
+        ],
     )
 
 
 def read_objects_update(update: ObjectsUpdate) -> RelayedChanges:
     """Return the changed objects that a message contains."""
     changes = [
-        Change(StoredObject(name, revision, value), deleted)
+        Change(StoredObject(name, revision, _decode_value(value)), deleted)
         for name, revision, value, deleted in update.changes
     ]
     return RelayedChanges(update.kind, update.base_revision, update.revision, changes)
+
+
+def _encode_value(value: Any) -> Any:
+    if not isinstance(value, UnreadableValue):
+        return value
+    return msgspec.msgpack.Ext(_UNREADABLE_CODE, value.reason.encode(errors='replace'))
+
+
+def _decode_value(value: Any) -> Any:
+    if not isinstance(value, msgspec.msgpack.Ext):
+        return value
+    # Another code is of a later version, and no value that can be used here.
+    return UnreadableValue(bytes(value.data).decode(errors='replace'))
+
+
+def _make_sendable(change: Change) -> Change:
+    """Return ``change`` with an unreadable value if its own can't be sent."""
+    item = change.object
+    try:
+        encode_message(ObjectsUpdate(0, '', 0, 0, [('', 0, _encode_value(item.value), False)]))
+    except ProtocolError as error:
+        return Change(item._replace(value=UnreadableValue(str(error))), change.deleted)
+    return change
--- a/src/coltsfootstair/keyspace/_delta_parts.py
+++ b/src/coltsfootstair/keyspace/_delta_parts.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from coltsfootstair.errors import ProtocolError
-from coltsfootstair.objects import Delta, RelayedDelta, compute_delta
+from coltsfootstair.objects import Delta, RelayedDelta, UnreadableValue, compute_delta
 from coltsfootstair.peers import DeltaPart
 
 if TYPE_CHECKING:
@@ -43,6 +43,8 @@
     before = change.before
     if before is None or change.deleted:
         return []
+    if any(isinstance(item.value, UnreadableValue) for item in (before, change.object)):
+        return []
     try:
         delta = compute_delta(before.value, change.object.value)
         data = zlib.compress(msgspec.msgpack.encode(delta), COMPRESSION_LEVEL)
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -97,6 +97,11 @@
         self._retrying_follower = None
         self._reachable_event.set()
 
+    def release(self, follower: object) -> None:
+        """End the wait of other followers for ``follower``, whose work has failed."""
+        if self._retrying_follower is follower:
+            self.record_answer(follower)
+
     async def wait_until_allowed(self, follower: object) -> None:
         """Wait until ``follower`` may call the store.
 
@@ -169,11 +174,11 @@
         self._watch_pause_s = watch_pause_s
         self._watch_timeout_s = min(max_watch_s, WATCH_HISTORY_SHARE * history_s)
         self._revision: int | None = None
+        self._must_list = False
         self._consecutive_failure_count = 0
         self._outage_ended_at: float | None = None
         self._must_catch_up = False
         self._is_latest_only = is_latest_only
-        self._must_list = False
         self._object_by_name: dict[str, StoredObject] = {}
         self._is_watch_dead = False
         self._is_receiving = False
@@ -200,7 +205,7 @@
 
         :param confirmed_at: monotonic time at which ``revision`` was the latest of the kind
         """
-        if self._revision is not None and revision <= self._revision:
+        if self._revision is not None and revision <= self._revision and not self._must_list:
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
     def _on_state_told(self, began_at: float) -> None:
@@ -268,9 +273,23 @@
             return
         self._revision = update.revision
         self._known_at = self._clock.monotonic()
-        for change in update.changes:
-            self._keep(change)
-            self._subscriber.apply_change(change, after_outage=self._may_be_outage_effect())
+        try:
+            for change in update.changes:
+                self._keep(change)
+                self._subscriber.apply_change(
+                    change, after_outage=self._may_be_outage_effect()
+                )
+        except Exception:
+            self._must_list = True
+            raise
+
+    def recover(self) -> None:
+        """Prepare the next call of ``run`` after one that failed.
+
+        What an unfinished step has changed is not known, so the kind is listed anew.
+        """
+        self._must_list = True
+        self._health.release(self)
 
     def apply_relayed_delta(self, update: RelayedDelta) -> None:
         """Apply a change of a large object that the keeper has read.
