--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 
 import cyclopts
 
+from soak._faults import FAULT_KINDS
 from soak._run import RunOptions, RunResult, run_soak
 from soak._variants import PROMISE_BY_VARIANT
 
@@ -28,6 +29,7 @@
     minutes: float = 0.5,
     size: int = 4,
     variant: str = '',
+    only: str = '',
     logs: Path | None = None,
 ) -> int:
     """Run one seed after the other until the requested time is used up.
@@ -37,6 +39,8 @@
     :param size: number of daemons
     :param variant: run this deliberately broken daemon instead; the soak succeeds as soon as
         the promise that the variant breaks is reported as broken
+    :param only: names of the only faults to inject, such as ``OddObjects,repeats refusals``,
+        separated by commas
     :param logs: folder for the faults, the violations and the daemons' logs of runs with
         violations
     """
@@ -50,10 +54,15 @@
             file=sys.stderr,
         )
         return EXIT_BAD_INPUT
+    kinds = tuple(filter(None, only.split(',')))
+    if unknown := set(kinds) - FAULT_KINDS:
+        allowed = ', '.join(sorted(FAULT_KINDS))
+        print(f'--only {sorted(unknown)}: must be some of {allowed}', file=sys.stderr)
+        return EXIT_BAD_INPUT
     remaining_s = minutes * 60
     has_violations = False
     while remaining_s > 0:
-        options = RunOptions(seed, min(MAX_RUN_DURATION_S, remaining_s), size, variant)
+        options = RunOptions(seed, min(MAX_RUN_DURATION_S, remaining_s), size, variant, kinds)
         result = run_soak(options)
         print(_format_summary(options, result), flush=True)
         if result.violations and logs is not None:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -6,14 +6,18 @@
 from __future__ import annotations
 
 import random
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, get_args
 
 from tests.coltsfootstair_platform.odd_entries import ODD_FORMS
 
 from soak._program import KEEPER_TASKS, TASKS
 from soak._proxy import LinkState
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 __all__ = [
+    'FAULT_KINDS',
     'AddressReuse',
     'ConfigurationChange',
     'DaemonKill',
@@ -55,6 +59,13 @@
 """Time within which the faults of a series begin, in seconds."""
 
 
+DRAWS_FACTOR = 100.0
+"""How many times as many faults are drawn if only some kinds of them are wanted."""
+
+MAX_SELECTED_INTERVAL_S = 4.0
+"""Longest time between two faults if only some kinds of them are wanted, in seconds."""
+
+
 class DaemonKill(NamedTuple):
     """A daemon is killed and does not restart for ``down_s`` seconds."""
 
@@ -251,10 +262,37 @@
     'late orders',
     'repeats refusals',
 ]
+FAULT_KINDS = {kind.__name__ for kind in get_args(Fault)} | set(MISBEHAVIOURS)
+"""Names of all faults, and of the ways in which servers misbehave."""
+
+
+def draw_faults(
+    seed: int, duration_s: float, kinds: Collection[str] = ()
+) -> list[tuple[float, Fault]]:
+    """Return the faults of a run with their times, in seconds from its start.
+
+    :param kinds: names of faults, or of ways in which servers misbehave; if there are any, no
+        other faults are drawn
+    """
+    faults = _draw_all_faults(seed, duration_s if not kinds else duration_s * DRAWS_FACTOR)
+    if not kinds:
+        return faults
+    chosen = [
+        fault
+        for _, fault in faults
+        if type(fault).__name__ in kinds or getattr(fault, 'how', None) in kinds
+    ]
+    random_source = random.Random(seed)
+    starts_at = 0.0
+    selected = []
+    for fault in chosen:
+        starts_at += random_source.uniform(0.0, MAX_SELECTED_INTERVAL_S)
+        if starts_at < duration_s:
+            selected.append((starts_at, fault))
+    return selected
 
 
-def draw_faults(seed: int, duration_s: float) -> list[tuple[float, Fault]]:
-    """Return the faults of a run with their times, in seconds from its start."""
+def _draw_all_faults(seed: int, duration_s: float) -> list[tuple[float, Fault]]:
     random_source = random.Random(seed)
     faults: list[tuple[float, Fault]] = []
     mean_interval_s = random_source.uniform(MIN_MEAN_INTERVAL_S, MAX_MEAN_INTERVAL_S)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -72,6 +72,9 @@
 FOLLOWED_KINDS = ('config', 'servers', 'evacuations')
 """Kinds of objects of which odd ones are written."""
 
+KEEPER_SHARE = 0.5
+"""Share of the tasks that end at the keeper, of those that all daemons have."""
+
 SERVERS_PER_SERVICE_COUNT = 4
 
 CALLERS_PER_DAEMON_COUNT = 6
@@ -90,12 +93,14 @@
 
     :param duration_s: how long faults are injected, in seconds
     :param variant: name of a deliberately broken daemon to run, or an empty string
+    :param kinds: the only kinds of faults to inject; all if there are none
     """
 
     seed: int
     duration_s: float
     daemon_count: int
     variant: str = ''
+    kinds: tuple[str, ...] = ()
 
 
 class RunResult(NamedTuple):
@@ -133,7 +138,7 @@
         self.folder = folder
         self.store_links: list[Proxy] = []
         self.daemons: list[Daemon] = []
-        self.faults = draw_faults(options.seed, options.duration_s)
+        self.faults = draw_faults(options.seed, options.duration_s, options.kinds)
         self.faults_started_at = now()
         self._version = 0
         self._upload_service = UPLOAD_SERVICES[0]
@@ -251,7 +256,9 @@
             case OddObjects(form_name, for_s):
                 await self._write_odd_objects(form_name, for_s)
             case TaskEnd(task):
-                await self._end_task(self._find_keeper() if fault.is_keepers else daemon, task)
+                # What ends at the keeper is felt by all, so it is chosen more often.
+                is_keeper_meant = fault.is_keepers or self.random.random() < KEEPER_SHARE
+                await self._end_task(self._find_keeper() if is_keeper_meant else daemon, task)
             case ConfigurationChange():
                 await self.write_next_configuration()
 
--- a/soak/_variants.py
+++ b/soak/_variants.py
@@ -40,6 +40,8 @@
     'never-recovers': Promise.RECOVERED,
     'fails-by-itself': Promise.NO_DAEMON_FAILURE,
     'refuses-odd-lists': Promise.CONFIGURATION_IN_TIME,
+    'leaves-tasks-ended': Promise.CONFIGURATION_IN_TIME,
+    'believes-nameless-answers': Promise.REFUSED_NOT_RUN,
 }
 
 
@@ -156,6 +158,27 @@
                 raise StoreUnavailableError(f'the answer has an odd object: {error}')
 
             _replace_attribute(_answers, '_salvage_item', refuse_answer)
+        case 'leaves-tasks-ended':
+            from coltsfootstair.supervision import SupervisedTask
+
+            async def run_once(self: Any) -> None:
+                try:
+                    await self._run()
+                except Exception as error:
+                    self._failures.record(self.name, error)
+
+            _replace_attribute(SupervisedTask, 'run', run_once)
+        case 'believes-nameless-answers':
+            from coltsfootstair.http1 import Connection
+
+            is_own_answer = Connection._is_own_answer
+
+            def is_own_or_nameless(self: Any) -> bool:
+                pending = self._pending_answer
+                is_awaited = pending is not None and not pending.done()
+                return is_own_answer(self) or (is_awaited and not self._find_answered_id())
+
+            _replace_attribute(Connection, '_is_own_answer', is_own_or_nameless)
         case _:
             raise ValueError(
                 f'variant {name!r} is unknown: it must be one of {sorted(PROMISE_BY_VARIANT)}'
