--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -200,14 +200,14 @@
 class TaskEnd(NamedTuple):
     """A long-lived task of a daemon fails, by the hook of ``soak._program``.
 
-    :param task: one of ``TASKS``; the keeper is asked for those that only it has
+    :param task: one of ``TASKS``; the keeper's for those of ``KEEPER_TASKS``
     """
 
     task: str
 
     @property
     def is_keepers(self) -> bool:
-        """Whether only the keeper has such a task."""
+        """Whether the keeper's task is to fail."""
         return self.task in KEEPER_TASKS
 
 
@@ -274,22 +274,28 @@
     :param kinds: names of faults, or of ways in which servers misbehave; if there are any, no
         other faults are drawn
     """
-    faults = _draw_all_faults(seed, duration_s if not kinds else duration_s * DRAWS_FACTOR)
     if not kinds:
-        return faults
-    chosen = [
-        fault
-        for _, fault in faults
-        if type(fault).__name__ in kinds or getattr(fault, 'how', None) in kinds
-    ]
+        return _draw_all_faults(seed, duration_s)
+    drawn = _draw_all_faults(seed, duration_s * DRAWS_FACTOR)
+    drawn_by_kind = {
+        kind: iter(
+            [
+                fault
+                for _, fault in drawn
+                if kind in (type(fault).__name__, getattr(fault, 'how', None))
+            ]
+        )
+        for kind in sorted(kinds)
+    }
     random_source = random.Random(seed)
-    starts_at = 0.0
-    selected = []
-    for fault in chosen:
+    faults: list[tuple[float, Fault]] = []
+    starts_at = random_source.uniform(0.0, MAX_SELECTED_INTERVAL_S)
+    while starts_at < duration_s:
+        fault = next(drawn_by_kind[random_source.choice(sorted(kinds))], None)
+        if fault is not None:
+            faults.append((starts_at, fault))
         starts_at += random_source.uniform(0.0, MAX_SELECTED_INTERVAL_S)
-        if starts_at < duration_s:
-            selected.append((starts_at, fault))
-    return selected
+    return faults
 
 
 def _draw_all_faults(seed: int, duration_s: float) -> list[tuple[float, Fault]]:
--- a/soak/_program.py
+++ b/soak/_program.py
@@ -16,26 +16,25 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ['INJECTED', 'KEEPER_TASKS', 'SIGNAL_BY_TASK', 'VALID_S', 'prepare']
+__all__ = ['INJECTED', 'KEEPER_TASKS', 'SIGNAL_BY_TASK', 'TASKS', 'VALID_S', 'prepare']
 
 ROOT = Path(__file__).parents[1]
 
 INJECTED = 'injected by the soak'
 """Text of the injected failures, by which they are told from others in logs."""
 
-VALID_S = 1.0
+VALID_S = 2.5
 """Time after the signal in which a task fails when it gets to work, in seconds."""
 
 FOLLOWER_TASKS = ('config', 'servers', 'evacuations')
 """Tasks that follow objects of this kind."""
 
-KEEPER_TASKS = ('keeper lease', 'plans of keys', 'renewals of grants')
-"""Tasks of which only the keeper has some."""
+KEEPER_TASKS = (*FOLLOWER_TASKS, 'keeper lease', 'plans of keys', 'renewals of grants')
+"""Tasks that get to work often only at the keeper: the followers of others wait for it."""
 
 TASKS = (
-    *FOLLOWER_TASKS,
-    'keeper',
     *KEEPER_TASKS,
+    'keeper',
     'expiry of servers',
     'expiry of connections',
 )
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -72,9 +72,6 @@
 FOLLOWED_KINDS = ('config', 'servers', 'evacuations')
 """Kinds of objects of which odd ones are written."""
 
-KEEPER_SHARE = 0.5
-"""Share of the tasks that end at the keeper, of those that all daemons have."""
-
 SERVERS_PER_SERVICE_COUNT = 4
 
 CALLERS_PER_DAEMON_COUNT = 6
@@ -256,9 +253,7 @@
             case OddObjects(form_name, for_s):
                 await self._write_odd_objects(form_name, for_s)
             case TaskEnd(task):
-                # What ends at the keeper is felt by all, so it is chosen more often.
-                is_keeper_meant = fault.is_keepers or self.random.random() < KEEPER_SHARE
-                await self._end_task(self._find_keeper() if is_keeper_meant else daemon, task)
+                await self._end_task(self._find_keeper() if fault.is_keepers else daemon, task)
             case ConfigurationChange():
                 await self.write_next_configuration()
 
