--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -207,7 +207,7 @@
         if is_same_process and task in self._failed_tasks:
             self._checker.report_violation(
                 Promise.NO_DAEMON_FAILURE,
-                f'{self.name}: {task} has not worked again {TASK_RECOVERY_S} s after it failed',
+                f'{self.name}: {task} does not work {TASK_RECOVERY_S} s after it failed',
             )
 
     async def probe_readiness(self) -> None:
