--- a/soak/_run.py
+++ b/soak/_run.py
@@ -90,12 +90,14 @@
 
     :param duration_s: how long faults are injected, in seconds
     :param variant: name of a deliberately broken daemon to run, or an empty string
+    :param kinds: the only kinds of faults to inject; all if there are none
     """
 
     seed: int
     duration_s: float
     daemon_count: int
     variant: str = ''
+    kinds: tuple[str, ...] = ()
 
 
 class RunResult(NamedTuple):
@@ -133,7 +135,7 @@
         self.folder = folder
         self.store_links: list[Proxy] = []
         self.daemons: list[Daemon] = []
-        self.faults = draw_faults(options.seed, options.duration_s)
+        self.faults = draw_faults(options.seed, options.duration_s, options.kinds)
         self.faults_started_at = now()
         self._version = 0
         self._upload_service = UPLOAD_SERVICES[0]
