Leave a difference out that does not fit what a list has brought

A difference that waited for its object was applied when the object had come; one that did not fit would have ended the follower's task, which starts again and lists anew. It is logged and dropped like one that comes directly.

tests/objects/test_follower_under_changes.py: the new test failed before.

--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -10,6 +10,7 @@
 
 from coltsfootstair.errors import (
     AnswerTooLargeError,
+    ProtocolError,
     RevisionTooOldError,
     StoreUnavailableError,
     UnusableAnswerError,
@@ -327,7 +328,16 @@
                 delta = self._pending_deltas.pop((name, known.revision), None)
                 if delta is None:
                     break
-                self._apply_delta(known, delta)
+                try:
+                    self._apply_delta(known, delta)
+                except ProtocolError as error:
+                    # What is missing now is read from the store.
+                    logger.warning(
+                        'change of an object refused',
+                        kind=self._kind,
+                        name=name,
+                        reason=str(error),
+                    )
                 if self._object_by_name.get(name, known) is known:
                     break
 
--- a/tests/objects/test_follower_under_changes.py
+++ b/tests/objects/test_follower_under_changes.py
@@ -161,3 +161,20 @@
         return overdue_count
 
     assert run(scenario()) == 0
+
+
+def test_a_difference_that_does_not_fit_ends_no_follower() -> None:
+    """Guards against a list that can't be applied, since a wrong difference waits for it."""
+
+    async def scenario() -> int:
+        clock, store, relay = LoopClock(), _LargeStore(), Relay()
+        follower = _build_follower(store, relay, clock)
+        delta = compute_delta([1], [1, 2])
+        follower.apply_relayed_delta(RelayedDelta('configuration', 1, 2, 'main', 1, 2, delta))
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(4.0)
+        assert not task.done()
+        task.cancel()
+        return follower.revision
+
+    assert run(scenario()) == 1
