--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -398,12 +398,7 @@
         # what has changed since. It is not listed again: its history may be gone.
         may_be_stale, self._may_list_stale = self._may_list_stale, False
         began_at = self._clock.monotonic()
-        # One large object takes long to read, which is no sign of a store that is away.
-        self._is_receiving = self._is_latest_only
-        try:
-            listing = await self._store.list(self._kind, may_be_stale=may_be_stale)
-        finally:
-            self._is_receiving = False
+        listing = await self._store.list(self._kind, may_be_stale=may_be_stale)
         self._on_call_answered()
         self._skips_history = False
         if listing.revision >= self.revision:
