Say from whom a VM learns of changes, and how old its evidence is

Now: the lines 'changes learnt' (source, names, age) and 'source of changes' (keeper, why), servers_age_ms in each sent step, and the gauge coltsfootstair_evidence_age. Heartbeats carry the age of the evidence for each kind, which so far only the configuration had; it decides nothing yet.

The test of a heartbeat's age checks the same bound for a kind by name.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import http
+import math
 import random
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -242,6 +243,7 @@
             lambda: self._keeper.helpers,
             lambda: self._configuration_age.is_recent,
             self._describe_evidence,
+            lambda: self._servers_follower.evidence_age_s,
         )
         self._path_prober = PathProber(self._registry, self._fleet.paths, self._pool)
 
@@ -444,6 +446,12 @@
             lambda: {follower.kind: follower.behind_s for follower in self._followers},
             'kind',
         )
+        self.metrics.add_gauge(
+            'coltsfootstair.evidence_age',
+            'Seconds since what is known of a kind of objects was known to be complete',
+            self._collect_ages,
+            'kind',
+        )
         self.metrics.add_gauge(
             'coltsfootstair.refused_objects',
             'Objects of the store that can not be used, by kind',
@@ -678,7 +686,8 @@
             lambda: any(follower.is_overdue for follower in self._followers),
             self._fleet.paths,
             lambda: self._configuration_age.age_s,
-            self._confirm_configuration,
+            self._collect_ages,
+            self._confirm_kinds,
             self._get_workspace_limit,
             lambda: self._workspace_gate.list_issued_rates(),
             lambda heard_at, is_issuing: self._workspace_gate.on_keeper_heard(
@@ -694,19 +703,32 @@
     def _configuration_follower(self) -> Follower:
         return self._followers[0]
 
+    @property
+    def _servers_follower(self) -> Follower:
+        return self._followers[1]
+
     def _describe_evidence(self) -> str:
         """Say how old the evidence is that the configuration is the latest, and why."""
         age_s = min(1e6, self._configuration_age.age_s)
         activity = self._configuration_follower.activity
         return f'known to be the latest {age_s:.2f} s ago; {activity}'
 
-    def _confirm_configuration(
-        self, confirmed_at: float, revision_by_kind: dict[str, int]
+    def _collect_ages(self) -> dict[str, float]:
+        """Return the age of the evidence that each kind is complete, if there is any."""
+        return {
+            follower.kind: round(follower.evidence_age_s, 3)
+            for follower in self._followers
+            if math.isfinite(follower.evidence_age_s)
+        }
+
+    def _confirm_kinds(
+        self, confirmed_at_by_kind: dict[str, float], revision_by_kind: dict[str, int]
     ) -> None:
-        follower = self._configuration_follower
-        revision = revision_by_kind.get(follower.kind)
-        if revision is not None:
-            follower.confirm(revision, confirmed_at)
+        for follower in self._followers:
+            confirmed_at = confirmed_at_by_kind.get(follower.kind)
+            revision = revision_by_kind.get(follower.kind)
+            if confirmed_at is not None and revision is not None:
+                follower.confirm(revision, confirmed_at)
 
     def _get_workspace_limit(self, name: str) -> tuple[float, float] | None:
         route_table = self._configuration_subscriber.route_table
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -104,6 +104,8 @@
         force lacks
     :param describe_evidence: says how old the evidence is that the configuration in force is
         the latest one, for people
+    :param get_servers_age_s: returns the time since the known entries of backend servers were
+        known to be complete, in seconds
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         get_helpers: Callable[[], list[Address]] = list,
         may_deny: Callable[[], bool] = lambda: True,
         describe_evidence: Callable[[], str] = str,
+        get_servers_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._dialect = dialect
         self._get_route_table = get_route_table
@@ -154,6 +157,7 @@
         self._workspace_admission = workspace_admission
         self._may_deny = may_deny
         self._describe_evidence = describe_evidence
+        self._get_servers_age_s = get_servers_age_s
         self._urgency = UrgencyGate()
         self._admission = AdmissionGate(get_admitted_share_by_server, clock)
 
@@ -339,6 +343,7 @@
                 expected_ms=round(choice.expected_latency_s * 1000),
                 occupied=round(choice.candidate.load.estimate_in_flight(now), 1),
                 version=request.route_table.configuration.version,
+                servers_age_ms=round(1000 * min(1e6, self._get_servers_age_s())),
             )
             result = await self._sender.send(request, server)
             if result.outcome is Outcome.ANSWERED and result.answer is not None:
--- a/src/coltsfootstair/keyspace/_dependencies.py
+++ b/src/coltsfootstair/keyspace/_dependencies.py
@@ -71,8 +71,10 @@
         recorded
     :param get_configuration_age_s: returns the time since the configuration was known to be
         the latest one, in seconds; infinite if it never was
-    :param on_configuration_confirmed: called with the monotonic time at which the keeper's
-        configuration was the latest one, and the revisions up to which it has read each kind
+    :param get_age_by_kind: returns the time since what is known of each kind of objects was
+        known to be complete, in seconds; without kinds for which it never was
+    :param on_kinds_confirmed: called with the monotonic time at which the keeper's objects of
+        each kind were complete, and the revisions up to which it has read them
     :param get_workspace_limit: returns the requests a second of a workspace and their burst,
         by the configuration in force; ``None`` if it is not in it
     :param get_issued_rates: returns the permits a second that this daemon has lately got, by
@@ -115,7 +117,10 @@
     are_changes_overdue: Callable[[], bool] = lambda: False
     paths: ServerPaths | None = None
     get_configuration_age_s: Callable[[], float] = lambda: math.inf
-    on_configuration_confirmed: Callable[[float, dict[str, int]], None] = lambda _at, _by: None
+    get_age_by_kind: Callable[[], dict[str, float]] = dict
+    on_kinds_confirmed: Callable[[dict[str, float], dict[str, int]], None] = (
+        lambda _confirmed_at, _revisions: None
+    )
     get_workspace_limit: Callable[[str], tuple[float, float] | None] = lambda _name: None
     get_issued_rates: Callable[[], dict[str, float]] = dict
     on_keeper_heard: Callable[[float, bool], None] = lambda _at, _is_issuing: None
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -343,11 +343,21 @@
             and self._has_heartbeat_under_lease
             and now - self._heartbeat_failed_at > KEEPER_TIMEOUT_S
         )
-        self._dependencies.relay.set_active(
+        is_active = (
             keeper_alive
             and not self.is_keeper
             and self._keeper_store_unreachable_since is None
         )
+        if is_active != self._dependencies.relay.is_active:
+            lease = self._dependencies.ownership_view.lease
+            logger.info(
+                'source of changes',
+                keeper=lease.holder if is_active and lease is not None else '',
+                keeper_unheard_s=round(min(1e6, now - self._keeper_alive_at), 3),
+                keeper_has_store=self._keeper_store_unreachable_since is None,
+                is_keeper=self.is_keeper,
+            )
+        self._dependencies.relay.set_active(is_active)
 
     async def _read_initial_state(self) -> None:
         """Read the lease and the tables.
@@ -664,10 +674,10 @@
             return
         self._keeper_heard_at = max(self._keeper_heard_at, sent_at)
         self._dependencies.on_keeper_heard(sent_at, heartbeat.issues_permits)
-        if heartbeat.configuration_age_s is not None:
-            self._dependencies.on_configuration_confirmed(
-                sent_at - heartbeat.configuration_age_s, heartbeat.revision_by_kind
-            )
+        self._dependencies.on_kinds_confirmed(
+            {kind: sent_at - age_s for kind, age_s in heartbeat.age_s_by_kind.items()},
+            heartbeat.revision_by_kind,
+        )
 
     def _number_report(self, report: Report, now: float) -> Report:
         """Return a report with its number, and with the age of the last heartbeat."""
@@ -727,6 +737,7 @@
             self._get_configuration_age_s(),
             self._workspace_issuer.is_issuing,
             self._dependencies.get_configuration_version(),
+            self._dependencies.get_age_by_kind(),
         )
         self._broadcaster.send(heartbeat, sender)
         self._services.send_missed_updates(report, sender, now)
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -65,6 +65,9 @@
 MAX_PENDING_DELTAS = 64
 """Changes that wait for the object that they change; the oldest one is dropped."""
 
+MAX_LOGGED_NAMES = 8
+"""Names of changed objects in a log line."""
+
 MAX_RELAY_DELAY_S = 0.1
 """How long a relayed change may arrive after the keeper has reported its revision, in seconds.
 After that the change is read from the store."""
@@ -206,6 +209,11 @@
         """
         return self._confirmed_at
 
+    @property
+    def evidence_age_s(self) -> float:
+        """Time since what is known of the kind is sure to have been complete, in seconds."""
+        return self._clock.monotonic() - self._confirmed_at
+
     def confirm(self, revision: Revision, confirmed_at: float) -> None:
         """Take over evidence of the keeper, unless changes up to ``revision`` are missing.
 
@@ -282,6 +290,7 @@
         self._apply_pending_deltas()
 
     def _apply_changes_of_keeper(self, revision: Revision, changes: list[Change]) -> None:
+        self._log_changes('keeper', changes, revision)
         self._revision = revision
         self._known_at = self._clock.monotonic()
         try:
@@ -472,6 +481,7 @@
         if answer.revision <= self.revision:
             self._on_state_told(began_at)
             return
+        self._log_changes('watch', answer.changes, answer.revision)
         self._revision = answer.revision
         changes_to_relay = [
             self._keep(change)
@@ -484,6 +494,23 @@
         if answer.changes:
             await asyncio.sleep(self._watch_pause_s)
 
+    def _log_changes(self, source: str, changes: list[Change], revision: Revision) -> None:
+        """Log changes of which this daemon learns.
+
+        :param source: the keeper, or this daemon's own watch
+        """
+        if not changes:
+            return
+        logger.info(
+            'changes learnt',
+            kind=self._kind,
+            source=source,
+            names=[change.object.name for change in changes[:MAX_LOGGED_NAMES]],
+            count=len(changes),
+            revision=revision,
+            evidence_age_s=round(min(1e6, self.evidence_age_s), 3),
+        )
+
     def _publish_changes(self, after_revision: int, changes: list[Change]) -> None:
         if self._publish is None:
             return
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -151,12 +151,13 @@
     :param helpers: host and port where daemons that reach backend servers take requests of
         others, the nearest first; only for a daemon that is cut off
     :param report_number: of the report that is answered
-    :param configuration_age_s: time since a call began whose answer has shown that the
-        configuration, up to the revision in ``revision_by_kind``, was the latest one, in
-        seconds; ``None`` if not known
+    :param configuration_age_s: the age in ``age_s_by_kind`` of the configuration, for daemons
+        of earlier versions; ``None`` if not known
     :param issues_permits: whether the keeper issues permits for workspaces
     :param configuration_version: version of the configuration that is in force at the keeper;
         0 if none is
+    :param age_s_by_kind: time since a call began whose answer has shown that a kind of
+        objects, up to its revision in ``revision_by_kind``, was complete, in seconds
     """
 
     keeper: str
@@ -173,6 +174,7 @@
     configuration_age_s: float | None = None
     issues_permits: bool = False
     configuration_version: int = 0
+    age_s_by_kind: dict[str, float] = {}
 
 
 class PermitRequest(msgspec.Struct, tag='ask', array_like=True):
--- a/tests/routes/test_age.py
+++ b/tests/routes/test_age.py
@@ -7,6 +7,8 @@
 import random
 from typing import Any
 
+from msgspec import structs
+
 from coltsfootstair.errors import RevisionTooOldError
 from coltsfootstair.objects import (
     Change,
@@ -182,24 +184,23 @@
 def test_a_heartbeat_is_as_old_as_the_report_that_it_answers() -> None:
     """Guards against a heartbeat that a slow network, or an earlier process, got."""
 
-    async def work() -> tuple[list[float], float]:
+    async def work() -> tuple[list[dict[str, float]], float]:
         world = World(1, 2, server_count=1)
         await asyncio.sleep(6.0)
         daemon = next(d for d in world.daemon_by_name.values() if not d.keeper.is_keeper)
         keeper = daemon.keeper
-        confirmed: list[float] = []
+        confirmed: list[dict[str, float]] = []
         keeper._dependencies = keeper._dependencies._replace(
-            on_configuration_confirmed=lambda at, _revisions: confirmed.append(at)
+            on_kinds_confirmed=lambda at_by_kind, _revisions: confirmed.append(at_by_kind)
         )
         number, sent_at = next(iter(keeper._report_sent_at_by_number.items()))
         for report_number in (number, number - 1000):
-            keeper._use_evidence(
-                Heartbeat('d', 1, True, 2, {}, [], {}, [], [], [], report_number, 0.7, True)
-            )
+            heartbeat = Heartbeat('d', 1, True, 2, {}, [], {}, [], [], [], report_number)
+            keeper._use_evidence(structs.replace(heartbeat, age_s_by_kind={'config': 0.7}))
         return confirmed, sent_at
 
     confirmed, sent_at = run(work())
-    assert confirmed == [sent_at - 0.7]
+    assert confirmed == [{'config': sent_at - 0.7}]
 
 
 def test_a_configuration_ages_while_the_vm_is_suspended() -> None:
