--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -22,6 +23,7 @@
 from coltsfootstair.objects import (
     Listing,
     Relay,
+    RelayedChanges,
     StoredObject,
     WatchAnswer,
     compose_revision,
@@ -59,14 +61,19 @@
     def era(self) -> int:
         return self._world.seen_era_by_daemon.get(self._daemon, 0)
 
+    @property
+    def _is_reachable(self) -> bool:
+        return (
+            self._daemon not in self._world.daemons_without_store
+            and self._daemon not in self._world.ended_daemons
+        )
+
     async def _simulate_call(self) -> None:
-        # A call takes 4 ms; if the store is unreachable, it times out after 300 ms more.
+        self._world.call_count_by_daemon[self._daemon] += 1
+        # A call takes 4 ms; if the store is unreachable, it times out later.
         await asyncio.sleep(0.004)
-        if (
-            self._daemon in self._world.daemons_without_store
-            or self._daemon in self._world.ended_daemons
-        ):
-            await asyncio.sleep(0.3)
+        if not self._is_reachable:
+            await asyncio.sleep(self._world.call_timeout_s)
             raise StoreUnavailableError('the store is unreachable')
         self._world.seen_era_by_daemon[self._daemon] = self._world.era
 
@@ -269,7 +276,8 @@
             return
         sender = Address(self._daemon, 1)
         loop = asyncio.get_running_loop()
-        loop.call_later(0.002, lambda: world.deliver(other, message, sender))
+        delay_s = 0.002 + world.link_delay_s_by_daemon.get(self._daemon, 0.0)
+        loop.call_later(delay_s, lambda: world.deliver(other, message, sender))
 
     def close(self) -> None:
         return
@@ -298,6 +306,7 @@
 
     def __init__(self, world: World, name: str) -> None:
         self.name = name
+        self._world = world
         clock = world.clock_by_daemon.setdefault(name, DaemonClock(world.clock))
         self.registry = Registry(clock)
         self.view = OwnershipView()
@@ -323,13 +332,13 @@
             lambda: self.keeper.known_daemon_count or ASSUMED_DAEMON_COUNT,
         )
         dependencies = KeeperDependencies(
-            store=ModelStore(world, name),
+            store=world.make_store(name),
             grant_client=ModelGrantClient(world, name),
             registry=self.registry,
             ownership_view=self.view,
             clock=clock,
             random_source=world.random,
-            is_store_reachable=lambda: name not in world.daemons_without_store,
+            is_store_reachable=self.is_store_reachable,
             get_services_divided_by_key=lambda: {SERVICE},
             get_cold_limit_per_s=lambda _service: 5.0,
             get_default_service_time_s=lambda _service: 0.1,
@@ -337,8 +346,8 @@
             address_reuse_s=2.0,
             keeper_capacity=1.0,
             relay=self.relay,
-            get_revision_by_kind=dict,
-            on_relayed_changes=lambda _changes: None,
+            get_revision_by_kind=self.collect_revisions,
+            on_relayed_changes=self.apply_relayed,
             collect_report=self._collect_report,
             is_first_start=world.is_first_start,
             limits=self.limits,
@@ -353,7 +362,6 @@
             failures=FailureLog(world.on_task_failed),
         )
         self._random = world.random
-        self._world = world
         self.keeper = Keeper(name, Address(name, 1), dependencies)
         self.keeper.attach(ModelChannel(world, name))
         supervised = SupervisedTask(
@@ -365,6 +373,15 @@
         )
         self.task = asyncio.create_task(supervised.run())
 
+    def is_store_reachable(self) -> bool:
+        return self.name not in self._world.daemons_without_store
+
+    def collect_revisions(self) -> dict[str, int]:
+        return {}
+
+    def apply_relayed(self, changes: RelayedChanges) -> None:
+        """Apply objects that the keeper has read; none are followed here."""
+
     def _collect_report(
         self, epoch: int, store_reachable: bool, interval_s: float, revisions: dict[str, int]
     ) -> Report:
@@ -403,6 +420,8 @@
     """
 
     expects_task_failures = False
+    call_timeout_s = 0.3
+    """Time after which a call to a store that is unreachable fails, in seconds."""
 
     def __init__(self, seed: int, daemon_count: int = 4, server_count: int = 5) -> None:
         self.random = random.Random(seed)
@@ -418,7 +437,10 @@
         self.daemons_without_store: set[str] = set()
         self.daemons_without_write_answers: set[str] = set()
         self.ended_daemons: set[str] = set()
+        self.call_count_by_daemon: Counter[str] = Counter()
         self.cut_links: set[tuple[str, str]] = set()
+        # How much later than usual the datagrams of a daemon arrive, in seconds.
+        self.link_delay_s_by_daemon: dict[str, float] = {}
         self.lost_answer_share = 0.0
         self.late_call_share = 0.0
         # Longest time after which an unanswered call is executed, in seconds.
@@ -431,11 +453,17 @@
         self._last_start_ms = 1
         self._last_owner_by_key: dict[int, tuple[int, str]] = {}
         self._daemon_names = [f'd{number}' for number in range(daemon_count)]
-        self.daemon_by_name = {name: Daemon(self, name) for name in self._daemon_names}
+        self.daemon_by_name = {name: self.make_daemon(name) for name in self._daemon_names}
         self.server_by_address: dict[Address, ModelServer] = {}
         for number in range(server_count):
             self.start_server(Address('10.0.0.1', 9000 + number))
 
+    def make_daemon(self, name: str) -> Daemon:
+        return Daemon(self, name)
+
+    def make_store(self, daemon: str) -> ModelStore:
+        return ModelStore(self, daemon)
+
     @property
     def now(self) -> float:
         return self.clock.monotonic()
@@ -506,7 +534,7 @@
         old.task.cancel()
         old.keeper.close()
         servers = [model.server for model in self.server_by_address.values() if model.alive]
-        self.daemon_by_name[name] = Daemon(self, name)
+        self.daemon_by_name[name] = self.make_daemon(name)
         for server in servers:
             self.daemon_by_name[name].registry.apply_entry(server)
         self.ended_daemons.discard(name)
