Ask the store when the evidence that no change is missing is too old

Callers: requests reached backend servers 2 s and more after these had said that they leave (DRAIN). Cause: a daemon asks the store for nothing while heartbeats of a keeper arrive, and those count from their arrival. A keeper vouches for 1.2 s after its last read, its silence is noticed 0.9 to 1.2 s later, and a queue on its link holds heartbeats and changes back for as long as it likes; each limit is kept and the sum is not bounded.

A daemon whose evidence is older than 0.6 of the time allowed asks the store, whatever it believes of the keeper.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -74,6 +74,14 @@
 MAX_EVACUATIONS_WATCH_S = 2.0
 """The same for evacuations, which take effect within five seconds."""
 
+MAX_EVIDENCE_AGE_SHARE = 0.6
+"""Share of the time in which a change must take effect, from which a daemon asks the store
+itself unless it has evidence that nothing is missing. The rest is for that call, and for
+requests that are on their way."""
+
+EVACUATION_EFFECT_S = 5.0
+"""Time in which an evacuation must take effect, in seconds."""
+
 BALANCER_REACTION_S = 2.5
 """How long load balancers may still send callers to a daemon that is no longer ready, in
 seconds. A load balancer needs two failed readiness probes, which are a second apart."""
@@ -765,26 +773,30 @@
                 watch_pause_s,
                 self._settings.store.history_s,
                 max_watch_s,
+                max_evidence_age_s=MAX_EVIDENCE_AGE_SHARE * effect_s,
                 is_latest_only=kind == kinds.configuration,
             )
-            for kind, subscriber, watch_pause_s, max_watch_s in (
+            for kind, subscriber, watch_pause_s, max_watch_s, effect_s in (
                 (
                     kinds.configuration,
                     self._configuration_subscriber,
                     CONFIGURATION_WATCH_PAUSE_S,
                     MAX_CONFIGURATION_WATCH_S,
+                    self._settings.configuration_deadline_s,
                 ),
                 (
                     kinds.backend_servers,
                     self._server_subscriber,
                     SERVERS_WATCH_PAUSE_S,
                     MAX_SERVERS_WATCH_S,
+                    self._settings.drain_s,
                 ),
                 (
                     kinds.evacuations,
                     self._evacuation_subscriber,
                     SERVERS_WATCH_PAUSE_S,
                     MAX_EVACUATIONS_WATCH_S,
+                    EVACUATION_EFFECT_S,
                 ),
             )
         ]
--- a/src/coltsfootstair/keyspace/_keeper.py
+++ b/src/coltsfootstair/keyspace/_keeper.py
@@ -920,6 +920,7 @@
     def _become_keeper(self, lease: KeeperLease, previous_lease: KeeperLease | None) -> None:
         now = self._dependencies.clock.monotonic()
         self._own_lease = lease
+        self._dependencies.relay.is_source = True
         own_rates = self._dependencies.get_issued_rates()
         self._has_taken_over_from = previous_lease is not None
         self._lease_confirmed_at = now
@@ -946,6 +947,7 @@
         if lease is None:
             return
         logger.info('no longer keeper', reason=reason, epoch=lease.epoch)
+        self._dependencies.relay.is_source = False
         self._broadcaster.drop_unsent()
         if self._keeper_task is not None:
             self._keeper_task.cancel()
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -68,10 +68,17 @@
 MAX_LOGGED_NAMES = 8
 """Names of changed objects in a log line."""
 
+VOUCHING_WATCH_SHARE = 0.25
+"""Longest wait of a watch of the keeper, as a share of the age up to which others rely on its
+evidence. An answer proves what was so when its watch began, two waits before the next one."""
+
 MAX_RELAY_DELAY_S = 0.1
 """How long a relayed change may arrive after the keeper has reported its revision, in seconds.
 After that the change is read from the store."""
 
+MIN_RELAY_WAIT_S = 0.005
+"""Shortest wait for the keeper, in seconds; evidence that is too old sooner counts as such."""
+
 MAX_LARGE_RELAY_DELAY_S = 0.3
 """The same for a kind whose changes may be large; the keeper sends them more slowly."""
 
@@ -143,13 +150,17 @@
 
     Lists them again if the store no longer has the changes after the known revision. While
     the relay is active, changes come from the keeper, and the follower reads only those
-    changes from the store that did not arrive.
+    changes from the store that did not arrive. It also asks the store if its evidence that
+    nothing is missing, which heartbeats of the keeper bring, is too old: so no fault of the
+    keeper, and no series of faults, hides changes for longer.
 
     :param history_s: how long the store keeps changes, in seconds
     :param watch_pause_s: pause between the answer to a watch and the next watch, in seconds,
         so that changes in quick succession need only one call
     :param max_watch_s: longest wait of a watch for a change, in seconds; a dead watch hides
         changes for as long
+    :param max_evidence_age_s: age of the evidence that nothing is missing from which the store
+        is asked although the keeper relays changes, in seconds
     :param is_latest_only: whether only the latest state of the kind counts. Changes that are
         too many or too large are then skipped in favour of a list, and the first list, which
         may be stale, is followed by a call that tells the latest state without a wait. The
@@ -169,6 +180,7 @@
         history_s: float,
         max_watch_s: float = MAX_WATCH_TIMEOUT_S,
         *,
+        max_evidence_age_s: float = math.inf,
         is_latest_only: bool = False,
     ) -> None:
         self._store = store
@@ -180,6 +192,10 @@
         self._relay = relay
         self._watch_pause_s = watch_pause_s
         self._watch_timeout_s = min(max_watch_s, WATCH_HISTORY_SHARE * history_s)
+        self._max_evidence_age_s = max_evidence_age_s
+        self._vouching_timeout_s = min(
+            self._watch_timeout_s, VOUCHING_WATCH_SHARE * max_evidence_age_s
+        )
         self._revision: int | None = None
         self._consecutive_failure_count = 0
         self._outage_ended_at: float | None = None
@@ -443,15 +459,18 @@
         if self._relay.is_active and not self._consecutive_failure_count:
             self._must_catch_up = True
             if not await self._is_behind_after_wait():
-                await self._relay.wait_for_state_change()
-                return
+                evidence_left_s = self._compute_evidence_left_s()
+                if evidence_left_s > MIN_RELAY_WAIT_S:
+                    await self._relay.wait_for_state_change(evidence_left_s)
+                    return
         # With a wait of 0 the store answers at once, so that the end of an outage and missed
         # changes are noticed without delay.
-        wait_s = (
-            0.0
-            if self._consecutive_failure_count or self._must_catch_up
-            else self._watch_timeout_s
-        )
+        if self._consecutive_failure_count or self._must_catch_up:
+            wait_s = 0.0
+        elif self._relay.is_source:
+            wait_s = self._vouching_timeout_s
+        else:
+            wait_s = self._watch_timeout_s
         self._must_catch_up = False
         previous_revision = self.revision
         began_at = self._clock.monotonic()
@@ -518,6 +537,12 @@
             changes = _merge_changes(changes)
         self._publish(RelayedChanges(self._kind, after_revision, self.revision, changes))
 
+    def _compute_evidence_left_s(self) -> float:
+        """Return for how long the evidence that nothing is missing is young enough."""
+        if math.isinf(self._max_evidence_age_s):
+            return math.inf
+        return self._max_evidence_age_s - self.evidence_age_s
+
     async def _is_behind_after_wait(self) -> bool:
         """Return whether changes that the keeper has read are missing.
 
--- a/src/coltsfootstair/objects/_relay.py
+++ b/src/coltsfootstair/objects/_relay.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import math
 
 __all__ = ['Relay']
 
@@ -11,11 +13,14 @@
     """Tracks whether the keeper relays changes to this daemon, and how far it has read.
 
     While the relay is active, this daemon's followers call the store only if a change that
-    the keeper has read did not arrive.
+    the keeper has read did not arrive, or if what the keeper has proved is too old.
+
+    :ivar is_source: whether this daemon is the keeper, on whose evidence others rely
     """
 
     def __init__(self) -> None:
         self.is_active = False
+        self.is_source = False
         self._keeper_revision_by_kind: dict[str, int] = {}
         self._state_changed = asyncio.Event()
 
@@ -34,9 +39,14 @@
         """Return the revision up to which the keeper has read ``kind``; 0 if unknown."""
         return self._keeper_revision_by_kind.get(kind, 0)
 
-    async def wait_for_state_change(self) -> None:
-        """Wait until the relay starts or stops, or a revision of the keeper is set."""
-        await self._state_changed.wait()
+    async def wait_for_state_change(self, max_wait_s: float) -> None:
+        """Wait until the relay starts or stops, or a revision of the keeper is set.
+
+        :param max_wait_s: longest wait, in seconds; may be infinite
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(None if math.isinf(max_wait_s) else max_wait_s):
+                await self._state_changed.wait()
 
     def _notify(self) -> None:
         self._state_changed.set()
--- a/tests/keyspace/knowledge_model.py
+++ b/tests/keyspace/knowledge_model.py
@@ -98,6 +98,7 @@
             watch_pause_s=0.25,
             history_s=20.0,
             max_watch_s=0.6,
+            max_evidence_age_s=0.6 * DRAIN_S,
         )
         self.follower.publish_to(self.keeper.publish)
         self.follower_task = asyncio.create_task(self.follower.run())
@@ -108,6 +109,17 @@
     def collect_revisions(self) -> dict[str, int]:
         return {SERVERS_KIND: self.follower.revision}
 
+    def collect_ages(self) -> dict[str, float]:
+        return {SERVERS_KIND: self.follower.evidence_age_s}
+
+    def confirm(
+        self, confirmed_at_by_kind: dict[str, float], revision_by_kind: dict[str, int]
+    ) -> None:
+        if SERVERS_KIND in confirmed_at_by_kind:
+            self.follower.confirm(
+                revision_by_kind[SERVERS_KIND], confirmed_at_by_kind[SERVERS_KIND]
+            )
+
     def apply_relayed(self, changes: RelayedChanges) -> None:
         self.follower.apply_relayed(changes)
 
--- a/tests/keyspace/model.py
+++ b/tests/keyspace/model.py
@@ -348,6 +348,8 @@
             relay=self.relay,
             get_revision_by_kind=self.collect_revisions,
             on_relayed_changes=self.apply_relayed,
+            get_age_by_kind=self.collect_ages,
+            on_kinds_confirmed=self.confirm,
             collect_report=self._collect_report,
             is_first_start=world.is_first_start,
             limits=self.limits,
@@ -379,6 +381,14 @@
     def collect_revisions(self) -> dict[str, int]:
         return {}
 
+    def collect_ages(self) -> dict[str, float]:
+        return {}
+
+    def confirm(
+        self, confirmed_at_by_kind: dict[str, float], revision_by_kind: dict[str, int]
+    ) -> None:
+        """Take over the keeper's evidence; no objects are followed here."""
+
     def apply_relayed(self, changes: RelayedChanges) -> None:
         """Apply objects that the keeper has read; none are followed here."""
 
