Refuse what can't be answered before the end of the grace time

Callers: in a planned stop in calm, requests that came late in the grace time, also such that may run at most once, went to a backend server and were cut 0.4 s before the end with 504 (LOST). Cause: nothing asked before a send whether the answer could be there by then.

GraceTime decides it in one place: before a request looks for a server, after it has waited for one, and at the last look before its first byte. Requests of other daemons meet the same, and a daemon that stops no longer offers to take them.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -14,6 +14,7 @@
 
 from coltsfootstair.gateway._dispatcher import Dispatcher
 from coltsfootstair.gateway._fleet import Fleet
+from coltsfootstair.gateway._grace_time import GraceTime
 from coltsfootstair.gateway._helper import RelayedRequestHandler
 from coltsfootstair.gateway._path_prober import PathProber
 from coltsfootstair.gateway._refusals import render_refusal
@@ -82,13 +83,6 @@
 EVACUATION_EFFECT_S = 5.0
 """Time in which an evacuation must take effect, in seconds."""
 
-BALANCER_REACTION_S = 2.5
-"""How long load balancers may still send callers to a daemon that is no longer ready, in
-seconds. A load balancer needs two failed readiness probes, which are a second apart."""
-
-EXIT_MARGIN_S = 0.4
-"""How long before the end of its grace time a daemon times out open requests, in seconds."""
-
 FINAL_ANSWER_TIME_S = 0.1
 """How long the daemon goes on sending final replies after it has timed out all requests, in
 seconds."""
@@ -170,6 +164,7 @@
         self.callers_address = settings.callers
         self.helper_address: Address | None = None
         self._stop_requested = asyncio.Event()
+        self._grace_time = GraceTime(clock)
         self._connections: set[CallerConnection] = set()
         self._requests_in_progress = 0
         self._body_bytes = 0
@@ -252,6 +247,7 @@
             lambda: self._configuration_age.is_recent,
             self._describe_evidence,
             lambda: self._servers_follower.evidence_age_s,
+            self._grace_time,
         )
         self._path_prober = PathProber(self._registry, self._fleet.paths, self._pool)
 
@@ -613,19 +609,20 @@
     async def _finish_requests(self, caller_listener: asyncio.Server) -> None:
         """Wait until no request is in progress, or time the requests out before the exit.
 
-        :param caller_listener: listening socket for callers; closed after
-            ``BALANCER_REACTION_S``
+        :param caller_listener: listening socket for callers; closed once load balancers use
+            other daemons
         """
-        started_at = self.clock.monotonic()
-        time_out_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
+        self._grace_time.begin(self._settings.grace_s)
+        # Other daemons need not send requests here that are likely to be refused.
+        self._fleet.helper_address = None
         logger.info(
             'stopping', requests=self._requests_in_progress, connections=len(self._connections)
         )
         for connection in list(self._connections):
             connection.close_after_pending_requests()
         lease_release_task = self._supervisor.spawn('lease release', self._keeper.stop())
-        while (now := self.clock.monotonic()) < time_out_at:
-            if now - started_at >= BALANCER_REACTION_S:
+        while not self._grace_time.is_over:
+            if self._grace_time.have_callers_left:
                 # The closed socket refuses further connections, so callers use another daemon.
                 caller_listener.close()
                 for connection in list(self._connections):
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from coltsfootstair.crashes import TRIAL_INTERVAL_S, Verdict
+from coltsfootstair.gateway._grace_time import GraceTime
 from coltsfootstair.gateway._headers import (
     WORKSPACE_HEADER,
     build_relayed_answer_headers,
@@ -106,6 +107,7 @@
         the latest one, for people
     :param get_servers_age_s: returns the time since the known entries of backend servers were
         known to be complete, in seconds
+    :param grace_time: decides what is begun while the daemon stops; by default it does not
     """
 
     def __init__(
@@ -128,6 +130,7 @@
         may_deny: Callable[[], bool] = lambda: True,
         describe_evidence: Callable[[], str] = str,
         get_servers_age_s: Callable[[], float] = lambda: 0.0,
+        grace_time: GraceTime | None = None,
     ) -> None:
         self._dialect = dialect
         self._get_route_table = get_route_table
@@ -135,6 +138,7 @@
         self._ownership = ownership
         self._fleet = fleet
         self._unusable_owner_grace_s = UNUSABLE_OWNER_GRACE_SHARE * drain_s
+        self._grace_time = grace_time or GraceTime(clock)
         self._sender = Sender(
             dialect,
             registry,
@@ -142,6 +146,7 @@
             pool,
             clock,
             self._unusable_owner_grace_s,
+            self._grace_time,
             metrics.count_late_send,
         )
         self._clock = clock
@@ -322,12 +327,17 @@
     async def _send_until_final(self, request: RequestState) -> Reply:
         """Make attempts until one is answered or no further one is allowed."""
         while True:
-            choice: Placement | Refusal | None = await self._judge_suspect(request)
+            choice: Placement | Refusal | None = self._grace_time.refuse(
+                self._fleet.get_mean_service_time_s(request.service)
+            ) or await self._judge_suspect(request)
             if choice is None and self._should_relay(request):
                 reply = await self._relay(request)
                 if reply is not None:
                     return reply
             choice = choice or await self._choose(request)
+            if isinstance(choice, Placement):
+                # It may have waited for its turn, and may have to wait at the server.
+                choice = self._grace_time.refuse(choice.expected_latency_s) or choice
             if isinstance(choice, Refusal):
                 if request.may_have_run:
                     # An earlier attempt may have run it, so no "not run" may be promised.
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -19,6 +19,7 @@
 
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._fleet import Fleet
+    from coltsfootstair.gateway._grace_time import GraceTime
     from coltsfootstair.gateway._trace import RequestTrace
     from coltsfootstair.gateway._types import Dialect
     from coltsfootstair.http1 import (
@@ -206,6 +207,7 @@
 
     :param unusable_owner_grace_s: how long an owner that is draining or evacuated still gets
         the requests of its keys, in seconds
+    :param grace_time: decides what is begun while the daemon stops
     :param count_late_send: called with the reason of each request that might arrive after its
         server has left
     """
@@ -218,6 +220,7 @@
         pool: ConnectionPool,
         clock: Clock,
         unusable_owner_grace_s: float,
+        grace_time: GraceTime,
         count_late_send: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._dialect = dialect
@@ -225,6 +228,7 @@
         self._pool = pool
         self._clock = clock
         self._unusable_owner_grace_s = unusable_owner_grace_s
+        self._grace_time = grace_time
         self._count_late_send = count_late_send
         self._registry = registry
         self._paths = fleet.paths
@@ -268,6 +272,10 @@
             # It began to leave while the request waited for a permit or a connection.
             connection.close()
             return AttemptResult(Outcome.NOT_SENT, None, f'{server.name} is leaving')
+        if not self._grace_time.has_time_for(estimate.mean_service_time_s):
+            # Too much of the grace time has passed while a connection was opened.
+            self._pool.release(connection)
+            return AttemptResult(Outcome.NOT_SENT, None, 'the daemon stops')
         request.attempt_count += 1
         request.tried_servers.add(server.name)
         may_have_run_before = request.may_have_run
