Count a list that is being read as an answer of the store

A keeper that read a large version for over 1.05 s told all others that it had no store, which can end its term. Not telling them had been tried before, and all others then waited for a keeper that was itself behind. Since evidence has an age, they don't: they ask the store themselves.

Evidence that comes before the changes that it covers counts with them, so that it is not lost while changes come faster than heartbeats.

--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
 import structlog
@@ -65,6 +66,9 @@
 MAX_PENDING_DELTAS = 64
 """Changes that wait for the object that they change; the oldest one is dropped."""
 
+MAX_EARLY_EVIDENCE = 8
+"""Heartbeats whose evidence waits for changes that are still on their way."""
+
 MAX_LOGGED_NAMES = 8
 """Names of changed objects in a log line."""
 
@@ -214,6 +218,8 @@
         self._known_at = clock.monotonic()
         self._complete_at = self._known_at
         self._confirmed_at = -math.inf
+        # Revisions and times of evidence that came before the changes that it covers.
+        self._early_evidence: deque[tuple[Revision, float]] = deque(maxlen=MAX_EARLY_EVIDENCE)
         self._distrusted_until = -math.inf
 
     @property
@@ -223,20 +229,32 @@
         In monotonic seconds; the time at which a call began whose answer told the latest
         state, at this daemon or, by ``confirm``, at the keeper.
         """
+        if self._early_evidence and not self._must_list:
+            self._confirmed_at = max(
+                self._confirmed_at,
+                *(at for revision, at in self._early_evidence if revision <= self.revision),
+                -math.inf,
+            )
+            self._early_evidence = deque(
+                (each for each in self._early_evidence if each[0] > self.revision),
+                MAX_EARLY_EVIDENCE,
+            )
         return self._confirmed_at
 
     @property
     def evidence_age_s(self) -> float:
         """Time since what is known of the kind is sure to have been complete, in seconds."""
-        return self._clock.monotonic() - self._confirmed_at
+        return self._clock.monotonic() - self.confirmed_at
 
     def confirm(self, revision: Revision, confirmed_at: float) -> None:
-        """Take over evidence of the keeper, unless changes up to ``revision`` are missing.
+        """Take over evidence of the keeper, once the changes up to ``revision`` are known.
 
         :param confirmed_at: monotonic time at which ``revision`` was the latest of the kind
         """
         if self._revision is not None and revision <= self._revision and not self._must_list:
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        else:
+            self._early_evidence.append((revision, confirmed_at))
 
     def _on_state_told(self, began_at: float) -> None:
         """Record that the answer to a call begun at ``began_at`` told the latest state."""
@@ -283,7 +301,11 @@
 
     @property
     def is_overdue(self) -> bool:
-        """Whether changes may be unknown, since the last watch is not answered in time."""
+        """Whether the last call is not answered in time.
+
+        An answer that is long is none of it: it proves nothing, so that the evidence of
+        others that rely on this daemon grows old, and they ask the store themselves.
+        """
         longest_s = self._watch_timeout_s + self._watch_pause_s + WATCH_ANSWER_DELAY_S
         return self.unheard_s > longest_s and not self._is_receiving
 
@@ -423,7 +445,11 @@
         # what has changed since. It is not listed again: its history may be gone.
         may_be_stale, self._may_list_stale = self._may_list_stale, False
         began_at = self._clock.monotonic()
-        listing = await self._store.list(self._kind, may_be_stale=may_be_stale)
+        self._is_receiving = True
+        try:
+            listing = await self._store.list(self._kind, may_be_stale=may_be_stale)
+        finally:
+            self._is_receiving = False
         self._on_call_answered()
         self._skips_history = False
         if listing.revision >= self.revision:
--- a/tests/routes/test_age.py
+++ b/tests/routes/test_age.py
@@ -15,6 +15,7 @@
     Follower,
     Listing,
     Relay,
+    RelayedChanges,
     StoredObject,
     StoreHealth,
     WatchAnswer,
@@ -181,6 +182,25 @@
     assert run(work()) == [-math.inf, 80.0, 80.0]
 
 
+def test_evidence_that_comes_before_its_changes_counts_with_them() -> None:
+    """Guards against evidence that is never met while changes come faster than heartbeats."""
+
+    async def work() -> list[float]:
+        follower, task = _follow(FakeStore())
+        await asyncio.sleep(LIST_S + 0.1)
+        task.cancel()
+        known = follower.revision
+        follower.confirm(known + 1, 80.0)
+        follower.confirm(known + 3, 90.0)
+        seen = [follower.confirmed_at]
+        for revision in (known + 2, known + 3):
+            follower.apply_relayed(RelayedChanges('config', follower.revision, revision, []))
+            seen.append(follower.confirmed_at)
+        return seen
+
+    assert run(work()) == [-math.inf, 80.0, 90.0]
+
+
 def test_a_heartbeat_is_as_old_as_the_report_that_it_answers() -> None:
     """Guards against a heartbeat that a slow network, or an earlier process, got."""
 
