Show that bookings reach servers that left when a daemon restarted

Cause: the first list of servers is a stale read of several pages, and the revision of its first page counts for all of them. A later page that is older hides the changes between, and no watch tells them any more.

--- a/review/standins.py
+++ b/review/standins.py
@@ -36,9 +36,6 @@
 CALL_TIMEOUT_S = 10.0
 """Longest wait of a caller for an answer, in seconds."""
 
-DRAIN_TIMEOUT_MS = 2000
-"""``drain-timeout-ms`` of the site files, which the settings have, in milliseconds."""
-
 MEMORY_MB = 300
 """``memory-mb`` of a machine of lpfs-gateway."""
 
@@ -319,6 +316,7 @@
     :param behaviour: reads the body of a request and answers it; returns whether the
         connection goes on
     :ivar is_leaving: whether it is leaving, which all its answers say
+    :ivar has_ended: whether its process has ended, with the work that it had
     """
 
     def __init__(
@@ -336,6 +334,7 @@
         self.record = record
         self.work_s = work_s
         self.is_leaving = False
+        self.has_ended = False
         self.running = 0
         self.port = 0
         self._born = int(time.time() * 1000)
@@ -351,6 +350,7 @@
     def end(self) -> None:
         """End like a process that exits: nothing listens, and all connections are reset."""
         self.record.write('server exits', server=self.name, running=self.running)
+        self.has_ended = True
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -420,6 +420,8 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
+        if self.has_ended:
+            return False
         self.record.write('run ends', server=self.name, id=request_id)
         headers = self.build_headers(request) | {'X-Upstream-Signature': f's-{self.name}'}
         writer.write(render_answer(200, headers, f'{len(body)} bytes'.encode()))
@@ -467,7 +469,12 @@
 
 
 class Daemon:
-    """One machine of the system: a process with the command of the deploy file."""
+    """One machine of the system: a process with the command of the deploy file.
+
+    :ivar drain_timeout_ms: ``drain-timeout-ms`` of its settings, in milliseconds
+    """
+
+    drain_timeout_ms = 2000
 
     def __init__(self, name: str, zone: str, store_port: int, folder: Path) -> None:
         self.name = name
@@ -497,7 +504,7 @@
                 store=self._store_port,
                 bootstrap=json.dumps(bootstrap),
                 memory_mb=MEMORY_MB,
-                drain_ms=DRAIN_TIMEOUT_MS,
+                drain_ms=self.drain_timeout_ms,
             ),
             encoding='utf-8',
         )
