Show that early answers to long uploads end a daemon by its memory

Cause: a connection goes back to the pool while the rest of a body is still unsent in its buffer, and nothing counts that memory; the next upload may be appended to it.

--- a/review/3/run.py
+++ b/review/3/run.py
@@ -11,6 +11,7 @@
 import json
 import random
 import signal
+from collections import Counter
 from pathlib import Path
 
 from standins import (
@@ -31,16 +32,23 @@
 
 FOLDER = Path(__file__).resolve().parent
 
-UPLOAD_BYTES = 24 * 1024 * 1024
+UPLOAD_BYTES = 60 * 1024 * 1024
 """Size of an upload; ``max-body-bytes`` of the configuration is 64 MiB."""
 
-UPLOAD_COUNT = 24
-"""Uploads, one after the other."""
+UPLOAD_INTERVAL_S = 0.6
+"""Time between two uploads, in seconds: less than the link of 1,000 Mbit/s takes in and sends
+on, so that it is never full."""
 
-MAX_ACCEPTED_BYTES = 1024 * 1024
-"""Size above which a server rejects an upload, in bytes."""
+UPLOAD_COUNT = 10
+"""Uploads, so that the disruption lasts for 6 s, as long as in the site file."""
 
-READS_ON_AFTER_S = 8.0
+EARLY_SERVER_SHARE = 0.7
+"""Share of the servers that reject uploads early: the largest dose in the site file."""
+
+EARLY_REQUEST_COUNT = 2
+"""Requests of each five at such a server that are rejected early: 0.4 of them, as there."""
+
+READS_ON_AFTER_S = 2.0
 """Time until a server reads the rest of a rejected upload, in seconds."""
 
 WATCH_INTERVAL_S = 0.02
@@ -55,45 +63,44 @@
 REASON_IS_MEMORY = 'over the limit of memory'
 
 
-async def reject_early(
-    upstream: Upstream,
-    request: Request,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> bool:
-    """Answer a long upload at once, keep the connection, and read the rest later."""
-    upstream.record.write(
-        'rejected',
-        server=upstream.name,
-        id=request.headers.get('x-request-id'),
-        body_bytes=request.length,
-    )
-    headers = upstream.build_headers(request) | {'X-Upstream-Signature': f's-{upstream.name}'}
-    writer.write(render_answer(413, headers, b'too long'))
-    await writer.drain()
-    await asyncio.sleep(READS_ON_AFTER_S)
-    await read_body(request.length, reader)
-    return True
-
-
-async def reject_after_reading(
-    upstream: Upstream,
-    request: Request,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> bool:
-    """Read the whole upload, then give the same answer."""
-    await read_body(request.length, reader)
-    upstream.record.write(
-        'rejected',
-        server=upstream.name,
-        id=request.headers.get('x-request-id'),
-        body_bytes=request.length,
-    )
-    headers = upstream.build_headers(request) | {'X-Upstream-Signature': f's-{upstream.name}'}
-    writer.write(render_answer(413, headers, b'too long'))
-    await writer.drain()
-    return True
+class UploadServers:
+    """The upload servers' behaviour: some answer long uploads before they have read them.
+
+    :param early_names: the servers that do so, with the first two of each five requests
+    """
+
+    def __init__(self, early_names: set[str]) -> None:
+        self._early_names = early_names
+        self._count_by_name: Counter[str] = Counter()
+
+    async def answer(
+        self,
+        upstream: Upstream,
+        request: Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Reject an upload before or after its body has been read; keep the connection."""
+        number = self._count_by_name[upstream.name]
+        self._count_by_name[upstream.name] += 1
+        is_early = upstream.name in self._early_names and number % 5 < EARLY_REQUEST_COUNT
+        if not is_early:
+            await read_body(request.length, reader)
+        upstream.record.write(
+            'rejected',
+            server=upstream.name,
+            id=request.headers.get('x-request-id'),
+            body_bytes=request.length,
+            is_early=is_early,
+        )
+        headers = upstream.build_headers(request)
+        headers['X-Upstream-Signature'] = f's-{upstream.name}'
+        writer.write(render_answer(413, headers, b'too long'))
+        await writer.drain()
+        if is_early:
+            await asyncio.sleep(READS_ON_AFTER_S)
+            await read_body(request.length, reader)
+        return True
 
 
 async def read_body(length: int, reader: asyncio.StreamReader) -> None:
@@ -109,10 +116,10 @@
 
 
 def measure_memory_mb(pid: int) -> float:
-    """Return the memory of a process in MB."""
+    """Return the most memory that a process has had, in MB."""
     with contextlib.suppress(OSError):
         for line in Path(f'/proc/{pid}/status').read_text(encoding='utf-8').splitlines():
-            if line.startswith('VmRSS:'):
+            if line.startswith('VmHWM:'):
                 return int(line.split()[1]) / 1024
     return 0.0
 
@@ -151,10 +158,16 @@
     """Send long uploads one after the other, and bookings beside them."""
     store = Store(record)
     await store.start()
-    behaviour = reject_early if has_trouble else reject_after_reading
+    zone_by_name = {
+        f'i-scanbay-{number}': zone
+        for number, zone in enumerate(['erie-shore'] * 4 + ['huron-bay'] * 4)
+    }
+    # The servers in the zone of the daemon, which it prefers, are among them.
+    early_count = round(EARLY_SERVER_SHARE * len(zone_by_name)) if has_trouble else 0
+    behaviour = UploadServers(set(list(zone_by_name)[:early_count])).answer
     upstreams = [
-        Upstream(f'i-scanbay-{number}', 'scanbay', zone, record, behaviour=behaviour)
-        for number, zone in enumerate(('erie-shore', 'huron-bay') * 4)
+        Upstream(name, 'scanbay', zone, record, behaviour=behaviour)
+        for name, zone in zone_by_name.items()
     ]
     upstreams += [
         Upstream(f'i-bookdesk-{number}', 'bookdesk', zone, record, WORK_S)
@@ -183,7 +196,9 @@
         for number in range(UPLOAD_COUNT):
             if daemon.pid is None:
                 break
-            await _send(record, daemon, 'upload', number, body)
+            task = asyncio.create_task(_send(record, daemon, 'upload', number, body))
+            tasks.append(task)
+            await asyncio.sleep(UPLOAD_INTERVAL_S)
         bookings.cancel()
         await asyncio.gather(*tasks)
         enforcer.cancel()
