Show two holders of keys after the store lost its first keeper lease

Cause: a daemon that was started as the first ones takes a lease that was lost with the era of the store for one that never was, and waits for no grant of the keeper before it. Tried: rewinds of the store beside kills, stops and cuts of the keeper (nothing seen while the copy has a lease, five runs of four rewinds), and a copy from before the first start, without any other disruption.

--- a/review/standins.py
+++ b/review/standins.py
@@ -17,6 +17,7 @@
 import time
 import tomllib
 import urllib.parse
+from array import array
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -36,6 +37,9 @@
 CALL_TIMEOUT_S = 10.0
 """Longest wait of a caller for an answer, in seconds."""
 
+KEY_COUNT = 65536
+"""Number of keys of a service."""
+
 MEMORY_MB = 300
 """``memory-mb`` of a machine of lpfs-gateway."""
 
@@ -161,6 +165,8 @@
 class Store:
     """The platform's store, by its page: objects, pages, stale reads and watches.
 
+    It may come back from an older copy of itself (``take_copy``, ``come_back``).
+
     :ivar page_size: most objects in one page of a list
     :ivar stale_age_by_page: how old the state is that a stale read returns, in seconds, by the
         number of the page; the page sets no more than "seconds old"
@@ -177,12 +183,40 @@
         self._log: list[tuple[int, float, str, str, dict[str, Any], bool]] = []
         self._changed = asyncio.Condition()
         self._pages_by_reader: dict[str, int] = {}
+        self._era = 0
+        self._is_away = False
+        self._oldest_watchable = 1
+        self._copy: tuple[int, dict[str, dict[str, dict[str, Any]]]] = (1, {})
 
     async def start(self) -> None:
         """Listen at a free port."""
         server = await asyncio.start_server(self._on_connection, '127.0.0.1', 0)
         self.port = server.sockets[0].getsockname()[1]
 
+    def take_copy(self) -> None:
+        """Keep a copy of all objects."""
+        objects = {kind: dict(by_name) for kind, by_name in self._objects.items()}
+        self._copy = (self._revision, objects)
+
+    async def go_away(self) -> None:
+        """Reset every call from now on."""
+        self._is_away = True
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def come_back(self) -> None:
+        """Come back from the copy: what was written since is gone, and an era begins."""
+        self._revision, objects = self._copy
+        self._objects = {kind: dict(by_name) for kind, by_name in objects.items()}
+        self._oldest_watchable = self._revision
+        self._log = [
+            (self._revision, time.monotonic() - 3600.0, kind, name, item, False)
+            for kind, by_name in self._objects.items()
+            for name, item in by_name.items()
+        ]
+        self._era += 1
+        self._is_away = False
+
     async def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         """Write an object; one that is the same as before changes nothing."""
         known = self._objects.setdefault(kind, {}).get(name)
@@ -233,10 +267,16 @@
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (request := await read_head(reader)) is not None:
                 body = await reader.readexactly(request.length)
+                if self._is_away:
+                    break
+                era = self._era
                 status, answer = await self._answer(request, body)
-                writer.write(render_answer(status, {}, json.dumps(answer).encode()))
+                if self._is_away or era != self._era:
+                    break
+                headers = {'Store-Era': str(era)}
+                writer.write(render_answer(status, headers, json.dumps(answer).encode()))
                 await writer.drain()
-        writer.close()
+        writer.transport.abort()
 
     async def _answer(self, request: Request, body: bytes) -> tuple[int, Any]:
         url = urllib.parse.urlsplit(request.target)
@@ -296,11 +336,11 @@
                 if changed_kind == kind and revision > after
             ]
 
-        if after > self._revision:
+        if not self._oldest_watchable <= after <= self._revision:
             return 410, None
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_ms / 1000), self._changed:
-                await self._changed.wait_for(lambda: bool(find_events()))
+                await self._changed.wait_for(lambda: self._is_away or bool(find_events()))
         return 200, {'events': find_events(), 'current-rev': self._revision}
 
 
@@ -429,6 +469,88 @@
         return not self.is_leaving
 
 
+class KeyedUpstream(Upstream):
+    """A backend server that runs a request only while it holds its key.
+
+    A hold lasts for exactly ``hold-ms`` from the arrival of the grant.
+
+    :param on_run: called with the server and the key of each request that it begins
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        record: Record,
+        work_s: float,
+        on_run: Callable[[KeyedUpstream, int], None],
+    ) -> None:
+        super().__init__(name, service, zone, record, work_s, KeyedUpstream.answer)
+        self._on_run = on_run
+        self._fences = array('q', [-1]) * KEY_COUNT
+        self._held_until = array('d', [0.0]) * KEY_COUNT
+        self._running_keys: list[int] = []
+
+    def holds(self, key: int) -> bool:
+        """Whether it holds a key now."""
+        return not self.has_ended and self._held_until[key] > time.monotonic()
+
+    async def answer(
+        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Take a grant or a release, or run a request."""
+        body = await reader.readexactly(request.length)
+        headers: dict[str, str] = {}
+        if request.target in ('/-/grant', '/-/release'):
+            sent = json.loads(body)
+            keys = slice(sent['from'], sent['target'] + 1)
+            count = keys.stop - keys.start
+            status = 200
+            if request.target == '/-/release':
+                self._fences[keys] = array(
+                    'q', (max(fence, sent['fence']) for fence in self._fences[keys])
+                )
+                self._held_until[keys] = array('d', [0.0]) * count
+                while any(keys.start <= key < keys.stop for key in self._running_keys):
+                    await asyncio.sleep(0.01)
+                headers['X-Handover'] = f'{time.monotonic_ns():016x}'
+            elif max(self._fences[keys]) > sent['fence']:
+                status = 409
+            else:
+                until = time.monotonic() + sent['hold-ms'] / 1000
+                self._fences[keys] = array('q', [sent['fence']]) * count
+                self._held_until[keys] = array('d', [until]) * count
+            self.record.write(
+                request.target,
+                server=self.name,
+                first=sent['from'],
+                last=sent['target'],
+                fence=sent['fence'],
+                hold_ms=sent.get('hold-ms'),
+                status=status,
+            )
+            writer.write(render_answer(status, headers))
+            return True
+        headers = self.build_headers(request)
+        key = int(request.headers['x-shard-key'])
+        if not self.holds(key):
+            writer.write(render_answer(421, headers | {'X-Not-Executed': '1'}))
+            return True
+        self._on_run(self, key)
+        self._running_keys.append(key)
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.running -= 1
+            self._running_keys.remove(key)
+        headers['X-Upstream-Signature'] = f's-{self.name}'
+        writer.write(render_answer(200, headers, b'done'))
+        await writer.drain()
+        return True
+
+
 class Answer(NamedTuple):
     """What a caller got; the status is 0 if there was no complete answer."""
 
@@ -569,8 +691,13 @@
     return {'resource-kind': 'routes', 'metadata': {'name': name}, 'spec': spec}
 
 
-def build_configuration(routes: list[dict[str, Any]]) -> dict[str, Any]:
-    """Return a configuration with the services of ``routes`` and the limits of the pages."""
+def build_configuration(
+    routes: list[dict[str, Any]], divided_by_key: tuple[str, ...] = ()
+) -> dict[str, Any]:
+    """Return a configuration with the services of ``routes`` and the limits of the pages.
+
+    :param divided_by_key: services whose servers hold keys
+    """
     services = sorted({route['spec']['service'] for route in routes})
     service_spec = {
         'health-path': '/health',
@@ -591,7 +718,12 @@
         'resources': [
             *routes,
             *(
-                {'resource-kind': 'services', 'metadata': {'name': name}, 'spec': service_spec}
+                {
+                    'resource-kind': 'services',
+                    'metadata': {'name': name},
+                    'spec': service_spec
+                    | ({'is-sharded': True, 'warm-s': 3.0} if name in divided_by_key else {}),
+                }
                 for name in services
             ),
             {'resource-kind': 'limits', 'metadata': {}, 'spec': limits},
