Read TROUBLE and name record.txt in each script of the review

Cause: both were read and written in the shared module alone, so that a script did not show them, and a signal left its daemons running. Tried: a TERM to a running script, which ends its three daemons.

--- a/review/3/run.py
+++ b/review/3/run.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import os
 import random
 import signal
 from pathlib import Path
@@ -24,7 +25,7 @@
     run_case,
 )
 
-FOLDER = Path(__file__).resolve().parent
+RECORD_PATH = Path(__file__).resolve().parent / 'record.txt'
 
 UPSTREAM_COUNT_BY_SERVICE = {'bookdesk': 32, 'scanbay': 10, 'slotview': 74}
 """As in the deployment lpfs-gateway-grown."""
@@ -149,7 +150,7 @@
     record: Record, acknowledged_at: float, started_at: float, answers: dict[str, int]
 ) -> int:
     """Return whether DRAIN was broken: a request came too late, by a machine in touch."""
-    text = (FOLDER / 'record.txt').read_text(encoding='utf-8')
+    text = RECORD_PATH.read_text(encoding='utf-8')
     lines = [json.loads(line) for line in text.splitlines()]
     sent_at = {line['id']: line['at'] for line in lines if line['event'] == 'sent'}
     ended = {line['id'] for line in lines if line['event'] == 'run ends'}
@@ -176,4 +177,4 @@
 
 
 if __name__ == '__main__':
-    run_case(FOLDER, run)
+    run_case(run, RECORD_PATH, has_trouble=os.environ.get('TROUBLE') != '0')
--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import shlex
+import signal
 import socket
 import sys
 import tempfile
@@ -20,10 +21,7 @@
 from array import array
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, NamedTuple
-
-if TYPE_CHECKING:
-    import signal
+from typing import Any, NamedTuple
 
 ROOT = Path(__file__).resolve().parents[1]
 
@@ -34,6 +32,9 @@
 START_TIMEOUT_S = 15.0
 """Time within which all daemons must be ready, in seconds."""
 
+CASE_TIMEOUT_S = 110.0
+"""Longest duration of a case, in seconds; 120 s are allowed with its end."""
+
 CALL_TIMEOUT_S = 10.0
 """Longest wait of a caller for an answer, in seconds."""
 
@@ -94,8 +95,8 @@
 class Record:
     """Writes what was sent, answered and run to ``record.txt``, one JSON object a line."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / 'record.txt').open('w', encoding='utf-8')
+    def __init__(self, path: Path) -> None:
+        self._file = path.open('w', encoding='utf-8')
         self._began_at = time.monotonic()
 
     @property
@@ -731,17 +732,21 @@
     }
 
 
-def run_case(folder: Path, case: Callable[[Record, Path, bool], Awaitable[int]]) -> None:
+def run_case(
+    case: Callable[[Record, Path, bool], Awaitable[int]],
+    record_path: Path,
+    *,
+    has_trouble: bool,
+) -> None:
     """Run a case, and exit with its result.
 
     :param case: gets the record, a temporary folder and whether the disruption happens
     """
-    record = Record(folder)
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    record = Record(record_path)
     with tempfile.TemporaryDirectory() as temporary:
         try:
             status = asyncio.run(_run_with_limit(case, record, Path(temporary), has_trouble))
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.write('could not run', reason=repr(error))
             print(f'could not run: {error!r}', file=sys.stderr)
             status = COULD_NOT_RUN
@@ -755,5 +760,10 @@
     temporary: Path,
     has_trouble: bool,
 ) -> int:
-    async with asyncio.timeout(110.0):
+    """Run a case; a signal to end it or the time limit ends its processes too."""
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    async with asyncio.timeout(CASE_TIMEOUT_S):
         return await case(record, temporary, has_trouble)
