Let a list stand only for what all of its pages have

Cause: the first list of a daemon may be stale, page by page. The client gave the whole list the revision of its first page, and the watch went on from there. A change between the state of an older page and that revision was never seen, and heartbeats of the keeper, which confirm a revision, vouched for it for good.

Change: a list has the revision of its oldest page. Changes that a newer page has come once more; one whose object is known in the same or a later state is not applied, so that neither registry nor log see an earlier state, but it is relayed, since others may not know it. A stale list is followed by a call without a wait, for servers and evacuations too. Lists that are not stale keep the revision of their first page, which is their oldest one.

The stand-in of the store answered all pages from one state; it now has three objects a page, and stale pages of drawn age, in all tests. tests/objects/test_follower.py expects the call after the first list; its checks of order, waits and events are the same.

--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -17,7 +17,13 @@
     UnusableAnswerError,
 )
 from coltsfootstair.objects._delta import apply_delta
-from coltsfootstair.objects._types import Change, RelayedChanges, StoredObject, era_of
+from coltsfootstair.objects._types import (
+    Change,
+    RelayedChanges,
+    StoredObject,
+    era_of,
+    number_of,
+)
 
 if TYPE_CHECKING:
     import random
@@ -166,9 +172,8 @@
     :param max_evidence_age_s: age of the evidence that nothing is missing from which the store
         is asked although the keeper relays changes, in seconds
     :param is_latest_only: whether only the latest state of the kind counts. Changes that are
-        too many or too large are then skipped in favour of a list, and the first list, which
-        may be stale, is followed by a call that tells the latest state without a wait. The
-        objects are kept, so that daemons can send each other what differs in them
+        too many or too large are then skipped in favour of a list. The values of the objects
+        are kept, so that daemons can send each other what differs in them
     """
 
     def __init__(
@@ -206,7 +211,10 @@
         self._must_catch_up = False
         self._is_latest_only = is_latest_only
         self._skips_history = False
+        # Without their values, unless only the latest state counts.
         self._object_by_name: dict[str, StoredObject] = {}
+        # Revision up to which a known object may be newer than the revision of the kind.
+        self._mixed_until: Revision = 0
         self._pending_deltas: dict[tuple[str, Revision], RelayedDelta] = {}
         self._is_watch_dead = False
         self._is_receiving = False
@@ -333,10 +341,7 @@
         self._known_at = self._clock.monotonic()
         try:
             for change in changes:
-                self._keep(change)
-                self._subscriber.apply_change(
-                    change, after_outage=self._may_be_outage_effect()
-                )
+                self._apply_change(change)
         except Exception:
             self._must_list = True
             raise
@@ -395,15 +400,44 @@
         item = StoredObject(update.name, update.object_revision, value)
         self._apply_changes_of_keeper(update.revision, [Change(item, False)])
 
-    def _keep(self, change: Change) -> Change:
-        """Keep the newest state of an object; return its change with the state before."""
+    def _apply_change(self, change: Change) -> bool:
+        """Apply a change, unless a later one of its object is known.
+
+        :return: whether the change is worth relaying to other daemons. One that this daemon
+            knows from a list is: others may not know it.
+        """
+        if self._is_outdated(change):
+            return True
+        is_worth_relaying = self._subscriber.apply_change(
+            change, after_outage=self._may_be_outage_effect()
+        )
+        self._keep(change)
+        return is_worth_relaying
+
+    def _is_outdated(self, change: Change) -> bool:
+        """Whether the known state of an object is the one after ``change``, or a later one."""
+        known = self._object_by_name.get(change.object.name)
+        revision = change.object.revision
+        if known is None or not number_of(revision):
+            # What has no readable revision may be of any.
+            return False
+        # A deletion has the revision of the state that it ends.
+        return revision < known.revision if change.deleted else revision <= known.revision
+
+    def _keep(self, change: Change) -> None:
+        """Keep the newest state of an object."""
+        item = change.object
+        self._object_by_name.pop(item.name, None)
+        if not change.deleted:
+            self._object_by_name[item.name] = (
+                item if self._is_latest_only else item._replace(value=None)
+            )
+
+    def _add_state_before(self, change: Change) -> Change:
+        """Return ``change`` with the known state of its object, if states are kept."""
         if not self._is_latest_only:
             return change
-        name = change.object.name
-        before = self._object_by_name.pop(name, None)
-        if not change.deleted:
-            self._object_by_name[name] = change.object
-        return change._replace(before=before)
+        return change._replace(before=self._object_by_name.get(change.object.name))
 
     async def run(self) -> None:
         """Follow the kind until the task is cancelled."""
@@ -441,7 +475,7 @@
             await self._watch_once()
 
     async def _list_once(self) -> None:
-        # A stale state is good enough to start from, since the watch from its revision returns
+        # A stale state is good enough to start from, since a watch from its revision returns
         # what has changed since. It is not listed again: its history may be gone.
         may_be_stale, self._may_list_stale = self._may_list_stale, False
         began_at = self._clock.monotonic()
@@ -455,7 +489,7 @@
         if listing.revision >= self.revision:
             self._apply_listing(listing)
         if may_be_stale:
-            self._must_catch_up = self._is_latest_only
+            self._must_catch_up = True
         else:
             # Also if later changes have been relayed meanwhile.
             self._on_state_told(began_at)
@@ -473,10 +507,14 @@
         )
         self._must_list = False
         changes = [
-            self._keep(Change(item, False))
+            self._add_state_before(Change(item, False))
             for item in listing.objects
             if previous_revision is None or item.revision > previous_revision
         ]
+        self._object_by_name = {}
+        for item in listing.objects:
+            self._keep(Change(item, False))
+        self._mixed_until = listing.newest_revision
         if previous_revision is not None and not is_restored:
             self._publish_changes(previous_revision, changes)
         self._apply_pending_deltas()
@@ -527,12 +565,16 @@
             self._on_state_told(began_at)
             return
         self._log_changes('watch', answer.changes, answer.revision)
+        changes = answer.changes
+        if previous_revision < self._mixed_until:
+            # What a page of the list has of an object is not undone by its earlier changes.
+            changes = _merge_changes(changes)
         self._revision = answer.revision
-        changes_to_relay = [
-            self._keep(change)
-            for change in answer.changes
-            if self._subscriber.apply_change(change, after_outage=self._may_be_outage_effect())
-        ]
+        changes_to_relay = []
+        for change in changes:
+            change_with_state = self._add_state_before(change)
+            if self._apply_change(change):
+                changes_to_relay.append(change_with_state)
         self._on_state_told(began_at)
         self._publish_changes(previous_revision, changes_to_relay)
         self._apply_pending_deltas()
--- a/src/coltsfootstair/objects/_types.py
+++ b/src/coltsfootstair/objects/_types.py
@@ -73,10 +73,21 @@
 
 
 class Listing(NamedTuple):
-    """All objects of a kind, and the store's revision at the time of the read."""
+    """All objects of a kind, read in one or several pages.
+
+    :param revision: revision up to which all changes are in it
+    :param newest_revision: revision after which no change is in it; 0 if there is none past
+        ``revision``. Of the changes between the two, those of some pages are in it.
+    """
 
     objects: list[StoredObject]
     revision: Revision
+    newest_revision: Revision = 0
+
+    @classmethod
+    def of_pages(cls, objects: list[StoredObject], revisions: list[Revision]) -> Listing:
+        """Return the list whose pages were read at ``revisions``, in any order."""
+        return cls(objects, min(revisions), max(revisions))
 
 
 class Change(NamedTuple):
--- a/tests/coltsfootstair_platform/standin.py
+++ b/tests/coltsfootstair_platform/standin.py
@@ -6,6 +6,8 @@
 import contextlib
 import copy
 import json
+import random
+import time
 import urllib.parse
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -29,15 +31,24 @@
 """Time between two pieces of an answer that is sent slowly, in seconds."""
 
 
+PAGE_SIZE = 3
+"""Objects with a readable name in a page of a list."""
+
+MAX_STALE_AGE_S = 6.0
+"""Highest age of a page of a list that may be stale, in seconds."""
+
+
 class RawItem(dict[str, Any]):
     """An object that the store sends as given bytes, which need not be JSON.
 
     :param encoded: the bytes of the whole object, with its metadata and value
+    :param sent_name: the name that is sent, or ``None`` if it can't be read
     """
 
-    def __init__(self, revision: int, encoded: bytes) -> None:
+    def __init__(self, revision: int, encoded: bytes, sent_name: str | None) -> None:
         super().__init__(metadata={'revision': revision}, spec=None)
         self.encoded = encoded
+        self.sent_name = sent_name
 
 
 class EncodedItem(dict[str, Any]):
@@ -70,6 +81,15 @@
     return json.dumps(body).encode()
 
 
+def _decode_name(encoded: bytes) -> str | None:
+    """Return the name that ``encoded`` is as JSON, or ``None`` if it is none."""
+    try:
+        name = json.loads(encoded)
+    except ValueError:
+        return None
+    return name if isinstance(name, str) and name else None
+
+
 class ReceivedRequest(NamedTuple):
     """A request that a stand-in has received completely."""
 
@@ -143,9 +163,22 @@
         raise NotImplementedError
 
 
+class _Write(NamedTuple):
+    """One change of an object; the item is ``None`` if it was deleted."""
+
+    at: float
+    revision: int
+    kind: str
+    name: str
+    item: dict[str, Any] | None
+
+
 class StoreStandin(Listener):
     """Holds objects by kind and name, with one revision counter for all.
 
+    Lists have pages of ``PAGE_SIZE`` objects. Each page of one that may be stale is of another
+    age, by ``draw_stale_age_s``.
+
     Set ``down`` to answer every call with 503, ``bytes_per_s`` to send each answer no
     faster than that, as over a narrow link, and ``max_event_count`` to drop older events than
     the last of that number. ``take_copy`` and ``restore`` bring it back
@@ -167,6 +200,10 @@
         self._events: list[tuple[str, int, dict[str, Any], bool]] = []
         self._oldest_watchable_revision = 0
         self._changed = asyncio.Condition()
+        ages = random.Random(1)
+        self.draw_stale_age_s: Callable[[], float] = lambda: ages.uniform(0.0, MAX_STALE_AGE_S)
+        self._first_state = copy.deepcopy(self._copy)
+        self._writes: list[_Write] = []
 
     def take_copy(self) -> None:
         """Keep a copy of all objects for ``restore``."""
@@ -177,6 +214,8 @@
         self.era += 1
         self._revision, objects = self._copy
         self._objects = copy.deepcopy(objects)
+        # A stale state is one of the same era.
+        self._first_state, self._writes = copy.deepcopy(self._copy), []
         self.discard_history()
         async with self._changed:
             self._changed.notify_all()
@@ -186,6 +225,7 @@
         self._revision += 1
         item = EncodedItem(name, self._revision, spec)
         self._objects.setdefault(kind, {})[name] = item
+        self._writes.append(_Write(time.monotonic(), self._revision, kind, name, item))
         await self._record_event(kind, item, deleted=False)
 
     async def put_raw(
@@ -199,14 +239,20 @@
         self._revision += 1
         sent_name = json.dumps(name).encode() if encoded_name is None else encoded_name
         metadata = b'{"name": %s, "revision": %d}' % (sent_name, self._revision)
-        item = RawItem(self._revision, b'{"metadata": %s, "spec": %s}' % (metadata, spec))
+        item = RawItem(
+            self._revision,
+            b'{"metadata": %s, "spec": %s}' % (metadata, spec),
+            _decode_name(sent_name),
+        )
         self._objects.setdefault(kind, {})[name] = item
+        self._writes.append(_Write(time.monotonic(), self._revision, kind, name, item))
         await self._record_event(kind, item, deleted=False)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object."""
         self._revision += 1
         item = self._objects[kind].pop(name)
+        self._writes.append(_Write(time.monotonic(), self._revision, kind, name, None))
         await self._record_event(kind, item, deleted=True)
 
     def get(self, kind: str, name: str) -> Any:
@@ -269,8 +315,7 @@
                 kind, int(query['watch']), int(query.get('wait-ms', '0')) / 1000
             )
         if request.method == 'GET' and len(parts) == 1:
-            items = list(by_name.values())
-            return 200, {'items': items, 'has-more': False, 'current-rev': self._revision}
+            return 200, self._list(kind, query)
         if request.method == 'GET':
             found = by_name.get(parts[1])
             return (200, found) if found else (404, None)
@@ -285,6 +330,45 @@
         await self.put(kind, name, sent['spec'])
         return 200, by_name[name]
 
+    def _list(self, kind: str, query: dict[str, str]) -> dict[str, Any]:
+        """Return a page of a list."""
+        revision, by_name = self._revision, self._objects.get(kind, {})
+        if query.get('allow-stale') == '1':
+            revision, by_name = self._read_state(
+                kind, time.monotonic() - self.draw_stale_age_s()
+            )
+        by_sent_name: dict[str, list[dict[str, Any]]] = {}
+        nameless = []
+        for name, item in by_name.items():
+            sent_name = item.sent_name if isinstance(item, RawItem) else name
+            if sent_name is None:
+                nameless.append(item)
+            elif sent_name > query.get('after', ''):
+                by_sent_name.setdefault(sent_name, []).append(item)
+        names = sorted(by_sent_name)
+        items = [item for name in names[:PAGE_SIZE] for item in by_sent_name[name]]
+        return {
+            'items': nameless + items,
+            'has-more': len(names) > PAGE_SIZE,
+            'current-rev': revision,
+        }
+
+    def _read_state(self, kind: str, at: float) -> tuple[int, dict[str, dict[str, Any]]]:
+        """Return the revision, and the objects of a kind, at a time of the monotonic clock."""
+        revision, by_kind = self._first_state
+        by_name = dict(by_kind.get(kind, {}))
+        for write in self._writes:
+            if write.at > at:
+                break
+            revision = write.revision
+            if write.kind != kind:
+                continue
+            if write.item is None:
+                by_name.pop(write.name, None)
+            else:
+                by_name[write.name] = write.item
+        return revision, by_name
+
     async def _watch(self, kind: str, after: int, wait_s: float) -> dict[str, Any]:
         def events() -> list[dict[str, Any]]:
             return [
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -125,18 +125,20 @@
 
 def test_a_follower_lists_once_and_watches_from_each_revision() -> None:
     store = ScriptedStore(
-        Listing([_object('a', 3)], 5), WatchAnswer([Change(_object('b', 6), False)], 6)
+        Listing([_object('a', 3)], 5),
+        WatchAnswer([], 5),
+        WatchAnswer([Change(_object('b', 6), False)], 6),
     )
     subscriber = _run_follower(store)
     assert subscriber.events == [('listed a', False), ('changed b', False)]
-    assert store.calls == ['list', 'watch 5 30', 'watch 6 30']
+    assert store.calls == ['list', 'watch 5 0', 'watch 5 30', 'watch 6 30']
 
 
 def test_a_watch_ends_before_its_revision_is_older_than_the_history() -> None:
     """22 daemons listed all objects again when their watches of 30 s ended."""
-    store = ScriptedStore(Listing([], 5), WatchAnswer([], 9))
+    store = ScriptedStore(Listing([], 5), WatchAnswer([], 5), WatchAnswer([], 9))
     _run_follower(store, history_s=20.0)
-    assert store.calls == ['list', 'watch 5 12', 'watch 9 12']
+    assert store.calls == ['list', 'watch 5 0', 'watch 5 12', 'watch 9 12']
 
 
 def test_only_the_first_list_may_return_a_stale_state() -> None:
@@ -149,7 +151,7 @@
 def test_a_follower_lists_again_when_the_store_no_longer_has_the_changes() -> None:
     store = ScriptedStore(Listing([], 5), RevisionTooOldError('too old'), Listing([], 9))
     _run_follower(store)
-    assert store.calls == ['list', 'watch 5 30', 'list', 'watch 9 30']
+    assert store.calls == ['list', 'watch 5 0', 'list', 'watch 9 30']
 
 
 def test_deletions_after_an_outage_are_marked_as_possible_effects_of_it() -> None:
@@ -342,9 +344,11 @@
         return seen
 
     change = Change(_object('b', 6), False)
-    store = DeafStore(Listing([_object('a', 3)], 5), gap, WatchAnswer([change], 6))
+    store = DeafStore(
+        Listing([_object('a', 3)], 5), WatchAnswer([], 5), gap, WatchAnswer([change], 6)
+    )
     seen = run(scenario())
-    assert store.calls == ['list', 'lost', 'watch 5 0', 'watch 6 0.6']
+    assert store.calls == ['list', 'watch 5 0', 'lost', 'watch 5 0', 'watch 6 0.6']
     assert [revision for _, revision in seen] == [5, 5, 5, 5, 5, 6]
     assert not any(is_overdue for is_overdue, _ in seen)
 
@@ -437,6 +441,7 @@
     async def scenario() -> list[str]:
         store = ScriptedStore(
             Listing([], 5),
+            WatchAnswer([], 5),
             WatchAnswer([Change(_object('odd', 6), False), Change(_object('b', 7), False)], 7),
             Listing([_object('b', 7)], 7),
         )
@@ -444,7 +449,7 @@
         subscriber.odd_name = 'odd'
         _start_supervised(store, subscriber, StoreHealth(), Relay())
         await asyncio.sleep(5.0)
-        assert store.calls[:3] == ['list', 'watch 5 30', 'list']
+        assert store.calls[:4] == ['list', 'watch 5 0', 'watch 5 30', 'list']
         return [event for event, _ in subscriber.events]
 
     assert run(scenario()) == ['listed ', 'listed b']
@@ -495,6 +500,7 @@
 def test_a_kind_is_listed_if_the_answer_to_its_watch_can_not_be_used() -> None:
     store = ScriptedStore(
         Listing([_object('a', 3)], 5),
+        WatchAnswer([], 5),
         UnusableAnswerError('odd'),
         UnusableAnswerError('odd'),
         UnusableAnswerError('odd'),
@@ -509,6 +515,7 @@
     ]
     assert store.calls == [
         'list',
+        'watch 5 0',
         'watch 5 30',
         'list',
         'watch 5 30',
@@ -556,6 +563,8 @@
         return was_overdue
 
     change = Change(_object('b', 6), False)
-    store = SlowStore(Listing([_object('a', 3)], 5), WatchAnswer([change], 6))
+    store = SlowStore(
+        Listing([_object('a', 3)], 5), WatchAnswer([], 5), WatchAnswer([change], 6)
+    )
     assert not run(scenario())
-    assert store.calls[:2] == ['list', 'watch 5 0.6']
+    assert store.calls[:3] == ['list', 'watch 5 0', 'watch 5 0.6']
