Tell others what is missing from a later list of the keeper

A keeper that listed a kind again told the others of the list as changes: what had come or changed, but not what had gone. They took over its revision with them, so that nothing, neither a watch nor a heartbeat, ever told them of the rest: servers that were gone stayed in use at all daemons but the keeper.

Change: followers know the names and revisions of what they have passed on. What a list lacks is told as deleted, and the message says that it is only the difference between two states ('is_difference'). It is taken only by who knows exactly the first state: one that is ahead may know an object that came and went between the two. A keeper whose follower failed half way, or has not yet caught up with its pages, tells nothing; the others then read what is missing from the store, since its heartbeats name a revision that they do not have.

tests/objects/test_listed_pages.py: before, 2 of the 5 new tests failed (five entries still known at the other daemon 1 s later); now all pass, without a call of the other daemon where the keeper knows the difference. tests/keyspace/test_broadcast.py checks the new field, too.

--- a/src/coltsfootstair/keyspace/_broadcast.py
+++ b/src/coltsfootstair/keyspace/_broadcast.py
@@ -155,6 +155,7 @@
             )
             for change in relayed.changes
         ],
+        relayed.is_difference,
     )
 
 
@@ -164,7 +165,9 @@
         Change(StoredObject(name, revision, _decode_value(value)), deleted)
         for name, revision, value, deleted in update.changes
     ]
-    return RelayedChanges(update.kind, update.base_revision, update.revision, changes)
+    return RelayedChanges(
+        update.kind, update.base_revision, update.revision, changes, update.is_difference
+    )
 
 
 def _encode_value(value: Any) -> Any:
--- a/src/coltsfootstair/keyspace/_delta_parts.py
+++ b/src/coltsfootstair/keyspace/_delta_parts.py
@@ -68,6 +68,7 @@
             number,
             len(pieces),
             piece,
+            relayed.is_difference,
         )
         for number, piece in enumerate(pieces)
     ]
@@ -110,6 +111,7 @@
             part.before_revision,
             part.object_revision,
             _decode(data),
+            part.is_difference,
         )
 
 
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -326,15 +326,19 @@
 
         Ignores them if changes before them are missing, or if all of them are known.
         """
-        if (
-            self._revision is None
-            or self._must_list
-            or not update.after_revision <= self._revision < update.revision
-        ):
+        if not self._is_continued_by(update):
             return
         self._apply_changes_of_keeper(update.revision, update.changes)
         self._apply_pending_deltas()
 
+    def _is_continued_by(self, update: RelayedChanges | RelayedDelta) -> bool:
+        """Whether all up to the revision of ``update`` is known once it is applied."""
+        if self._revision is None or self._must_list or update.revision <= self._revision:
+            return False
+        if update.is_difference:
+            return update.after_revision == self._revision >= self._mixed_until
+        return update.after_revision <= self._revision
+
     def _apply_changes_of_keeper(self, revision: Revision, changes: list[Change]) -> None:
         self._log_changes('keeper', changes, revision)
         self._revision = revision
@@ -396,6 +400,8 @@
     def _apply_delta(self, known: StoredObject, update: RelayedDelta) -> None:
         if self._must_list or update.revision <= self.revision:
             return
+        if update.is_difference and not self._is_continued_by(update):
+            return
         value = apply_delta(known.value, update.delta)
         item = StoredObject(update.name, update.object_revision, value)
         self._apply_changes_of_keeper(update.revision, [Change(item, False)])
@@ -502,23 +508,45 @@
             self._distrusted_until = self._outage_ended_at + RESTORED_WRITES_S
         self._listed_era = era
         previous_revision, self._revision = self._revision, listing.revision
+        # Others need the difference to a state that is known, and known to be whole.
+        may_publish = (
+            previous_revision is not None
+            and not is_restored
+            and not self._must_list
+            and previous_revision >= self._mixed_until
+        )
         self._subscriber.apply_listing(
             listing, after_outage=self._may_be_outage_effect(), is_restored=is_restored
         )
         self._must_list = False
-        changes = [
-            self._add_state_before(Change(item, False))
-            for item in listing.objects
-            if previous_revision is None or item.revision > previous_revision
-        ]
+        changes = self._compute_difference(previous_revision or 0, listing)
         self._object_by_name = {}
         for item in listing.objects:
             self._keep(Change(item, False))
         self._mixed_until = listing.newest_revision
-        if previous_revision is not None and not is_restored:
-            self._publish_changes(previous_revision, changes)
+        if may_publish:
+            self._publish_changes(previous_revision or 0, changes, is_difference=True)
         self._apply_pending_deltas()
 
+    def _compute_difference(self, revision: Revision, listing: Listing) -> list[Change]:
+        """Return what a listing differs in from the objects as they are known.
+
+        :param revision: revision up to which they are known
+        """
+        listed_names = {item.name for item in listing.objects}
+        changes = [
+            Change(item, True)
+            for name, item in self._object_by_name.items()
+            if name not in listed_names
+        ]
+        changes += [
+            self._add_state_before(Change(item, False))
+            for item in listing.objects
+            # What has no readable revision may be of any.
+            if item.revision > revision or not number_of(item.revision)
+        ]
+        return changes
+
     async def _watch_once(self) -> None:
         if self._relay.is_active and not self._consecutive_failure_count:
             self._must_catch_up = True
@@ -598,12 +626,16 @@
             evidence_age_s=round(min(1e6, self.evidence_age_s), 3),
         )
 
-    def _publish_changes(self, after_revision: int, changes: list[Change]) -> None:
+    def _publish_changes(
+        self, after_revision: int, changes: list[Change], *, is_difference: bool = False
+    ) -> None:
         if self._publish is None:
             return
         if self._is_latest_only:
             changes = _merge_changes(changes)
-        self._publish(RelayedChanges(self._kind, after_revision, self.revision, changes))
+        self._publish(
+            RelayedChanges(self._kind, after_revision, self.revision, changes, is_difference)
+        )
 
     def _compute_evidence_left_s(self) -> float:
         """Return for how long the evidence that nothing is missing is young enough."""
--- a/src/coltsfootstair/objects/_types.py
+++ b/src/coltsfootstair/objects/_types.py
@@ -115,12 +115,18 @@
 
 
 class RelayedChanges(NamedTuple):
-    """Changes of ``kind`` after ``after_revision``, up to and including ``revision``."""
+    """Changes of ``kind`` after ``after_revision``, up to and including ``revision``.
+
+    :param is_difference: whether ``changes`` are only what the state at ``revision`` differs
+        in from the one at ``after_revision``, as after a list. Who knows a state between the
+        two may know an object that came and went in the meantime, and would keep it.
+    """
 
     kind: str
     after_revision: Revision
     revision: Revision
     changes: list[Change]
+    is_difference: bool = False
 
 
 class RelayedDelta(NamedTuple):
@@ -128,6 +134,7 @@
 
     :param before_revision: revision of the object that ``delta`` changes
     :param object_revision: revision of the changed object
+    :param is_difference: as of ``RelayedChanges``
     """
 
     kind: str
@@ -137,6 +144,7 @@
     before_revision: Revision
     object_revision: Revision
     delta: Delta
+    is_difference: bool = False
 
 
 class ObjectStore(Protocol):
--- a/src/coltsfootstair/peers/_messages.py
+++ b/src/coltsfootstair/peers/_messages.py
@@ -286,6 +286,8 @@
     :param base_revision: revision after which the changes come
     :param revision: revision up to which the changes are complete
     :param changes: name, revision and value of each object, and whether it was deleted
+    :param is_difference: whether the changes are what two states differ in, and so are of use
+        only to who knows exactly the first one
     """
 
     epoch: int
@@ -293,6 +295,7 @@
     base_revision: int
     revision: int
     changes: list[tuple[str, int, Any, bool]]
+    is_difference: bool = False
 
 
 class DeltaPart(msgspec.Struct, tag='delta', array_like=True):
@@ -308,6 +311,7 @@
     :param number: position of this part, from 0
     :param part_count: number of parts
     :param data: the part's bytes of the compressed difference
+    :param is_difference: as of ``ObjectsUpdate``
     """
 
     epoch: int
@@ -320,6 +324,7 @@
     number: int
     part_count: int
     data: bytes
+    is_difference: bool = False
 
 
 Message = (
--- a/tests/keyspace/test_broadcast.py
+++ b/tests/keyspace/test_broadcast.py
@@ -51,10 +51,10 @@
 def test_an_odd_value_is_relayed_as_unreadable_and_hides_no_other_change(value: Any) -> None:
     """The keeper's task ended, and the others waited for changes that never came."""
     good = Change(StoredObject('s2', 9, {'slots': 4}), False)
-    ((kind, after, revision, changes),) = _publish(
+    ((kind, after, revision, changes, is_difference),) = _publish(
         Change(StoredObject('s1', 8, value), False), good
     )
-    assert (kind, after, revision) == ('servers', 1, 9)
+    assert (kind, after, revision, is_difference) == ('servers', 1, 9, False)
     assert changes[1] == good
     assert changes[0].object[:2] == ('s1', 8)
     assert isinstance(changes[0].object.value, UnreadableValue)
--- a/tests/objects/listed_store.py
+++ b/tests/objects/listed_store.py
@@ -34,6 +34,7 @@
     :ivar calls: calls that were made
     :ivar errors: errors of the next calls
     :ivar oldest_watchable: lowest revision from which changes are known
+    :ivar is_held: whether watches wait although there are changes
     :ivar is_silent: whether no call is answered that begins or waits now
     """
 
@@ -45,6 +46,7 @@
         self.calls: list[str] = []
         self.errors: list[Exception] = []
         self.oldest_watchable = 0
+        self.is_held = False
         self.is_silent = False
         self._writers: list[ListedStore] = [self]
         self._written = asyncio.Event()
@@ -124,6 +126,9 @@
             raise RevisionTooOldError('too old')
         if self.revision <= after_revision and wait_s:
             await asyncio.wait([asyncio.ensure_future(self._written.wait())], timeout=wait_s)
+        while self.is_held:
+            await asyncio.sleep(CALL_S)
+        await self._fail_if_told()
         changes = [write.change for write in self.writes if write.revision > after_revision]
         return WatchAnswer(changes, self.revision)
 
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -420,7 +420,7 @@
     assert store.calls == ['list', 'watch 5 0', 'list', 'watch 95 30']
     assert store.listed_stale == [True, False]
     change = Change(_object('main', 90), False, _object('main', 3))
-    assert published == [RelayedChanges('config', 5, 95, [change])]
+    assert published == [RelayedChanges('config', 5, 95, [change], is_difference=True)]
 
 
 def _start_supervised(
--- a/tests/objects/test_listed_pages.py
+++ b/tests/objects/test_listed_pages.py
@@ -12,6 +12,7 @@
 from tests.objects.listed_store import ListedStore
 from tests.virtual_time import LoopClock, run
 
+from coltsfootstair.errors import UnusableAnswerError
 from coltsfootstair.objects import (
     Change,
     Follower,
@@ -20,6 +21,7 @@
     RelayedChanges,
     StoreHealth,
 )
+from coltsfootstair.supervision import FailureLog, SupervisedTask
 
 KEEPER_DELAY_S = 0.01
 """Time between the keeper's reading of a change and its arrival, in seconds."""
@@ -210,3 +212,78 @@
     stored, known, calls = run(work())
     assert known == stored
     assert calls[:4] == ['stale list', 'watch 0', 'list', 'watch 0.6']
+
+
+def _play_keeper_that_lists_again(
+    *, fails_half_way: bool = False, other_is_ahead: bool = False
+) -> tuple[dict[str, Any], dict[str, Any], dict[str, Any], list[str]]:
+    """Let a keeper list once more, with five entries deleted that it has not seen deleted.
+
+    :param fails_half_way: whether the keeper lists since its follower has failed
+    :param other_is_ahead: whether the other daemon has seen an entry that came meanwhile, and
+        that is deleted before the keeper lists
+    :return: what is stored, what the keeper knows, what the other daemon knows, and the calls
+        of the other daemon after that
+    """
+
+    async def work() -> tuple[dict[str, Any], dict[str, Any], dict[str, Any], list[str]]:
+        store = ListedStore(lambda: 0.0)
+        for number in range(12):
+            store.put(f's{number:02}', 'ready')
+        daemons = _Daemons(store, lambda: 0.0)
+        keeper = SupervisedTask(
+            'keeper',
+            daemons.keeper.run,
+            LoopClock(),
+            FailureLog(),
+            lambda _task: daemons.keeper.recover(),
+        )
+        tasks = [asyncio.create_task(keeper.run()), asyncio.create_task(daemons.other.run())]
+        await asyncio.sleep(0.1)
+        tasks.append(asyncio.create_task(daemons.send_heartbeats()))
+        await asyncio.sleep(2.0)
+        daemons.keeper_store.errors = [
+            RuntimeError('a fault') if fails_half_way else UnusableAnswerError('odd')
+        ]
+        daemons.keeper_store.is_held = True
+        if other_is_ahead:
+            store.put('short-lived', 'ready')
+            # Longer than the evidence of the keeper counts.
+            await asyncio.sleep(1.7)
+            assert 'short-lived' in daemons.view.value_by_name
+            store.delete('short-lived')
+        for number in range(0, 10, 2):
+            store.delete(f's{number:02}')
+        store.put('s11', 'draining')
+        daemons.other_store.calls.clear()
+        daemons.keeper_store.is_held = False
+        await asyncio.sleep(1.0)
+        for task in tasks:
+            task.cancel()
+        return (
+            _read_values(store),
+            daemons.keeper_view.value_by_name,
+            daemons.view.value_by_name,
+            daemons.other_store.calls,
+        )
+
+    return run(work())
+
+
+@pytest.mark.parametrize('fails_half_way', [False, True])
+@pytest.mark.parametrize('other_is_ahead', [False, True])
+def test_what_is_missing_from_a_later_list_of_the_keeper_is_gone_at_all_daemons(
+    fails_half_way: bool, other_is_ahead: bool
+) -> None:
+    """The keeper's list was told as changes, and deleted entries stayed at all others."""
+    stored, keeper_knows, known, _ = _play_keeper_that_lists_again(
+        fails_half_way=fails_half_way, other_is_ahead=other_is_ahead
+    )
+    assert len(stored) == 7
+    assert keeper_knows == stored
+    assert known == stored
+
+
+def test_a_later_list_of_the_keeper_costs_the_other_daemons_no_call() -> None:
+    *_, calls = _play_keeper_that_lists_again()
+    assert calls == []
