Let a relayed difference wait for the changes before it

Change: a difference is applied only if the revision that it starts from is known; until then it waits as those whose object is too old do. What was missed is read from the store meanwhile.

test_a_difference_does_not_stand_for_a_lost_change_of_another_object failed before (revision 3 instead of 1 after the difference); now it passes, and the other object is known 1 s later. With one object of the kind, as in the deployments, callers can't have seen it.

--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -361,13 +361,18 @@
     def apply_relayed_delta(self, update: RelayedDelta) -> None:
         """Apply a change of a large object that the keeper has read.
 
-        If the object is at an earlier revision than the one that is changed, the change waits
-        for it: what was missed is read from the store, while further changes come.
+        If the object is at an earlier revision than the one that is changed, or if changes of
+        other objects before it are missing, the change waits: what was missed is read from the
+        store, while further changes come.
 
         :raises ProtocolError: the change does not fit the object
         """
         known = self._object_by_name.get(update.name)
-        if known is None or known.revision < update.before_revision:
+        if (
+            known is None
+            or known.revision < update.before_revision
+            or self.revision < update.after_revision
+        ):
             if len(self._pending_deltas) >= MAX_PENDING_DELTAS:
                 del self._pending_deltas[next(iter(self._pending_deltas))]
             self._pending_deltas[update.name, update.before_revision] = update
@@ -381,9 +386,11 @@
         for name in list(self._object_by_name):
             while True:
                 known = self._object_by_name[name]
-                delta = self._pending_deltas.pop((name, known.revision), None)
-                if delta is None:
+                key = (name, known.revision)
+                delta = self._pending_deltas.get(key)
+                if delta is None or self.revision < delta.after_revision:
                     break
+                del self._pending_deltas[key]
                 try:
                     self._apply_delta(known, delta)
                 except ProtocolError as error:
@@ -398,9 +405,7 @@
                     break
 
     def _apply_delta(self, known: StoredObject, update: RelayedDelta) -> None:
-        if self._must_list or update.revision <= self.revision:
-            return
-        if update.is_difference and not self._is_continued_by(update):
+        if not self._is_continued_by(update):
             return
         value = apply_delta(known.value, update.delta)
         item = StoredObject(update.name, update.object_revision, value)
--- a/tests/objects/test_follower_under_changes.py
+++ b/tests/objects/test_follower_under_changes.py
@@ -69,11 +69,13 @@
         return True
 
 
-def _build_follower(store: _LargeStore, relay: Relay, clock: LoopClock) -> Follower:
+def _build_follower(
+    store: _LargeStore, relay: Relay, clock: LoopClock, subscriber: _Subscriber | None = None
+) -> Follower:
     return Follower(
         store,
         'configuration',
-        _Subscriber(),
+        subscriber or _Subscriber(),
         clock,
         random.Random(1),
         StoreHealth(),
@@ -178,3 +180,50 @@
         return follower.revision
 
     assert run(scenario()) == 1
+
+
+def test_a_difference_does_not_stand_for_a_lost_change_of_another_object() -> None:
+    """A change of one object counted as evidence that no other had changed before it."""
+
+    class Store(_LargeStore):
+        async def watch(
+            self, kind: str, after_revision: int, wait_s: float, **_: Any
+        ) -> WatchAnswer:
+            await asyncio.sleep(wait_s or 0.01)
+            changes = [
+                Change(StoredObject('other', 2, {'v': 2}), False),
+                Change(StoredObject('main', 3, {'v': 3}), False),
+            ]
+            return WatchAnswer(
+                [change for change in changes if after_revision < change.object.revision]
+                if self.revision == 3
+                else [],
+                self.revision,
+            )
+
+    class Subscriber(_Subscriber):
+        def apply_change(self, change: Change, *, after_outage: bool) -> bool:
+            known.append((change.object.name, change.object.revision))
+            return True
+
+    known: list[tuple[str, int]] = []
+
+    async def scenario() -> tuple[int, float]:
+        clock, store, relay = LoopClock(), Store(), Relay()
+        follower = _build_follower(store, relay, clock, Subscriber())
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(3.0)
+        relay.set_active(True)
+        await asyncio.sleep(1.0)
+        store.revision = 3
+        # The message with the change at revision 2 was lost.
+        delta = compute_delta({'v': 1}, {'v': 3})
+        follower.apply_relayed_delta(RelayedDelta('configuration', 2, 3, 'main', 1, 3, delta))
+        revision_before = follower.revision
+        relay.set_keeper_revisions({'configuration': 3})
+        await asyncio.sleep(1.0)
+        task.cancel()
+        return revision_before, follower.revision
+
+    assert run(scenario()) == (1, 3)
+    assert dict(known) == {'other': 2, 'main': 3}
