Take no evidence from an answer that tells less than was asked

They are logged, asked again, and prove nothing.

Whether a store of the platform ever answers so was not seen.

--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -490,11 +490,13 @@
         # what has changed since. It is not listed again: its history may be gone.
         may_be_stale, self._may_list_stale = self._may_list_stale, False
         began_at = self._clock.monotonic()
+        revision_before = self.revision
         self._is_receiving = True
         try:
             listing = await self._store.list(self._kind, may_be_stale=may_be_stale)
         finally:
             self._is_receiving = False
+        self._check_revision(listing.revision, revision_before)
         self._on_call_answered()
         self._skips_history = False
         if listing.revision >= self.revision:
@@ -592,6 +594,7 @@
             return
         finally:
             self._is_receiving = False
+        self._check_revision(answer.revision, previous_revision)
         self._is_watch_dead = self._is_watch_dead and not wait_s
         self._on_call_answered()
         if answer.revision <= self.revision:
@@ -614,6 +617,16 @@
         if answer.changes:
             await asyncio.sleep(self._watch_pause_s)
 
+    def _check_revision(self, answered: Revision, known: Revision) -> None:
+        """Refuse an answer of a state before the one that was known when the call began.
+
+        :raises UnusableAnswerError: the answer tells nothing of the latest state
+        """
+        if answered < known:
+            raise UnusableAnswerError(
+                f'{self._kind}: answered with revision {answered}, at least {known} is allowed'
+            )
+
     def _log_changes(self, source: str, changes: list[Change], revision: Revision) -> None:
         """Log changes of which this daemon learns.
 
--- a/tests/coltsfootstair_platform/test_odd_answers.py
+++ b/tests/coltsfootstair_platform/test_odd_answers.py
@@ -137,6 +137,7 @@
         b'{"items":[],"current-rev":"5"}',
         b'{"items":[],"current-rev":1' + b'0' * 30 + b'}',
         b'{"items":[{"metadata":{}}],"has-more":true,"current-rev":5}',
+        b'{"items":[],"has-more":true,"current-rev":5}',
         b'{"items":[{"metadata"',
         b'{"items":[[}}}}],"current-rev":5}',
         b'{"items":[{"metadata":{"name":"a"}},\xff"],"current-rev":5}',
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -568,3 +568,36 @@
     )
     assert not run(scenario())
     assert store.calls[:3] == ['list', 'watch 5 0', 'watch 5 0.6']
+
+
+def test_an_answer_of_an_earlier_state_proves_nothing() -> None:
+    """Guards against evidence from a store that answers from before what was asked for."""
+
+    async def scenario() -> tuple[list[str], bool, bool]:
+        store = ScriptedStore(
+            Listing([], 5), WatchAnswer([], 5), WatchAnswer([], 4), Listing([], 3)
+        )
+        clock = LoopClock()
+        follower = Follower(
+            store,
+            'servers',
+            RecordingSubscriber(),
+            clock,
+            random.Random(1),
+            StoreHealth(),
+            Relay(),
+            0.1,
+            50.0,
+            max_watch_s=0.6,
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.025)
+        told_at = follower.confirmed_at
+        await asyncio.sleep(3.0)
+        task.cancel()
+        return store.calls, told_at > 0.0, follower.confirmed_at == told_at
+
+    calls, was_told, proves_nothing = run(scenario())
+    assert calls[:5] == ['list', 'watch 5 0', 'watch 5 0.6', 'list', 'watch 5 0.6']
+    assert was_told
+    assert proves_nothing
