Say that a daemon is ready only when its first lists are caught up with

What callers met: a daemon said that it was ready as soon as it had a configuration. Its servers were then those of a list that may be seconds old, or none at all, until a watch told the rest: with a store that answers watches slowly, requests went to servers that had left before the daemon started.

Change: it is ready once all that was there of each kind was known at some moment, by an answer of the store or by evidence of the keeper. A call that fails meanwhile ends the wait: what is known is then the best that can be had.

Before, test_a_daemon_is_not_ready_with_a_stale_list_of_servers failed (the leaving server ran the request, 200); now the caller gets 503.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -589,10 +589,15 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether load balancers may send callers to this daemon."""
+        """Whether load balancers may send callers to this daemon.
+
+        Not before the followers have caught up with their first lists, which may be stale.
+        """
         route_table = self._configuration_subscriber.route_table
         if self.is_draining or route_table is None or self._supervisor.is_essential_down:
             return False
+        if not all(follower.has_started for follower in self._followers):
+            return False
         return (
             not route_table.configuration.has_workspaces or self._configuration_age.is_current
         )
--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -221,6 +221,7 @@
         self._is_answer_unusable = False
         self._must_list = False
         self._may_list_stale = True
+        self._has_call_failed = False
         self._listed_era: int | None = None
         self._publish: Callable[[RelayedChanges], None] | None = None
         self._known_at = clock.monotonic()
@@ -279,6 +280,14 @@
         """Revision of the store up to which the kind is known; 0 before the first listing."""
         return self._revision or 0
 
+    @property
+    def has_started(self) -> bool:
+        """Whether all of the kind was known at some moment, or a call has failed by now.
+
+        What is known without an answer of the store is the best that can be had.
+        """
+        return self._has_call_failed or math.isfinite(self.confirmed_at)
+
     @property
     def unheard_s(self) -> float:
         """Time since the store or the keeper last told the state of the kind, in seconds."""
@@ -463,6 +472,7 @@
                 # The store can be reached, so other kinds go on. What makes a watch unusable
                 # may be missing in a list, and the other way round.
                 self._health.record_answer(self)
+                self._has_call_failed = True
                 self._skips_history = self._revision is not None and not self._skips_history
                 if not self._is_answer_unusable:
                     self._is_answer_unusable = True
@@ -691,6 +701,7 @@
 
     def _on_call_failed(self, error: Exception) -> None:
         self._consecutive_failure_count += 1
+        self._has_call_failed = True
         self._health.record_failure(self)
         if self._consecutive_failure_count == 1:
             logger.warning('store lost', kind=self._kind, reason=str(error))
