Keep no request whose exchange has failed

The error kept its traceback, that the frame of the exchange, and that the future which has the error: a cycle, with the body in it, that only the collector frees, while the reserved memory was released at once. A task cancelled since its caller left did the same with its own frame.

Change: both references are dropped when the exchange, or the task, ends.

tests/http1/test_kept_bodies.py measures what is kept without collection of cycles: before, the failed exchanges (3 forms) and the caller that left kept 34 to 36 MB of 32 MiB sent, now less than half of one body. The fourth form, a silent server, passed before, too.

--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -250,6 +250,9 @@
                 self.close()
                 self._drop_answer()
             self._pending_answer = None
+            # An error's traceback has this frame: with the future, which has the error, it
+            # would keep the request until the next collection of cycles.
+            del pending_answer
 
     def record_refusal(self) -> None:
         """Record that the last request was refused, see ``has_refused``."""
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -340,6 +340,8 @@
             )
         finally:
             self._handler.release_body_memory(pending.reserved_bytes)
+            # A task that is cancelled keeps this frame, with the request, as long as it lives.
+            pending.task = None
         pending.reply = reply
         try:
             self._send_ready_replies()
