Drop the part of a body that was refused

Found beside the failed uploads: a body that was refused while it came, as too long or since the memory was full, was released in the account and kept by its connection, which lingers for a second or more. At a full memory each refused upload added to it what had come of it so far.

Change: what is released is dropped.

test_the_part_of_a_body_that_was_refused_is_not_kept failed before (36 MB kept of four bodies of 8 MiB), and passes now.

--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -434,8 +434,10 @@
         self._reserved_bytes = 0
 
     def _release_body_memory(self) -> None:
+        """Drop the body that is being read."""
         self._handler.release_body_memory(self._reserved_bytes)
         self._reserved_bytes = 0
+        self._body = bytearray()
 
     def _set_timer(self, delay_s: float) -> None:
         """Restart the timer that bounds reading headers and being idle."""
--- a/tests/http1/test_kept_bodies.py
+++ b/tests/http1/test_kept_bodies.py
@@ -164,3 +164,10 @@
     kept, reserved = _measure_kept_by_server(has_memory=True)
     assert kept < MAX_KEPT_BYTES
     assert reserved == 0
+
+
+def test_the_part_of_a_body_that_was_refused_is_not_kept() -> None:
+    """Its memory was released in the account, and kept while the connection lingered."""
+    kept, reserved = _measure_kept_by_server(has_memory=False)
+    assert kept < MAX_KEPT_BYTES
+    assert reserved == 0
