Cut a daemon off in a test only once the keeper knows it

test_a_daemon_without_the_store_is_vouched_for_by_the_keeper cut a daemon off before there was a keeper, and passed since that daemon's calls in flight still brought it up to the keeper's revision. It is refused then, as it should be; nothing vouches for what it does not know. The test now waits until the daemon relies on the keeper, as its name says; what it asks for is the same.

--- a/tests/gateway/test_workspaces.py
+++ b/tests/gateway/test_workspaces.py
@@ -195,6 +195,11 @@
     assert after == [200] * 3
 
 
+def _find_relying(gateways: list[RunningGateway]) -> RunningGateway | None:
+    """Return a daemon that relies on the keeper, if there is one."""
+    return next((each for each in gateways if each.gateway._relay.is_active), None)
+
+
 def test_a_daemon_without_the_store_is_vouched_for_by_the_keeper(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -207,7 +212,9 @@
             3, *servers.list_all(), configuration=configuration, workspaces=STRICT
         ) as gateways:
             await _wait_until_served(gateways, 'key-1')
-            cut_off = next(g for g in gateways if not g.gateway._keeper.is_keeper)
+            # A daemon that the keeper does not know yet misses the changes before it does.
+            while (cut_off := _find_relying(gateways)) is None:
+                await asyncio.sleep(0.02)
             pool = cut_off.gateway._ports.store._pool  # type: ignore[attr-defined]
 
             async def refuse(*_: Any) -> Any:
