Write long bodies in pieces, and hold each once

Cause: the memory of a body was reserved once, and up to four copies of it were held: the request's, the one with the head, the rest that the socket did not take, and the transport's buffer. The last one stayed in a connection that was answered early and given back to the pool, where nothing counted it, and where the next request waited behind it.

Change: a long body is written in pieces of 256 KiB as the server reads, from the one copy that the request has; a connection that is answered before its request is written is closed, and the rest is not sent. A complete request takes over the buffer that it was read into.

--- a/src/coltsfootstair/crashes/_fingerprint.py
+++ b/src/coltsfootstair/crashes/_fingerprint.py
@@ -15,7 +15,12 @@
 
 
 def compute_fingerprints(
-    host: bytes, method: bytes, target: bytes, key: int | None, body: bytes, caller: str
+    host: bytes,
+    method: bytes,
+    target: bytes,
+    key: int | None,
+    body: bytes | bytearray,
+    caller: str,
 ) -> tuple[bytes, bytes]:
     """Return the fingerprints of a request's content, without and with its caller.
 
@@ -29,7 +34,7 @@
     return content.digest(), by_caller.digest()
 
 
-def _add_parts(digest: hashlib.blake2b, parts: Iterable[bytes]) -> None:
+def _add_parts(digest: hashlib.blake2b, parts: Iterable[bytes | bytearray]) -> None:
     for part in parts:
         # With the length, so that parts can't run into each other.
         digest.update(len(part).to_bytes(8, 'big'))
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -52,6 +52,10 @@
 """How long an answer with the request's id is awaited after one without, in seconds; several
 times a usual service time."""
 
+BODY_PIECE_BYTES = 256 * 1024
+"""Bytes of a request's body that are written at once. The rest waits in the caller's copy, so
+that the transport keeps no second one."""
+
 FIRST_FINAL_STATUS = 200
 NOT_MODIFIED_STATUS = 304
 
@@ -107,7 +111,8 @@
     ignored ones included, fails at once.
 
     A connection that ends during an exchange is reset, also if the process is killed, so that
-    bytes of the request that are held up on their way are not delivered later.
+    bytes of the request that are held up on their way are not delivered later. One that is
+    answered before all of the request is written is closed, and the rest is not sent.
 
     :param id_header: name in lower case of the header in which servers return the id of a
         request; empty for servers that return none, whose answers count without
@@ -139,7 +144,8 @@
         self._refused_ids: set[bytes] = set()
         self._on_head: Callable[[int, Headers, bool], None] | None = None
         self._is_head_request = False
-        self._sent = False
+        self._unwritten_body = memoryview(b'')
+        self._is_writing_paused = False
         self._received_bytes = 0
         self._received_body_bytes = 0
         self._reset_parser()
@@ -190,7 +196,7 @@
         self,
         request_line: bytes,
         headers: Headers,
-        body: bytes,
+        body: bytes | bytearray,
         *,
         expected_id: bytes | None = None,
         further_id_header: bytes | None = None,
@@ -239,7 +245,13 @@
         self.exchange_count += 1
         if self.exchange_count > 1:
             self._reset_parser()
-        transport.write(render_head(request_line, headers) + body)
+        head = render_head(request_line, headers)
+        if len(body) <= BODY_PIECE_BYTES:
+            transport.write(head + body)
+        else:
+            transport.write(head)
+            self._unwritten_body = memoryview(body)
+            self._write_body()
         try:
             return await pending_answer
         finally:
@@ -254,6 +266,31 @@
             # would keep the request until the next collection of cycles.
             del pending_answer
 
+    def _write_body(self) -> None:
+        """Write the rest of the body, as far as the server reads it."""
+        while self._unwritten_body and not self._is_writing_paused and self._transport:
+            piece = self._unwritten_body[:BODY_PIECE_BYTES]
+            self._unwritten_body = self._unwritten_body[BODY_PIECE_BYTES:]
+            self._transport.write(piece)
+
+    def pause_writing(self) -> None:
+        """Write no further piece of a body while the server does not read."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Write on once the server has read."""
+        self._is_writing_paused = False
+        # Not at once: the transport calls this in the middle of a write of its own, and would
+        # report the end of the connection twice if the next one failed.
+        asyncio.get_running_loop().call_soon(self._write_body)
+
+    @property
+    def _has_unwritten_bytes(self) -> bool:
+        """Whether a part of the last request is not written to the socket yet."""
+        return bool(self._unwritten_body) or (
+            self._transport is not None and self._transport.get_write_buffer_size() > 0
+        )
+
     def record_refusal(self) -> None:
         """Record that the last request was refused, see ``has_refused``."""
         if self._expected_id:
@@ -293,10 +330,16 @@
         self.is_reusable = False
         if self._transport is not None:
             raw_socket = self._transport.get_extra_info('socket')
-            if raw_socket is not None and self._pending_answer is None:
+            is_between_exchanges = self._pending_answer is None
+            if (
+                raw_socket is not None
+                and is_between_exchanges
+                and not self._has_unwritten_bytes
+            ):
                 finish_on_close(raw_socket)
             self._transport.abort()
             self._transport = None
+        self._unwritten_body = memoryview(b'')
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the options of the new socket."""
@@ -376,6 +419,7 @@
         """Fail the exchange in progress."""
         self._transport = None
         self.is_reusable = False
+        self._unwritten_body = memoryview(b'')
         self._fail(
             f'{self.address} closed the connection: {exc!r}',
             # Other errors are time-outs of this side, or of the network.
@@ -461,6 +505,9 @@
         if self._id_header and self._proves is None:
             # No later answer could be told from a repeat of one that had no id.
             self.is_reusable &= bool(self._expected_id and self._find_answered_id())
+        if self._has_unwritten_bytes:
+            # The next request would wait behind the rest of this one.
+            self.is_reusable = False
         self._update_idle_limit()
         pending_answer.set_result(Answer(self._status, self._headers, bytes(self._body)))
         self._drop_answer()
@@ -492,9 +539,7 @@
         if self.exchange_count == 1 or (self._id_header and self._proves is None):
             return True
         assert self._transport is not None
-        return not (
-            self._transport.get_write_buffer_size() or self.count_unacknowledged_bytes()
-        )
+        return not (self._has_unwritten_bytes or self.count_unacknowledged_bytes())
 
     def _update_idle_limit(self) -> None:
         """Read the idle limit that the server announces in ``Keep-Alive``."""
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -57,6 +57,7 @@
     """A complete request of a caller.
 
     :param target: the request target as sent
+    :param body: not changed after the request is complete
     :param path: the path in ``target``, without the query
     :param received_at: monotonic seconds at which the first byte of the request was read
     :param caller: IP address that the request came from
@@ -66,7 +67,7 @@
     target: bytes
     path: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     received_at: float
     caller: str = ''
 
@@ -315,7 +316,7 @@
             target,
             _extract_path(target),
             self._headers,
-            bytes(self._body),
+            self._body,
             received_at,
             self._caller,
         )
--- a/tests/coltsfootstair_platform/programs.py
+++ b/tests/coltsfootstair_platform/programs.py
@@ -131,6 +131,12 @@
         """Whether the process lives."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Id of the running process."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def used_cpu_s(self) -> float:
         """Processor time of all processes of this daemon, in seconds."""
