Bound the answers to control calls of the product's own interface

The calls of the users' platform are limited already (tests of endless answers); answers to callers' requests are passed on piece by piece.

Change: an answer of more than 64 KiB ends the call and its connection.

test_an_endless_answer_to_a_control_call_is_cut_off failed before (256 MiB were read), and passes now. An endless head was not looked at here; http.client limits its lines and headers.

--- a/src/coltsfootstair/backend/_client.py
+++ b/src/coltsfootstair/backend/_client.py
@@ -24,6 +24,9 @@
 CHUNK_BYTES = 64 * 1024
 """Bytes read of an answer at once; a request body up to this size is sent with its headers."""
 
+MAX_CONTROL_ANSWER_BYTES = 64 * 1024
+"""Longest body of an answer to a probe, a grant or a cancel call."""
+
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 
@@ -102,12 +105,18 @@
             body = None if payload is None else json.dumps(payload).encode()
             connection.request(method, path, body, {'Content-Type': 'application/json'})
             response = connection.getresponse()
-            content = response.read()
+            content = response.read(MAX_CONTROL_ANSWER_BYTES + 1)
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise CallFailedError(
                 f'{type(error).__name__}: {error}', dispatched=True
             ) from error
+        if len(content) > MAX_CONTROL_ANSWER_BYTES:
+            connection.close()
+            raise CallFailedError(
+                f'{path} was answered with over {MAX_CONTROL_ANSWER_BYTES} bytes',
+                dispatched=True,
+            )
         if response.status not in (STATUS_OK, STATUS_CONFLICT):
             connection.close()
             raise CallFailedError(
--- a/tests/backend/test_client.py
+++ b/tests/backend/test_client.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import contextlib
+import socket
 import time
 
 import pytest
@@ -12,6 +14,7 @@
 from tests.held_up import fill_receive_buffer, listen_with_small_buffer, receive_rest
 
 REQUEST_TIMEOUT_S = 0.2
+ENDLESS_BYTES = 256 * 1024 * 1024
 
 
 class _Sink:
@@ -45,3 +48,29 @@
         received, was_reset = receive_rest(server_side)
     assert b'/book' not in received
     assert was_reset
+
+
+def _serve_endless_body(listener: socket.socket) -> int:
+    """Answer one call with a body without end; return the bytes that the client took."""
+    server_side, _ = listener.accept()
+    sent_bytes = 0
+    with server_side, contextlib.suppress(OSError):
+        server_side.recv(65536)
+        server_side.sendall(b'HTTP/1.1 200 OK\r\n\r\n')
+        while sent_bytes < ENDLESS_BYTES:
+            server_side.sendall(bytes(65536))
+            sent_bytes += 65536
+    return sent_bytes
+
+
+def test_an_endless_answer_to_a_control_call_is_cut_off() -> None:
+    """Guards against a probe whose answer fills the memory until the server stops."""
+    with (
+        contextlib.closing(socket.create_server(('127.0.0.1', 0))) as listener,
+        concurrent.futures.ThreadPoolExecutor() as pool,
+    ):
+        taken_bytes = pool.submit(_serve_endless_body, listener)
+        client = HttpBackendServer('{}:{}'.format(*listener.getsockname()))
+        with pytest.raises(CallFailedError, match='over 65536 bytes'):
+            client.probe(5.0)
+        assert taken_bytes.result() < ENDLESS_BYTES
