Give the model of late knowledge pages of different age

The model's store answered stale lists from its latest state, as the other stand-in did before, which is why no drawn play could meet a list whose pages differ. Its pages now have three entries, and stale ones are of drawn age; the draws of the plays are the same as before.

--- a/tests/keyspace/knowledge_model.py
+++ b/tests/keyspace/knowledge_model.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
+import random
 from typing import Any
 
 from coltsfootstair.errors import StoreUnavailableError
@@ -30,19 +32,41 @@
 """Seconds by which datagrams come later after each second in which a link is too narrow."""
 
 
+PAGE_SIZE = 3
+"""Entries in a page of a list."""
+
+MAX_STALE_AGE_S = 6.0
+"""Highest age of a page of a list that may be stale, in seconds."""
+
+
 class EntryStore(ModelStore):
-    """The shared store, which also has the entries of backend servers."""
+    """The shared store, which also has the entries of backend servers.
+
+    Each page of a list that may be stale is of another age.
+    """
 
     def __init__(self, world: KnowledgeWorld, daemon: str) -> None:
         super().__init__(world, daemon)
         self._knowledge = world
+        self._ages = random.Random(daemon)
 
     async def list(self, kind: str, *, may_be_stale: bool = False) -> Listing:
         if kind != SERVERS_KIND:
             return await super().list(kind, may_be_stale=may_be_stale)
-        await self._simulate_call()
-        by_name = {item.name: item for item in self._knowledge.written}
-        return Listing(list(by_name.values()), self._knowledge.entry_revision)
+        objects: list[StoredObject] = []
+        revisions: list[int] = []
+        after = ''
+        while True:
+            await self._simulate_call()
+            age_s = self._ages.uniform(0.0, MAX_STALE_AGE_S) if may_be_stale else 0.0
+            written = self._knowledge.read_written(age_s)
+            by_name = {item.name: item for item in written}
+            names = sorted(name for name in by_name if name > after)[:PAGE_SIZE]
+            objects.extend(by_name[name] for name in names)
+            revisions.append(len(written))
+            if len(names) < PAGE_SIZE:
+                return Listing.of_pages(objects, revisions)
+            after = names[-1]
 
     async def watch(
         self, kind: str, after_revision: int, wait_s: float, **_: Any
@@ -150,6 +174,11 @@
     def entry_revision(self) -> int:
         return len(self.written)
 
+    def read_written(self, age_s: float) -> list[StoredObject]:
+        """Return the entries that were written up to ``age_s`` seconds ago."""
+        count = bisect.bisect_right(self._written_at, self.now - age_s)
+        return self.written[:count]
+
     def write_entry(self) -> None:
         """Let a backend server write that it leaves."""
         self.written.append(
