Read a request that offers an upgrade as one that does not

Cause: the parser ends such a message at the end of its head, calls on_message_complete, and only then tells of the upgrade; the server had started the request by then. CONNECT was run likewise.

Change: the head is parsed once more without the offer, with all that follows it, so that framing, limits and expectations apply as always. CONNECT is refused before anything runs.

--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -212,9 +212,7 @@
         if not self._in_body:
             self._header_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(http.HTTPStatus.BAD_REQUEST)
+            self._feed(data)
         except httptools.HttpParserCallbackError as error:
             if not self._is_closing:
                 self._refuse_failed(error)
@@ -228,6 +226,30 @@
         if headers_too_large and self._message_started_at is not None and not self._in_body:
             self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
+    def _feed(self, data: bytes) -> None:
+        """Parse bytes; a request that offers an upgrade is read as one that does not.
+
+        The parser takes such a request for complete at the end of its head.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as end_of_head:
+                if self._is_closing:
+                    return
+                data = self._restart_without_upgrade() + data[end_of_head.args[0] :]
+            else:
+                return
+
+    def _restart_without_upgrade(self) -> bytes:
+        """Prepare to parse a request once more, and return its head without the offer."""
+        version = self._parser.get_http_version().encode()
+        line = self._parser.get_method() + b' ' + bytes(self._target) + b' HTTP/' + version
+        headers = [header for header in self._headers if header[0].lower() != b'upgrade']
+        self._parser = httptools.HttpRequestParser(self)
+        self._clear_head()
+        return render_head(line, headers)
+
     def close_after_pending_requests(self) -> None:
         """Accept no further request if some are pending, and close after their last answer.
 
@@ -270,6 +292,11 @@
         if self._is_closing:
             return
         self._in_body = True
+        if self._parser.should_upgrade():
+            if self._parser.get_method() == b'CONNECT':
+                self._refuse(http.HTTPStatus.BAD_REQUEST)
+            self._offers_upgrade = True
+            return
         limits = self._handler.limits
         # 4 bytes of each header are the colon, a space and the line end.
         size = sum(len(key) + len(value) + 4 for key, value in self._headers)
@@ -307,7 +334,7 @@
 
     def on_message_complete(self) -> None:
         """Start to handle the complete request."""
-        if self._is_closing:
+        if self._is_closing or self._offers_upgrade:
             return
         received_at = self._message_started_at or self._handler.clock.monotonic()
         target = bytes(self._target)
@@ -426,13 +453,17 @@
 
     def _reset_message(self) -> None:
         self._message_started_at = None
-        self._in_body = False
         # Bytes that were received before the end of the headers.
         self._header_bytes = 0
-        self._target = bytearray()
-        self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
         self._reserved_bytes = 0
+        self._clear_head()
+
+    def _clear_head(self) -> None:
+        self._in_body = False
+        self._offers_upgrade = False
+        self._target = bytearray()
+        self._headers: list[tuple[bytes, bytes]] = []
 
     def _release_body_memory(self) -> None:
         """Drop the body that is being read."""
