Keep the revision with its evidence when the history is gone

Found by drawn plays of the class, written for it: four daemons, a keeper that relays with loss and delay, restarts, odd and lost answers, steps that fail, history that is gone. At each moment a revision must stand for all changes before it, and evidence for all before its time.

Cause: a follower whose watch was answered with 410 forgot its revision, and not how recent its evidence was. On a keeper, heartbeats then said for revision 0 what had been true of a later one, until it had listed again: each daemon that had missed a change took that for evidence that nothing is missing, and asked nobody for as long.

Change: the revision stays until the list is applied, as after a step that failed; what is listed then counts in any case. So nothing is told as a difference either, as before.

--- a/src/coltsfootstair/objects/_follower.py
+++ b/src/coltsfootstair/objects/_follower.py
@@ -466,7 +466,8 @@
                 await self._list_or_watch_once()
             except RevisionTooOldError:
                 logger.info('history gone', kind=self._kind, after_revision=self._revision)
-                self._revision = None
+                # The revision stays, since others take the evidence for it.
+                self._must_list = True
                 await asyncio.sleep(FIRST_RETRY_DELAY_S * self._random.random())
             except UnusableAnswerError as error:
                 # The store can be reached, so other kinds go on. What makes a watch unusable
@@ -506,10 +507,11 @@
             listing = await self._store.list(self._kind, may_be_stale=may_be_stale)
         finally:
             self._is_receiving = False
-        self._check_revision(listing.revision, revision_before)
+        if not self._must_list:
+            self._check_revision(listing.revision, revision_before)
         self._on_call_answered()
         self._skips_history = False
-        if listing.revision >= self.revision:
+        if listing.revision >= self.revision or self._must_list:
             self._apply_listing(listing)
         if may_be_stale:
             self._must_catch_up = True
--- a/tests/objects/listed_store.py
+++ b/tests/objects/listed_store.py
@@ -77,6 +77,11 @@
             store._written.set()
             store._written = asyncio.Event()
 
+    def forget_history(self) -> None:
+        """Answer no watch from before now, at all daemons."""
+        for store in self._writers:
+            store.oldest_watchable = self.revision
+
     def read_state(self, age_s: float = 0.0) -> dict[str, StoredObject]:
         """Return the objects as they were ``age_s`` seconds ago."""
         return self._read_page(age_s, '', None)[0]
--- a/tests/objects/test_follower.py
+++ b/tests/objects/test_follower.py
@@ -601,3 +601,30 @@
     assert calls[:5] == ['list', 'watch 5 0', 'watch 5 0.6', 'list', 'watch 5 0.6']
     assert was_told
     assert proves_nothing
+
+
+def test_a_follower_whose_history_is_gone_has_no_evidence_for_an_earlier_revision() -> None:
+    """A keeper vouched with it for revision 0, so for any state that the others had."""
+
+    async def scenario() -> tuple[int, bool]:
+        store = ScriptedStore(
+            Listing([], 5), WatchAnswer([], 5), RevisionTooOldError('too old')
+        )
+        follower = Follower(
+            store,
+            'servers',
+            RecordingSubscriber(),
+            LoopClock(),
+            random.Random(1),
+            StoreHealth(),
+            Relay(),
+            0.1,
+            50.0,
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(2.0)
+        task.cancel()
+        assert store.calls[-1] == 'list'
+        return follower.revision, follower.evidence_age_s < 2.0
+
+    assert run(scenario()) == (5, True)
