--- a/tests/objects/listed_store.py
+++ b/tests/objects/listed_store.py
@@ -6,7 +6,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from coltsfootstair.errors import RevisionTooOldError, StoreUnavailableError
+from coltsfootstair.errors import (
+    AnswerTooLargeError,
+    RevisionTooOldError,
+    StoreUnavailableError,
+)
 from coltsfootstair.objects import Change, Listing, StoredObject, WatchAnswer
 
 PAGE_SIZE = 3
@@ -15,6 +19,9 @@
 CALL_S = 0.004
 """Time that a call takes, in seconds; so does each page of a list."""
 
+MAX_LARGE_CHANGE_COUNT = 4
+"""Changes in an answer to a watch above which it is too large, for who limits its size."""
+
 SILENT_CALL_S = 1.5
 """Time after which a call without an answer is given up, in seconds."""
 
@@ -122,7 +129,13 @@
             after = objects[-1].name
 
     async def watch(
-        self, kind: str, after_revision: int, wait_s: float, **_: Any
+        self,
+        kind: str,
+        after_revision: int,
+        wait_s: float,
+        *,
+        max_bytes: int | None = None,
+        **_: Any,
     ) -> WatchAnswer:
         self.calls.append(f'watch {wait_s:g}')
         await asyncio.sleep(CALL_S)
@@ -135,6 +148,8 @@
             await asyncio.sleep(CALL_S)
         await self._fail_if_told()
         changes = [write.change for write in self.writes if write.revision > after_revision]
+        if max_bytes is not None and len(changes) > MAX_LARGE_CHANGE_COUNT:
+            raise AnswerTooLargeError('the history is too large')
         return WatchAnswer(changes, self.revision)
 
     async def _fail_if_told(self) -> None:
--- a/tests/objects/test_known_revisions.py
+++ b/tests/objects/test_known_revisions.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from typing import Any
 
 import pytest
 from tests.objects.listed_store import ListedStore
@@ -17,7 +16,9 @@
     Listing,
     Relay,
     RelayedChanges,
+    RelayedDelta,
     StoreHealth,
+    compute_delta,
 )
 from coltsfootstair.supervision import FailureLog, SupervisedTask
 
@@ -79,6 +80,7 @@
             20.0,
             max_watch_s=0.6,
             max_evidence_age_s=1.2,
+            is_latest_only=world.is_large,
         )
         self._supervised = SupervisedTask(
             f'd{number}',
@@ -89,18 +91,44 @@
         )
         self.task = asyncio.create_task(self._supervised.run())
 
-    def receive(self, changes: RelayedChanges) -> None:
+    def receive(self, message: RelayedChanges | RelayedDelta) -> None:
         try:
-            self.follower.apply_relayed(changes)
+            if isinstance(message, RelayedDelta):
+                self.follower.apply_relayed_delta(message)
+            else:
+                self.follower.apply_relayed(message)
         except RuntimeError:
             return  # As for a datagram that can't be handled.
 
 
+def _build_delta(relayed: RelayedChanges) -> RelayedDelta | None:
+    """Return what a single change of an object that was known before differs in."""
+    if len(relayed.changes) != 1:
+        return None
+    change = relayed.changes[0]
+    if change.before is None or change.deleted:
+        return None
+    return RelayedDelta(
+        relayed.kind,
+        relayed.after_revision,
+        relayed.revision,
+        change.object.name,
+        change.before.revision,
+        change.object.revision,
+        compute_delta(change.before.value, change.object.value),
+        relayed.is_difference,
+    )
+
+
 class _World:
-    """Daemons of which the first is the keeper, and what they must know."""
+    """Daemons of which the first is the keeper, and what they must know.
+
+    :param is_large: whether the objects are large, so that only what differs is relayed
+    """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, is_large: bool) -> None:
         self.random = random.Random(seed)
+        self.is_large = is_large
         self.store = ListedStore(lambda: 0.0)
         self.has_faults = True
         self.daemons: list[_Daemon] = []
@@ -114,11 +142,12 @@
 
     def _relay_changes(self, changes: RelayedChanges) -> None:
         loop = asyncio.get_running_loop()
+        message = _build_delta(changes) or changes
         for daemon in self.daemons[1:]:
             if self.has_faults and self.random.random() < 0.2:
                 continue  # Lost.
             delay_s = self.random.choice((0.001, 0.01, 0.3)) if self.has_faults else 0.001
-            loop.call_later(delay_s, daemon.receive, changes)
+            loop.call_later(delay_s, daemon.receive, message)
 
     async def send_heartbeats(self) -> None:
         while True:
@@ -136,7 +165,7 @@
         if name in self.store.read_state() and self.random.random() < 0.4:
             self.store.delete(name)
         else:
-            self.store.put(name)
+            self.store.put(name, {'n': self.store.revision})
 
     def disturb(self) -> None:
         number = self.random.randrange(DAEMON_COUNT)
@@ -188,8 +217,9 @@
                 )
 
 
-async def _play(seed: int) -> tuple[list[str], list[Any]]:
-    world = _World(seed)
+async def _play(seed: int, *, is_large: bool) -> tuple[list[str], list[int]]:
+    """Return what daemons did not know at some moment, and which of them at the end."""
+    world = _World(seed, is_large=is_large)
     for _ in range(20):
         world.write()
     for number in range(DAEMON_COUNT):
@@ -223,9 +253,12 @@
     return world.violations, late
 
 
+@pytest.mark.parametrize('is_large', [False, True])
 @pytest.mark.parametrize('seed', range(24))
-def test_a_revision_and_its_evidence_stand_for_all_changes_before(seed: int) -> None:
+def test_a_revision_and_its_evidence_stand_for_all_changes_before(
+    seed: int, is_large: bool
+) -> None:
     """Guards against changes that nobody asks for any more, since a revision hides them."""
-    violations, late = run(_play(seed))
+    violations, late = run(_play(seed, is_large=is_large))
     assert violations == []
     assert late == []
