Let the heartbeats of a test bring the version that it needs

Traced by reading: the test wrote a version into the other daemon's view, and the next heartbeat, one each 0.3 s, undid it before the call was handled. Before this change the outcome depended on that; the product is not at fault.

--- a/tests/gateway/test_large_configurations.py
+++ b/tests/gateway/test_large_configurations.py
@@ -177,9 +177,15 @@
     async def work() -> tuple[int, int]:
         async with run_gateways(2, ('calendar', ServerStandin('s1'))) as gateways:
             await asyncio.sleep(CONFIGURATION_DEADLINE_S)
-            other = next(each for each in gateways if not each.gateway._keeper.is_keeper)
+            by_role = {each.gateway._keeper.is_keeper: each for each in gateways}
+            keeper, other = by_role[True].gateway._keeper, by_role[False]
             before = (await other.call('nowhere')).status
-            other.gateway._keeper.keepers_configuration_version = 99
+            # In its heartbeats, so that the next one does not undo it.
+            keeper._dependencies = keeper._dependencies._replace(
+                get_configuration_version=lambda: 99
+            )
+            while other.gateway._keeper.keepers_configuration_version != 99:
+                await asyncio.sleep(0.02)
             return before, (await other.call('nowhere')).status
 
     assert run_with_time_limit(work()) == (404, 503)
