Review case 7: a crashing request is tried anew after a kill of all daemons

Cause: crashes under a request are known in the daemons' memory only. Tried: a request that crashes each server, once a second at 4 daemons, before and after a kill of all of them.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -41,6 +41,12 @@
 
 KEY_COUNT = 65536
 
+SILENCE_S = 3600.0
+"""For how long a server that fell silent says nothing: longer than any case, in seconds."""
+
+DARK_CONNECTION_COUNT = 4
+"""Connections that fill the queue of a listening socket without room."""
+
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 
@@ -310,6 +316,9 @@
 
     :ivar loses_answers_share: share of the requests that are run and whose connection is
         then reset without an answer
+    :ivar goes_dark: whether it falls silent when it crashes
+    :ivar crash_path: path of the requests that crash it when it begins to run them
+    :ivar on_crash: called then, with the server and the id of the request
     """
 
     def __init__(
@@ -333,6 +342,44 @@
         self._accepted_count = 0
         self._sequence = 0
         self._random = random.Random(name)
+        self.crash_path: str | None = None
+        self.goes_dark = False
+        self._dark_sockets: list[socket.socket] = []
+        self.on_crash: Callable[[BackendServer, str], None] = lambda _server, _id: None
+
+    def go_dark(self) -> None:
+        """End like a machine without power: nothing is answered, also no new connection.
+
+        Open connections stay open in silence. The listening socket has no room for further
+        connections, so that those hang.
+        """
+        self.is_up = False
+        self._holds = []
+        if self._server is not None:
+            self._server.close()
+        address = ('127.0.0.1', self.port)
+        silent = socket.socket()
+        silent.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        silent.bind(address)
+        silent.listen(0)
+        self._dark_sockets = [silent]
+        for _ in range(DARK_CONNECTION_COUNT):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            self._dark_sockets.append(filler)
+
+    def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        for each in self._dark_sockets:
+            each.close()
+        super().stop()
+
+    def crash(self) -> None:
+        """End at once: all connections are reset and new ones refused."""
+        self.is_up = False
+        self._holds = []
+        self.stop()
 
     def list_holds(self) -> list[Hold]:
         """Return the keys that it holds now."""
@@ -369,6 +416,8 @@
         self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Serve one call or request."""
+        if not self.is_up:
+            await asyncio.sleep(SILENCE_S)
         request_id = request.headers.get('x-request-id', '')
         expected = request.headers.get('x-target-instance')
         if expected is not None and expected != self.name:
@@ -468,6 +517,16 @@
         if self._accepted_count >= SERVER_SLOTS + SERVER_QUEUE:
             writer.write(self._refuse(503, request_id))
             return True
+        if request.target == self.crash_path:
+            self._runs.append(Run(time.monotonic(), self.name, request_id, key))
+            self._record.write(f'{self.name} begins to run {request_id} and crashes')
+            if self.goes_dark:
+                self.go_dark()
+                self.on_crash(self, request_id)
+                await asyncio.sleep(SILENCE_S)
+            self.crash()
+            self.on_crash(self, request_id)
+            return False
         self._accepted_count += 1
         work = asyncio.ensure_future(self._work(request_id, key))
         closed = asyncio.ensure_future(reader.read(1))
@@ -475,6 +534,8 @@
             await asyncio.wait({work, closed}, return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
                 return False  # The sender closed the connection, so the request is dropped.
+            if not self.is_up:
+                await asyncio.sleep(SILENCE_S)
             if not work.result():
                 writer.write(self._refuse(421, request_id))
                 return True
@@ -846,6 +907,24 @@
         """Let a backend server write no further entries."""
         self._beats.pop(name).cancel()
 
+    async def replace_crashed(
+        self, server: BackendServer, name: str, back_after_s: float
+    ) -> BackendServer:
+        """Start a crashed server again under a new name; its entry goes after three beats."""
+        self.stop_beats(server.name)
+        entry_left_s = 3 * HEARTBEAT_S
+        await asyncio.sleep(min(back_after_s, entry_left_s))
+        if back_after_s < entry_left_s:
+            replacement = await self.add_server(
+                name, server.service, is_sharded=server.is_sharded
+            )
+            await asyncio.sleep(entry_left_s - back_after_s)
+            await self.store.delete('servers', server.name)
+            return replacement
+        await self.store.delete('servers', server.name)
+        await asyncio.sleep(back_after_s - entry_left_s)
+        return await self.add_server(name, server.service, is_sharded=server.is_sharded)
+
     async def start_daemons(self, count: int, *, is_first_start: bool) -> None:
         """Start daemons and wait until all are ready."""
         for number in range(1, count + 1):
@@ -854,6 +933,11 @@
             self.daemons.append(Daemon(number, link, self.folder))
         for daemon in self.daemons:
             await daemon.start(is_first_start=is_first_start)
+        await self.wait_until_ready()
+        self.record.write(f'{count} daemons are ready')
+
+    async def wait_until_ready(self) -> None:
+        """Wait until all daemons are ready."""
         try:
             async with asyncio.timeout(START_TIMEOUT_S):
                 for daemon in self.daemons:
@@ -861,7 +945,6 @@
                         await asyncio.sleep(0.05)
         except TimeoutError:
             raise NotRunError('the daemons were not ready in time') from None
-        self.record.write(f'{count} daemons are ready')
 
     def find_keeper(self) -> Daemon | None:
         """Return the daemon that holds the keeper lease, by the store."""
