--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -108,6 +108,17 @@
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
 
 
+def replace_in_body(answer: bytes, known: str, new: str) -> bytes:
+    """Replace a text in an answer's body by one of the same length or another."""
+    head, _, body = answer.partition(b'\r\n\r\n')
+    changed = body.replace(known.encode(), new.encode())
+    if changed == body:
+        return answer
+    length = f'Content-Length: {len(body)}'.encode()
+    head = head.replace(length, f'Content-Length: {len(changed)}'.encode())
+    return head + b'\r\n\r\n' + changed
+
+
 class Listener:
     """Accepts connections on loopback and serves the requests on each in order."""
 
@@ -157,11 +168,14 @@
     """Where one daemon, or all backend servers, reach the store.
 
     :ivar is_away: whether calls are answered with a reset
+    :ivar shown_addresses: where this daemon reaches backend servers, by their addresses; for
+        servers whose entries don't change, since the keeper passes changes on
     """
 
     def __init__(self, store: Store) -> None:
         super().__init__()
         self.is_away = False
+        self.shown_addresses: dict[str, str] = {}
         self._store = store
 
     async def serve(
@@ -172,6 +186,8 @@
             writer.transport.abort()
             return False
         answer = await self._store.answer(request)
+        for known, shown in self.shown_addresses.items():
+            answer = replace_in_body(answer, known, shown)
         if self.is_away or self._store.is_away:
             writer.transport.abort()
             return False
@@ -179,6 +195,48 @@
         return True
 
 
+class ServerPath(Listener):
+    """The way from one daemon to one backend server; while it is cut, it is refused."""
+
+    def __init__(self, target_port: int) -> None:
+        super().__init__()
+        self._target_port = target_port
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                '127.0.0.1', self._target_port
+            )
+        except OSError:
+            writer.transport.abort()
+            self._writers.discard(writer)
+            return
+        self._writers.add(far_writer)
+        copies = [
+            asyncio.ensure_future(copy_bytes(reader, far_writer)),
+            asyncio.ensure_future(copy_bytes(far_reader, writer)),
+        ]
+        try:
+            await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for copy in copies:
+                copy.cancel()
+            for each in (writer, far_writer):
+                each.transport.abort()
+                self._writers.discard(each)
+
+
+async def copy_bytes(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Pass on bytes until the end of the connection."""
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+
+
 class Store:
     """The platform's store: objects by kind and name with one revision counter.
 
@@ -649,6 +707,7 @@
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
         self.log_path = folder / f'{self.name}.log'
+        self.paths: list[ServerPath] = []
 
     async def start(self, *, is_first_start: bool) -> None:
         """Start the process."""
@@ -886,6 +945,8 @@
             if daemon._process is not None:
                 await daemon.wait()
             daemon.link.stop()
+            for path in daemon.paths:
+                path.stop()
         for server in self.servers:
             server.stop()
         if 'KEEP_LOGS' in os.environ:
@@ -925,17 +986,33 @@
         await asyncio.sleep(back_after_s - entry_left_s)
         return await self.add_server(name, server.service, is_sharded=server.is_sharded)
 
-    async def start_daemons(self, count: int, *, is_first_start: bool) -> None:
-        """Start daemons and wait until all are ready."""
+    async def start_daemons(
+        self, count: int, *, is_first_start: bool, has_paths: bool = False
+    ) -> None:
+        """Start daemons and wait until all are ready.
+
+        :param has_paths: whether each reaches the servers by paths of its own
+        """
         for number in range(1, count + 1):
             link = StoreLink(self.store)
             await link.start()
-            self.daemons.append(Daemon(number, link, self.folder))
+            daemon = Daemon(number, link, self.folder)
+            self.daemons.append(daemon)
+            if has_paths:
+                await self._make_paths(daemon)
         for daemon in self.daemons:
             await daemon.start(is_first_start=is_first_start)
         await self.wait_until_ready()
         self.record.write(f'{count} daemons are ready')
 
+    async def _make_paths(self, daemon: Daemon) -> None:
+        for server in self.servers:
+            path = ServerPath(server.port)
+            await path.start()
+            daemon.paths.append(path)
+            shown = f'127.0.0.1:{path.port}'
+            daemon.link.shown_addresses[f'127.0.0.1:{server.port}'] = shown
+
     async def wait_until_ready(self) -> None:
         """Wait until all daemons are ready."""
         try:
