--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -374,8 +374,11 @@
 
     :ivar loses_answers_share: share of the requests that are run and whose connection is
         then reset without an answer
+    :ivar work_s_by_path: work of the requests for these paths, exactly, in seconds
+    :ivar answer_bytes_by_path: length of the answers to these, in bytes
     :ivar goes_dark: whether it falls silent when it crashes
     :ivar crash_path: path of the requests that crash it when it begins to run them
+    :ivar crash_after_s: time from the begin of such a request until the crash, in seconds
     :ivar on_crash: called then, with the server and the id of the request
     """
 
@@ -390,6 +393,8 @@
         self.work_s = 0.03
         self.is_up = True
         self.loses_answers_share = 0.0
+        self.work_s_by_path: dict[str, float] = {}
+        self.answer_bytes_by_path: dict[str, int] = {}
         self.born_ms = int(time.time() * 1000)
         self._record = record
         self._runs = runs
@@ -401,6 +406,7 @@
         self._sequence = 0
         self._random = random.Random(name)
         self.crash_path: str | None = None
+        self.crash_after_s = 0.0
         self.goes_dark = False
         self._dark_sockets: list[socket.socket] = []
         self.on_crash: Callable[[BackendServer, str], None] = lambda _server, _id: None
@@ -578,6 +584,9 @@
         if request.target == self.crash_path:
             self._runs.append(Run(time.monotonic(), self.name, request_id, key))
             self._record.write(f'{self.name} begins to run {request_id} and crashes')
+            await asyncio.sleep(self.crash_after_s)
+            if not self.is_up:
+                return False
             if self.goes_dark:
                 self.go_dark()
                 self.on_crash(self, request_id)
@@ -586,7 +595,7 @@
             self.on_crash(self, request_id)
             return False
         self._accepted_count += 1
-        work = asyncio.ensure_future(self._work(request_id, key))
+        work = asyncio.ensure_future(self._work(request, request_id, key))
         closed = asyncio.ensure_future(reader.read(1))
         try:
             await asyncio.wait({work, closed}, return_when=asyncio.FIRST_COMPLETED)
@@ -601,10 +610,12 @@
                 self._record.write(f'{self.name} loses the answer to {request_id}')
                 writer.transport.abort()
                 return False
+            body = f'{request_id} {request.target}'.encode() + request.body
+            body = body.ljust(self.answer_bytes_by_path.get(request.target, 0), b'.')
             writer.write(
                 encode_answer(
                     200,
-                    f'{request_id} {request.target}'.encode() + request.body,
+                    body,
                     X_Request_Id=request_id,
                     X_Upstream_Signature=f'signed-by-{self.name}',
                     X_Upstream_Load=self._describe_load(),
@@ -618,7 +629,7 @@
                 with contextlib.suppress(asyncio.CancelledError, ConnectionError):
                     await task
 
-    async def _work(self, request_id: str, key: int | None) -> bool:
+    async def _work(self, request: Request, request_id: str, key: int | None) -> bool:
         """Run a request; return false if its key is not held any more when its turn comes."""
         async with self._slots:
             if key is not None and not self._holds_key(key):
@@ -628,7 +639,8 @@
             if key is not None:
                 self._running_keys.append(key)
             try:
-                await asyncio.sleep(self.work_s * self._random.uniform(0.7, 1.4))
+                usual_s = self.work_s * self._random.uniform(0.7, 1.4)
+                await asyncio.sleep(self.work_s_by_path.get(request.target, usual_s))
             finally:
                 if key is not None:
                     self._running_keys.remove(key)
@@ -753,6 +765,16 @@
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    def read_memory_bytes(self) -> int:
+        """Return the memory that the process uses, in bytes; 0 if it has ended."""
+        if not self.is_running:
+            return 0
+        with contextlib.suppress(OSError):
+            for line in Path(f'/proc/{self.pid}/status').read_text().splitlines():
+                if line.startswith('VmRSS:'):
+                    return int(line.split()[1]) * 1024
+        return 0
+
     async def wait(self) -> int:
         """Wait until the process has ended, and return its status."""
         assert self._process is not None
