--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,10 +1,11 @@
-"""A request that crashes its servers is sent on if it comes at several daemons at once."""
+"""A request that crashes its servers is tried anew when all daemons have been killed."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 import secrets
+import signal
 import sys
 import time
 from collections import Counter
@@ -14,7 +15,6 @@
 
 from standins_2 import (
     BackendServer,
-    Daemon,
     Deployment,
     Record,
     build_configuration,
@@ -30,10 +30,6 @@
 CRASH_PATH = '/x/crash'
 CRASH_BODY = b'a body that no server survives'
 
-CRASH_AFTER_S = 0.2
-"""Time from the begin of the request until its server crashes, in seconds; less than the
-mean work of a booking."""
-
 BACK_AFTER_S = 3.0
 """Time after which a crashed server is back, in seconds ("after some seconds", letter 6)."""
 
@@ -43,13 +39,11 @@
 MAX_RETRY_COUNT = 3
 """Retries that may reach a server later than ``touch-ms`` after the third crash (BUDGET)."""
 
-ROUND_INTERVAL_S = 4.0
+RETRY_INTERVAL_S = 1.0
 """Time between two arrivals of the request, in seconds."""
 
-ROUND_COUNT = 10
-
-AT_ONCE_COUNT = 3
-"""Daemons at which it arrives at once (site: ``retry_abuse`` with ``x`` 3)."""
+TRIES_BEFORE_COUNT = 22
+TRIES_AFTER_COUNT = 22
 
 ORDINARY_INTERVAL_S = 0.05
 
@@ -85,29 +79,25 @@
         """Let the request crash this server."""
         server.work_s = WORK_S
         server.crash_path = CRASH_PATH
-        server.crash_after_s = CRASH_AFTER_S
         server.on_crash = self.on_crash
 
-    async def send_rounds(self, at_once_count: int) -> None:
-        """Send it in rounds, in each at several daemons at once."""
-        for _ in range(ROUND_COUNT):
-            daemons = self._draws.sample(self._deployment.daemons, at_once_count)
-            await asyncio.gather(*map(self._send, daemons))
-            await asyncio.sleep(ROUND_INTERVAL_S)
-
-    async def _send(self, daemon: Daemon) -> None:
-        request_id = secrets.token_hex(8)
-        headers = {
-            'Host': 'desk.example',
-            'X-Request-Id': request_id,
-            'X-Request-Deadline': '2000',
-        }
-        record = self._deployment.record
-        record.write(f'{request_id}, which crashes, sent to {daemon.name}')
-        answer = await call(
-            daemon.host, daemon.front, 'POST', CRASH_PATH, headers, 3.0, CRASH_BODY
-        )
-        record.write(f'{request_id} answered {answer.status}')
+    async def send(self, count: int) -> None:
+        """Send it several times, each at any daemon."""
+        for _ in range(count):
+            daemon = self._draws.choice(self._deployment.daemons)
+            request_id = secrets.token_hex(8)
+            headers = {
+                'Host': 'desk.example',
+                'X-Request-Id': request_id,
+                'X-Request-Deadline': '2000',
+            }
+            record = self._deployment.record
+            record.write(f'{request_id}, which crashes, sent to {daemon.name}')
+            answer = await call(
+                daemon.host, daemon.front, 'POST', CRASH_PATH, headers, 3.0, CRASH_BODY
+            )
+            record.write(f'{request_id} answered {answer.status}')
+            await asyncio.sleep(RETRY_INTERVAL_S)
 
 
 async def send_ordinary_requests(deployment: Deployment, statuses: Counter[int]) -> None:
@@ -137,7 +127,7 @@
 
 
 async def run(record: Record, folder: Path, has_trouble: bool) -> bool:
-    """Send the request in rounds; without trouble, at one daemon at a time."""
+    """Send the request until it is refused, kill all daemons, and send it again."""
     async with Deployment(record, folder) as deployment:
         store = deployment.store
         await store.put(
@@ -156,7 +146,20 @@
         statuses: Counter[int] = Counter()
         ordinary = asyncio.create_task(send_ordinary_requests(deployment, statuses))
         await asyncio.sleep(1.0)
-        await crashing.send_rounds(AT_ONCE_COUNT if has_trouble else 1)
+        await crashing.send(TRIES_BEFORE_COUNT)
+        record.write(f'{len(crashing.crashed_at)} servers have crashed')
+        if has_trouble:
+            for daemon in deployment.daemons:
+                daemon.send_signal(signal.SIGKILL)
+            for daemon in deployment.daemons:
+                await daemon.wait()
+            record.write('all daemons are killed')
+            for daemon in deployment.daemons:
+                await daemon.start(is_first_start=False)
+            await deployment.wait_until_ready()
+            record.write('all daemons are ready again')
+            await asyncio.sleep(TOUCH_S + 1.0)
+        await crashing.send(TRIES_AFTER_COUNT)
         ordinary.cancel()
         await asyncio.gather(ordinary, return_exceptions=True)
         record.write(f'bookings of others by status: {dict(statuses)}')
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -374,8 +374,7 @@
 
     :ivar loses_answers_share: share of the requests that are run and whose connection is
         then reset without an answer
-    :ivar work_s_by_path: work of the requests for these paths, exactly, in seconds
-    :ivar answer_bytes_by_path: length of the answers to these, in bytes
+    :ivar answer_bytes: least length of the body of an answer
     :ivar goes_dark: whether it falls silent when it crashes
     :ivar crash_path: path of the requests that crash it when it begins to run them
     :ivar crash_after_s: time from the begin of such a request until the crash, in seconds
@@ -393,8 +392,7 @@
         self.work_s = 0.03
         self.is_up = True
         self.loses_answers_share = 0.0
-        self.work_s_by_path: dict[str, float] = {}
-        self.answer_bytes_by_path: dict[str, int] = {}
+        self.answer_bytes = 0
         self.born_ms = int(time.time() * 1000)
         self._record = record
         self._runs = runs
@@ -595,7 +593,7 @@
             self.on_crash(self, request_id)
             return False
         self._accepted_count += 1
-        work = asyncio.ensure_future(self._work(request, request_id, key))
+        work = asyncio.ensure_future(self._work(request_id, key))
         closed = asyncio.ensure_future(reader.read(1))
         try:
             await asyncio.wait({work, closed}, return_when=asyncio.FIRST_COMPLETED)
@@ -611,7 +609,7 @@
                 writer.transport.abort()
                 return False
             body = f'{request_id} {request.target}'.encode() + request.body
-            body = body.ljust(self.answer_bytes_by_path.get(request.target, 0), b'.')
+            body = body.ljust(self.answer_bytes, b'.')
             writer.write(
                 encode_answer(
                     200,
@@ -629,7 +627,7 @@
                 with contextlib.suppress(asyncio.CancelledError, ConnectionError):
                     await task
 
-    async def _work(self, request: Request, request_id: str, key: int | None) -> bool:
+    async def _work(self, request_id: str, key: int | None) -> bool:
         """Run a request; return false if its key is not held any more when its turn comes."""
         async with self._slots:
             if key is not None and not self._holds_key(key):
@@ -639,8 +637,7 @@
             if key is not None:
                 self._running_keys.append(key)
             try:
-                usual_s = self.work_s * self._random.uniform(0.7, 1.4)
-                await asyncio.sleep(self.work_s_by_path.get(request.target, usual_s))
+                await asyncio.sleep(self.work_s * self._random.uniform(0.7, 1.4))
             finally:
                 if key is not None:
                     self._running_keys.remove(key)
