--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -932,6 +932,10 @@
         record.write(f'NOT RUN: {error}')
         print(f'not run: {error}')
         sys.exit(EXIT_NOT_RUN)
+    except Exception as error:
+        record.write(f'NOT RUN: {error!r}')
+        print(f'not run: {error!r}')
+        sys.exit(EXIT_NOT_RUN)
     record.write('BROKEN' if is_broken else 'HELD')
     print('broken' if is_broken else 'held')
     sys.exit(EXIT_BROKEN if is_broken else EXIT_HELD)
