--- a/review/10/case.py
+++ b/review/10/case.py
@@ -16,6 +16,7 @@
 from standins_2 import (
     BackendServer,
     Deployment,
+    NotRunError,
     Record,
     build_configuration,
     build_route,
@@ -139,7 +140,7 @@
         )
         crashing = CrashingRequest(deployment)
         for number in range(1, SERVER_COUNT + 1):
-            server = await deployment.add_server(f's{number}', 'desk', is_sharded=False)
+            server = await deployment.add_server(f's{number}', 'desk')
             crashing.watch(server)
         await deployment.start_daemons(DAEMON_COUNT, is_first_start=True)
         await asyncio.sleep(TOUCH_S + 1.0)
@@ -171,7 +172,7 @@
     crashed_at = crashing.crashed_at
     record.write(f'{len(crashed_at)} servers crashed in all')
     if len(crashed_at) < MAX_RETRY_COUNT:
-        return False
+        raise NotRunError('fewer servers crashed than the rule speaks of')
     counted_from = crashed_at[2] + TOUCH_S
     late = [
         request_id
@@ -186,4 +187,4 @@
 
 
 if __name__ == '__main__':
-    run_case(Path(__file__).parent, run)
+    run_case(Path(__file__).parent / 'record.txt', run)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -21,7 +21,7 @@
 )
 
 DAEMON_COUNT = 5
-SERVER_COUNT = 8
+SERVER_COUNT = 10
 
 MAX_ATTEMPTS = 2
 """``max-attempts`` of the route."""
@@ -43,7 +43,7 @@
 LOST_SHARE = 0.4
 """Share of the servers that lose answers and share of those, as in the site's days."""
 
-CALL_INTERVAL_S = 0.02
+CALL_INTERVAL_S = 0.016
 
 WORK_S = 0.1
 
@@ -89,7 +89,7 @@
             ),
         )
         for number in range(1, SERVER_COUNT + 1):
-            server = await deployment.add_server(f's{number}', 'lookups', is_sharded=False)
+            server = await deployment.add_server(f's{number}', 'lookups')
             server.work_s = WORK_S
         await deployment.start_daemons(DAEMON_COUNT, is_first_start=True, has_paths=True)
         await asyncio.sleep(4.0)
@@ -102,7 +102,7 @@
             for path in daemon.paths:
                 path.stop()
         await asyncio.sleep(LOST_FROM_S)
-        losing = deployment.servers[: round(LOSING_SHARE * SERVER_COUNT)]
+        losing = deployment.servers[: int(LOSING_SHARE * SERVER_COUNT)]
         for server in losing:
             server.loses_answers_share = LOST_SHARE
         record.write(f'servers lose answers: {", ".join(server.name for server in losing)}')
@@ -137,4 +137,4 @@
 
 
 if __name__ == '__main__':
-    run_case(Path(__file__).parent, run)
+    run_case(Path(__file__).parent / 'record.txt', run)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -1,7 +1,7 @@
 """Stand-ins and a small deployment for the scripts of the second review.
 
 Only the standard library is used. The stand-ins do what the platform's pages say and no more:
-a store of objects, backend servers that hold keys by grants with fencing tokens, and callers.
+a store of objects, backend servers without keys, and callers.
 The daemons are the project's own, started with the command of the deploy file.
 """
 
@@ -12,7 +12,6 @@
 import json
 import os
 import random
-import secrets
 import shlex
 import signal
 import socket
@@ -39,14 +38,15 @@
 SERVER_QUEUE = 16
 """Slots of a backend server and the requests that it queues, as in the site lpfs-gateway."""
 
-KEY_COUNT = 65536
-
 SILENCE_S = 3600.0
 """For how long a server that fell silent says nothing: longer than any case, in seconds."""
 
 DARK_CONNECTION_COUNT = 4
 """Connections that fill the queue of a listening socket without room."""
 
+MAX_CASE_S = 110.0
+"""Longest time of a case, in seconds; it may take 120 s with the end of its processes."""
+
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 
@@ -167,30 +167,22 @@
 class StoreLink(Listener):
     """Where one daemon, or all backend servers, reach the store.
 
-    :ivar is_away: whether calls are answered with a reset
     :ivar shown_addresses: where this daemon reaches backend servers, by their addresses; for
         servers whose entries don't change, since the keeper passes changes on
     """
 
     def __init__(self, store: Store) -> None:
         super().__init__()
-        self.is_away = False
         self.shown_addresses: dict[str, str] = {}
         self._store = store
 
     async def serve(
         self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        """Serve one call, unless the store is away."""
-        if self.is_away or self._store.is_away:
-            writer.transport.abort()
-            return False
+        """Serve one call."""
         answer = await self._store.answer(request)
         for known, shown in self.shown_addresses.items():
             answer = replace_in_body(answer, known, shown)
-        if self.is_away or self._store.is_away:
-            writer.transport.abort()
-            return False
         writer.write(answer)
         return True
 
@@ -238,20 +230,13 @@
 
 
 class Store:
-    """The platform's store: objects by kind and name with one revision counter.
-
-    ``take_copy`` and ``come_back_from_copy`` are a drill, as letter 4 tells it.
-    """
+    """The platform's store: objects by kind and name with one revision counter."""
 
     def __init__(self) -> None:
-        self.is_away = False
-        self.era = 0
         self._revision = 1
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[str, int, dict[str, Any], bool]] = []
-        self._oldest_revision = 0
         self._changed = asyncio.Condition()
-        self._copy: tuple[int, dict[str, dict[str, dict[str, Any]]]] = (1, {})
 
     def get(self, kind: str, name: str) -> Any:
         """Return the ``spec`` of an object, or ``None``."""
@@ -275,21 +260,6 @@
             self._revision += 1
             await self._record_event(kind, item, deleted=True)
 
-    def take_copy(self) -> None:
-        """Copy all objects; an object is never changed in place."""
-        objects = {kind: dict(by_name) for kind, by_name in self._objects.items()}
-        self._copy = (self._revision, objects)
-
-    async def come_back_from_copy(self) -> None:
-        """Replace all objects by those of the copy; the era rises by one."""
-        self.era += 1
-        self._revision, objects = self._copy
-        self._objects = {kind: dict(by_name) for kind, by_name in objects.items()}
-        self._events.clear()
-        self._oldest_revision = self._revision
-        async with self._changed:
-            self._changed.notify_all()
-
     async def _record_event(self, kind: str, item: dict[str, Any], *, deleted: bool) -> None:
         self._events.append((kind, self._revision, item, deleted))
         async with self._changed:
@@ -302,7 +272,7 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         status, body = await self._apply(request, parts, query)
         encoded = b'' if body is None else json.dumps(body).encode()
-        return encode_answer(status, encoded, Store_Era=str(self.era))
+        return encode_answer(status, encoded)
 
     async def _apply(
         self, request: Request, parts: list[str], query: dict[str, str]
@@ -311,8 +281,6 @@
         by_name = self._objects.setdefault(kind, {})
         if request.method == 'GET' and 'watch' in query:
             after = int(query['watch'])
-            if not self._oldest_revision <= after <= self._revision:
-                return 410, None
             return await self._watch(kind, after, int(query.get('wait-ms', '0')) / 1000)
         if request.method == 'GET' and len(parts) == 1:
             items = [
@@ -334,8 +302,6 @@
         return 200, self._objects[kind][name]
 
     async def _watch(self, kind: str, after: int, wait_s: float) -> tuple[int, Any]:
-        era = self.era
-
         def list_events() -> list[dict[str, Any]]:
             return [
                 {'object': item, 'deleted': deleted}
@@ -345,32 +311,20 @@
 
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s), self._changed:
-                await self._changed.wait_for(lambda: self.era != era or bool(list_events()))
-        if self.era != era:
-            return 410, None
+                await self._changed.wait_for(lambda: bool(list_events()))
         return 200, {'events': list_events(), 'current-rev': self._revision}
 
 
-class Hold(NamedTuple):
-    """Keys that a backend server holds until a time."""
-
-    first: int
-    last: int
-    fence: int
-    until: float
-
-
 class Run(NamedTuple):
     """A request that a backend server has begun to work on."""
 
     at: float
     server: str
     request_id: str
-    key: int | None
 
 
 class BackendServer(Listener):
-    """A backend server; with ``is_sharded`` it runs a request only while it holds its key.
+    """A backend server without keys.
 
     :ivar loses_answers_share: share of the requests that are run and whose connection is
         then reset without an answer
@@ -381,14 +335,11 @@
     :ivar on_crash: called then, with the server and the id of the request
     """
 
-    def __init__(
-        self, name: str, service: str, record: Record, runs: list[Run], *, is_sharded: bool
-    ) -> None:
+    def __init__(self, name: str, service: str, record: Record, runs: list[Run]) -> None:
         super().__init__()
         self.name = name
         self.service = service
         self.zone = 'north'
-        self.is_sharded = is_sharded
         self.work_s = 0.03
         self.is_up = True
         self.loses_answers_share = 0.0
@@ -396,11 +347,10 @@
         self.born_ms = int(time.time() * 1000)
         self._record = record
         self._runs = runs
-        self._holds: list[Hold] = []
-        self._fences: list[tuple[int, int, int]] = []
-        self._running_keys: list[int] = []
         self._slots = asyncio.Semaphore(SERVER_SLOTS)
         self._accepted_count = 0
+        self._answered_count = 0
+        self._lost_count = 0
         self._sequence = 0
         self._random = random.Random(name)
         self.crash_path: str | None = None
@@ -416,7 +366,6 @@
         connections, so that those hang.
         """
         self.is_up = False
-        self._holds = []
         if self._server is not None:
             self._server.close()
         address = ('127.0.0.1', self.port)
@@ -440,14 +389,18 @@
     def crash(self) -> None:
         """End at once: all connections are reset and new ones refused."""
         self.is_up = False
-        self._holds = []
         self.stop()
 
-    def list_holds(self) -> list[Hold]:
-        """Return the keys that it holds now."""
-        now = time.monotonic()
-        self._holds = [hold for hold in self._holds if hold.until > now]
-        return self._holds if self.is_up else []
+    def _loses_next_answer(self) -> bool:
+        """Whether to lose an answer: at any moment at most the share of those so far."""
+        if not self.loses_answers_share:
+            self._answered_count = self._lost_count = 0
+            return False
+        self._answered_count += 1
+        if self._lost_count + 1 > self.loses_answers_share * self._answered_count:
+            return False
+        self._lost_count += 1
+        return True
 
     def build_entry(self) -> dict[str, Any]:
         """Return the entry that it writes into the store."""
@@ -466,12 +419,11 @@
     async def beat(self, store: Store) -> None:
         """Write the entry at each heartbeat; it changes when more than ``sequence`` does."""
         while True:
-            if not store.is_away:
-                known = store.get('servers', self.name)
-                entry = self.build_entry()
-                if known is None or (known | {'sequence': 0}) != (entry | {'sequence': 0}):
-                    self._sequence += 1
-                    await store.put('servers', self.name, self.build_entry())
+            known = store.get('servers', self.name)
+            entry = self.build_entry()
+            if known is None or (known | {'sequence': 0}) != (entry | {'sequence': 0}):
+                self._sequence += 1
+                await store.put('servers', self.name, self.build_entry())
             await asyncio.sleep(HEARTBEAT_S)
 
     async def serve(
@@ -485,13 +437,6 @@
         if expected is not None and expected != self.name:
             writer.write(self._refuse(421, request_id))
             return True
-        if request.target == '/-/grant':
-            writer.write(encode_answer(self._grant(json.loads(request.body))))
-            return True
-        if request.target == '/-/release':
-            await self._release(json.loads(request.body))
-            writer.write(encode_answer(200, X_Handover=secrets.token_hex(8)))
-            return True
         if request.target == '/health':
             writer.write(
                 encode_answer(
@@ -514,57 +459,6 @@
         running = min(SERVER_SLOTS, self._accepted_count)
         return f'{running},{self._accepted_count - running},{SERVER_SLOTS},100'
 
-    def _grant(self, call: dict[str, Any]) -> int:
-        first, last, fence = call['from'], call['target'], call['fence']
-        if not self.is_sharded:
-            return 400
-        if any(
-            seen > fence for low, high, seen in self._fences if low <= last and first <= high
-        ):
-            self._record.write(f'{self.name} refuses grant {first}-{last} fence {fence}')
-            return 409
-        is_new = (first, last, fence) not in self._fences
-        self._see_fence(first, last, fence)
-        self._drop(first, last)
-        until = time.monotonic() + call['hold-ms'] / 1000
-        self._holds.append(Hold(first, last, fence, until))
-        self._record.write(
-            f'{self.name} takes {"grant" if is_new else "renewal"} {first}-{last}'
-            f' fence {fence} for {call["hold-ms"]} ms'
-        )
-        return 200
-
-    def _see_fence(self, first: int, last: int, fence: int) -> None:
-        self._fences = [
-            seen
-            for seen in self._fences
-            if not (first <= seen[0] and seen[1] <= last and seen[2] <= fence)
-        ]
-        self._fences.append((first, last, fence))
-
-    def _drop(self, first: int, last: int) -> None:
-        kept = []
-        for hold in self._holds:
-            if hold.last < first or hold.first > last:
-                kept.append(hold)
-                continue
-            if hold.first < first:
-                kept.append(hold._replace(last=first - 1))
-            if hold.last > last:
-                kept.append(hold._replace(first=last + 1))
-        self._holds = kept
-
-    async def _release(self, call: dict[str, Any]) -> None:
-        first, last, fence = call['from'], call['target'], call['fence']
-        self._see_fence(first, last, fence)
-        self._drop(first, last)
-        while any(first <= key <= last for key in self._running_keys):
-            await asyncio.sleep(0.005)
-        self._record.write(f'{self.name} has released {first}-{last} fence {fence}')
-
-    def _holds_key(self, key: int) -> bool:
-        return any(hold.first <= key <= hold.last for hold in self.list_holds())
-
     async def _serve_request(
         self,
         request: Request,
@@ -572,15 +466,11 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        key = int(request.headers['x-shard-key']) if self.is_sharded else None
-        if key is not None and not self._holds_key(key):
-            writer.write(self._refuse(421, request_id))
-            return True
         if self._accepted_count >= SERVER_SLOTS + SERVER_QUEUE:
             writer.write(self._refuse(503, request_id))
             return True
         if request.target == self.crash_path:
-            self._runs.append(Run(time.monotonic(), self.name, request_id, key))
+            self._runs.append(Run(time.monotonic(), self.name, request_id))
             self._record.write(f'{self.name} begins to run {request_id} and crashes')
             await asyncio.sleep(self.crash_after_s)
             if not self.is_up:
@@ -593,7 +483,7 @@
             self.on_crash(self, request_id)
             return False
         self._accepted_count += 1
-        work = asyncio.ensure_future(self._work(request_id, key))
+        work = asyncio.ensure_future(self._work(request_id))
         closed = asyncio.ensure_future(reader.read(1))
         try:
             await asyncio.wait({work, closed}, return_when=asyncio.FIRST_COMPLETED)
@@ -601,10 +491,7 @@
                 return False  # The sender closed the connection, so the request is dropped.
             if not self.is_up:
                 await asyncio.sleep(SILENCE_S)
-            if not work.result():
-                writer.write(self._refuse(421, request_id))
-                return True
-            if self._random.random() < self.loses_answers_share:
+            if self._loses_next_answer():
                 self._record.write(f'{self.name} loses the answer to {request_id}')
                 writer.transport.abort()
                 return False
@@ -627,21 +514,11 @@
                 with contextlib.suppress(asyncio.CancelledError, ConnectionError):
                     await task
 
-    async def _work(self, request_id: str, key: int | None) -> bool:
-        """Run a request; return false if its key is not held any more when its turn comes."""
+    async def _work(self, request_id: str) -> None:
         async with self._slots:
-            if key is not None and not self._holds_key(key):
-                return False
-            self._runs.append(Run(time.monotonic(), self.name, request_id, key))
-            self._record.write(f'{self.name} runs {request_id} key {key}')
-            if key is not None:
-                self._running_keys.append(key)
-            try:
-                await asyncio.sleep(self.work_s * self._random.uniform(0.7, 1.4))
-            finally:
-                if key is not None:
-                    self._running_keys.remove(key)
-        return True
+            self._runs.append(Run(time.monotonic(), self.name, request_id))
+            self._record.write(f'{self.name} runs {request_id}')
+            await asyncio.sleep(self.work_s * self._random.uniform(0.7, 1.4))
 
 
 class Answer(NamedTuple):
@@ -654,15 +531,17 @@
 
 def find_free_ports(host: str, count: int) -> list[int]:
     """Return ports that are free for TCP and UDP at a loopback address."""
-    sockets = []
-    for _ in range(count):
-        opened = socket.socket()
-        opened.bind((host, 0))
-        sockets.append(opened)
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
+    with contextlib.ExitStack() as opened:
+        ports: list[int] = []
+        while len(ports) < count:
+            stream = opened.enter_context(socket.socket())
+            stream.bind((host, 0))
+            port = stream.getsockname()[1]
+            datagrams = opened.enter_context(socket.socket(type=socket.SOCK_DGRAM))
+            with contextlib.suppress(OSError):
+                datagrams.bind((host, port))
+                ports.append(port)
+        return ports
 
 
 SETTINGS = """
@@ -741,9 +620,17 @@
         environment['COLTSFOOTSTAIR_SETTINGS'] = str(settings)
         environment['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         with self.log_path.open('ab') as log:
-            self._process = await asyncio.create_subprocess_exec(
-                *command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            starting = asyncio.ensure_future(
+                asyncio.create_subprocess_exec(
+                    *command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                )
             )
+            try:
+                self._process = await asyncio.shield(starting)
+            except asyncio.CancelledError:
+                # It must be known, so that it is ended.
+                self._process = await starting
+                raise
 
     @property
     def is_running(self) -> bool:
@@ -859,84 +746,36 @@
     return {'version': f'{version:08x}', 'resources': [*resources, document]}
 
 
-class Overlap(NamedTuple):
-    """Keys that two backend servers held at the same time."""
-
-    servers: tuple[str, str]
-    first: int
-    last: int
-    since: float
-    until: float
-
-
-class HoldWatcher:
-    """Finds keys that two backend servers hold at the same time."""
-
-    INTERVAL_S = 0.02
-
-    def __init__(self, servers: list[BackendServer]) -> None:
-        self._servers = servers
-        self._since: dict[tuple[str, str, int, int], float] = {}
-        self.overlaps: list[Overlap] = []
-
-    async def run(self) -> None:
-        """Compare the holds of all servers until cancelled."""
-        try:
-            while True:
-                self._compare()
-                await asyncio.sleep(self.INTERVAL_S)
-        finally:
-            now = time.monotonic()
-            for (one, other, first, last), since in self._since.items():
-                self.overlaps.append(Overlap((one, other), first, last, since, now))
-
-    def _compare(self) -> None:
-        now = time.monotonic()
-        found = set()
-        holds_by_name = {server.name: server.list_holds() for server in self._servers}
-        names = sorted(holds_by_name)
-        for index, one in enumerate(names):
-            for other in names[index + 1 :]:
-                for hold in holds_by_name[one]:
-                    for second in holds_by_name[other]:
-                        first = max(hold.first, second.first)
-                        last = min(hold.last, second.last)
-                        if first <= last:
-                            found.add((one, other, first, last))
-        for each in found:
-            self._since.setdefault(each, now)
-        for each in [each for each in self._since if each not in found]:
-            one, other, first, last = each
-            self.overlaps.append(
-                Overlap((one, other), first, last, self._since.pop(each), now)
-            )
-
-
-def run_case(folder: Path, case: Callable[[Record, Path, bool], Awaitable[bool]]) -> None:
+def run_case(record_path: Path, case: Callable[[Record, Path, bool], Awaitable[bool]]) -> None:
     """Run a case and exit with 1 if its rule was broken, 0 if it held, 2 if it couldn't run.
 
+    A case that is told to stop, or takes too long, ends its processes and couldn't run.
+
+    :param record_path: where to write what was sent, answered and run
     :param case: gets the record, a temporary folder and whether to cause the disruption;
         returns whether the rule was broken
     """
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
-    record = Record(folder / 'record.txt')
+    record = Record(record_path)
     record.write(f'disruption: {has_trouble}')
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
-            return await case(record, Path(temporary), has_trouble)
+            async with asyncio.timeout(MAX_CASE_S):
+                return await case(record, Path(temporary), has_trouble)
 
     try:
         is_broken = asyncio.run(run())
-    except NotRunError as error:
-        record.write(f'NOT RUN: {error}')
-        print(f'not run: {error}')
-        sys.exit(EXIT_NOT_RUN)
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f'NOT RUN: {error!r}')
         print(f'not run: {error!r}')
         sys.exit(EXIT_NOT_RUN)
     record.write('BROKEN' if is_broken else 'HELD')
+    record.close()
     print('broken' if is_broken else 'held')
     sys.exit(EXIT_BROKEN if is_broken else EXIT_HELD)
 
@@ -977,9 +816,9 @@
             for daemon in self.daemons:
                 (target / daemon.log_path.name).write_bytes(daemon.log_path.read_bytes())
 
-    async def add_server(self, name: str, service: str, *, is_sharded: bool) -> BackendServer:
+    async def add_server(self, name: str, service: str) -> BackendServer:
         """Start a backend server, which writes its entry."""
-        server = BackendServer(name, service, self.record, self.runs, is_sharded=is_sharded)
+        server = BackendServer(name, service, self.record, self.runs)
         await server.start()
         self.servers.append(server)
         await self.store.put('servers', name, server.build_entry())
@@ -999,15 +838,13 @@
         entry_left_s = 3 * HEARTBEAT_S
         await asyncio.sleep(min(back_after_s, entry_left_s))
         if back_after_s < entry_left_s:
-            replacement = await self.add_server(
-                name, server.service, is_sharded=server.is_sharded
-            )
+            replacement = await self.add_server(name, server.service)
             await asyncio.sleep(entry_left_s - back_after_s)
             await self.store.delete('servers', server.name)
             return replacement
         await self.store.delete('servers', server.name)
         await asyncio.sleep(back_after_s - entry_left_s)
-        return await self.add_server(name, server.service, is_sharded=server.is_sharded)
+        return await self.add_server(name, server.service)
 
     async def start_daemons(
         self, count: int, *, is_first_start: bool, has_paths: bool = False
@@ -1051,18 +888,3 @@
         lease = self.store.get('coltsfootstair-keys', 'keeper') or {}
         holder = lease.get('holder')
         return next((daemon for daemon in self.daemons if daemon.name == holder), None)
-
-    async def wait_for_holds(self, names: set[str], timeout_s: float = 20.0) -> None:
-        """Wait until each named server holds keys, and all keys are held."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                while True:
-                    holds = {server.name: server.list_holds() for server in self.servers}
-                    held = sum(
-                        hold.last - hold.first + 1 for each in holds.values() for hold in each
-                    )
-                    if held >= KEY_COUNT and all(holds.get(name) for name in names):
-                        return
-                    await asyncio.sleep(0.05)
-        except TimeoutError:
-            raise NotRunError('the keys were not all granted in time') from None
