Keep one account of the attempts of a relayed request

Change: the account (attempts, servers tried, exchanges that servers ended, trial) goes with the request and comes back with the answer. Daemons of earlier versions are taken to have spent all that they may have.

--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -7,8 +7,11 @@
 from typing import TYPE_CHECKING
 
 from coltsfootstair.crashes import TRIAL_INTERVAL_S, Verdict
+from coltsfootstair.gateway._attempts import AttemptAccount, decode_account, encode_account
 from coltsfootstair.gateway._grace_time import GraceTime
 from coltsfootstair.gateway._headers import (
+    ACCOUNT_HEADER,
+    SERVED_BY_HEADER,
     WORKSPACE_HEADER,
     build_relayed_answer_headers,
     select_callers_headers,
@@ -199,9 +202,28 @@
         workspace_name = find_first_value(incoming.headers, WORKSPACE_HEADER)
         if workspace_name is not None:
             request.workspace = Workspace(workspace_name.decode())
-        refusal = self._prepare(request, facts.timeout_s)
+        account = decode_account(find_first_value(incoming.headers, ACCOUNT_HEADER))
+        reply = await self._help(request, facts.timeout_s, account)
+        return _add_account(reply, request, is_asked_for=account is not None)
+
+    async def _help(
+        self,
+        request: RequestState,
+        caller_timeout_s: float | None,
+        account: AttemptAccount | None,
+    ) -> Reply:
+        refusal = self._prepare(request, caller_timeout_s)
         if refusal is not None:
             return self._refuse(request, refusal)
+        if account is None:
+            # A daemon of an earlier version may have sent it itself.
+            request.attempt_limit = max(1, request.route.max_attempts - 1)
+        else:
+            request.attempt_limit = account.attempt_count + 1
+            request.attempt_count = account.attempt_count
+            request.ended_exchange_count = account.ended_exchange_count
+            request.tried_servers.update(account.tried_servers)
+            request.is_trial = account.is_trial
         if not self._helper_gate.has_room():
             self._metrics.count_relay('helper full')
             detail = 'as many requests of other daemons as may be handled'
@@ -331,9 +353,15 @@
                 self._fleet.get_mean_service_time_s(request.service)
             ) or await self._judge_suspect(request)
             if choice is None and self._should_relay(request):
-                reply = await self._relay(request)
-                if reply is not None:
-                    return reply
+                relayed = await self._relay(request)
+                if isinstance(relayed, Reply):
+                    return relayed
+                if relayed is not None:
+                    if not self._try_retry(request, relayed):
+                        return self._finish_failed(request, relayed, None)
+                    if relayed.outcome is Outcome.WRONG_SERVER:
+                        await self._ownership.wait_for_change(OWNERSHIP_UPDATE_WAIT_S)
+                    continue
             choice = choice or await self._choose(request)
             if isinstance(choice, Placement):
                 # It may have waited for its turn, and may have to wait at the server.
@@ -414,14 +442,19 @@
             servers = [] if owner is None else [owner]
         return not any(paths.is_good(server.incarnation) for server in servers)
 
-    async def _relay(self, request: RequestState) -> Reply | None:
-        """Send a request through other daemons; return ``None`` if none of them took it."""
+    async def _relay(self, request: RequestState) -> Reply | AttemptResult | None:
+        """Send a request through other daemons until one of them may have sent it.
+
+        Returns the reply, or how the attempt that a daemon made has failed. Returns ``None``
+        if none of them took it.
+        """
         refusal: Answer | None = None
-        while (helper := self._relay_client.choose_helper(request.tried_helpers)) is not None:
-            request.tried_helpers.add(helper)
+        while (helper := self._relay_client.choose_helper(request)) is not None:
+            request.relay_count += 1
             request.trace.add_step('relayed', self._clock.monotonic(), helper=str(helper))
             result = await self._relay_client.send(request, helper)
             self._metrics.count_relay(result.outcome.value)
+            attempt = _charge_relayed(request, result)
             if result.outcome is Outcome.ANSWERED and result.answer is not None:
                 return self._finish_relayed(request, result, result.answer)
             request.trace.add_step(
@@ -429,14 +462,13 @@
                 self._clock.monotonic(),
                 outcome=result.outcome.value,
                 reason=result.reason,
+                attempts=request.attempt_count,
             )
-            if (
-                result.outcome is Outcome.UNKNOWN
-                and request.route.kind is not RequestKind.IDEMPOTENT
-            ):
-                return self._refuse(
-                    request, Refusal(ResultCode.ANSWER_INCOMPLETE, Ran.UNKNOWN, result.reason)
-                )
+            if attempt is None or result.account is None:
+                request.tried_helpers.add(helper)
+            if attempt is not None:
+                self._apply_word_of_leaving(result)
+                return attempt
             refusal = result.answer or refusal
             if request.abandoned:
                 break
@@ -447,12 +479,15 @@
     def _finish_relayed(
         self, request: RequestState, result: RelayResult, answer: Answer
     ) -> Reply:
+        self._apply_word_of_leaving(result)
+        return self._pass_on_answer(request, answer, 'answered')
+
+    def _apply_word_of_leaving(self, result: RelayResult) -> None:
+        """Note that a server leaves: who passes its word on is bound by it."""
         if result.is_server_leaving and result.server_name is not None:
-            # This daemon passes the server's word on, and so is bound by it.
             server = self._registry.get(result.server_name)
             if server is not None:
                 self._registry.mark_leaving(server.incarnation)
-        return self._pass_on_answer(request, answer, 'answered')
 
     async def _choose(self, request: RequestState) -> Placement | Refusal:
         """Choose a server, and get a permit for it if it has named a limit."""
@@ -697,6 +732,9 @@
             return False
         if result.outcome is Outcome.NOT_SENT:
             return request.failed_connect_count < MAX_FAILED_CONNECT_COUNT
+        limit = request.attempt_limit
+        if limit is not None and request.attempt_count >= limit:
+            return False
         if result.outcome is Outcome.SHED_WITH_FREE_SLOTS and request.key is not None:
             # The retry goes to the same server, which may accept it now. Route.max_attempts
             # does not apply, since it is meant for retries at other servers.
@@ -719,14 +757,20 @@
         return self._fleet.try_spend_retry(request.service)
 
     def _finish_failed(
-        self, request: RequestState, result: AttemptResult, server: BackendServer
+        self, request: RequestState, result: AttemptResult, server: BackendServer | None
     ) -> Reply:
+        """Return the final reply after an attempt that failed.
+
+        :param server: to which the request was sent; ``None`` if another daemon sent it
+        """
         if result.outcome is Outcome.FAILED and result.answer is not None:
             return self._pass_on_answer(request, result.answer, 'failed by its server', server)
         if request.may_have_run:
             return self._refuse(
                 request, Refusal(ResultCode.ANSWER_INCOMPLETE, Ran.UNKNOWN, result.reason)
             )
+        if server is None and result.answer is not None:
+            return self._pass_on_answer(request, result.answer, 'refused by another daemon')
         if request.key is not None:
             refusal = self._leaving_owners.refuse(request.service, request.key)
             if refusal is not None:
@@ -770,6 +814,7 @@
             outcome == 'answered'
             and request.attempt_count == 1
             and not request.failed_connect_count
+            and not request.relay_count
         ):
             self._request_log.count_success(request.trace)
         else:
@@ -804,3 +849,48 @@
             request.trace.route, f'refused {int(refusal.code)}', took_s
         )
         return render_refusal(refusal, request.request_id)
+
+
+def _charge_relayed(request: RequestState, result: RelayResult) -> AttemptResult | None:
+    """Charge a request with what another daemon spent.
+
+    Returns the outcome of the attempt that it made; ``None`` if it made none. Without an
+    account, it may have made all attempts that it was allowed to make. One of an earlier
+    version counts them from zero.
+    """
+    if result.outcome is Outcome.NOT_SENT:
+        return None
+    account = result.account
+    if account is None:
+        most = 1 if result.keeps_account else request.route.max_attempts
+        request.attempt_count = max(request.attempt_count + 1, most)
+        return AttemptResult(result.outcome, result.answer, result.reason)
+    has_spent = account.attempt_count > request.attempt_count
+    is_server_ended = account.ended_exchange_count > request.ended_exchange_count
+    request.attempt_count = max(request.attempt_count, account.attempt_count)
+    request.ended_exchange_count = max(
+        request.ended_exchange_count, account.ended_exchange_count
+    )
+    request.tried_servers.update(account.tried_servers)
+    if not has_spent:
+        return None
+    outcome: Outcome = result.outcome
+    if outcome is Outcome.NOT_RUN and account.outcome is not None:
+        outcome = account.outcome
+    return AttemptResult(outcome, result.answer, result.reason, is_server_ended)
+
+
+def _add_account(reply: Reply, request: RequestState, *, is_asked_for: bool) -> Reply:
+    """Return a reply to another daemon with what the request has spent.
+
+    One of an earlier version would send a request on whose attempt has failed, so its reply
+    names the server, as an answer does, and is final.
+    """
+    if is_asked_for:
+        header = (ACCOUNT_HEADER, encode_account(AttemptAccount.of(request)))
+        return reply._replace(headers=[*reply.headers, header])
+    is_named = find_first_value(reply.headers, SERVED_BY_HEADER) is not None
+    if is_named or not request.attempt_count:
+        return reply
+    header = (SERVED_BY_HEADER, min(request.tried_servers).encode())
+    return reply._replace(headers=[*reply.headers, header])
--- a/src/coltsfootstair/gateway/_headers.py
+++ b/src/coltsfootstair/gateway/_headers.py
@@ -8,6 +8,7 @@
     from coltsfootstair.http1 import Headers
 
 __all__ = [
+    'ACCOUNT_HEADER',
     'LEAVING_HEADER',
     'REQUEST_ID_HEADER',
     'RESULT_HEADER',
@@ -26,13 +27,18 @@
 LEAVING_HEADER = b'coltsfootstair-leaving'
 """Header with the value 1 if that server has said that it is leaving."""
 
+ACCOUNT_HEADER = b'coltsfootstair-attempts'
+"""Header with what a relayed request has spent, in the request and in its answer."""
+
 RESULT_HEADER = b'coltsfootstair-result'
 """Header of a daemon's own refusals."""
 
 REQUEST_ID_HEADER = b'coltsfootstair-request-id'
 """Header with the id of the request, in a daemon's own refusals and its answers to others."""
 
-_BETWEEN_DAEMONS = frozenset({WORKSPACE_HEADER, SERVED_BY_HEADER, LEAVING_HEADER})
+_BETWEEN_DAEMONS = frozenset(
+    {WORKSPACE_HEADER, SERVED_BY_HEADER, LEAVING_HEADER, ACCOUNT_HEADER}
+)
 
 
 def select_callers_headers(headers: Headers) -> Headers:
--- a/src/coltsfootstair/gateway/_helper.py
+++ b/src/coltsfootstair/gateway/_helper.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import http
 from typing import TYPE_CHECKING
 
+from coltsfootstair.gateway._headers import ACCOUNT_HEADER
+from coltsfootstair.http1 import find_first_value
+
 if TYPE_CHECKING:
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._dispatcher import Dispatcher
@@ -61,7 +65,12 @@
 
     def build_refusal(self, status: int, headers: Headers) -> Reply:
         """Return the reply to an invalid request, or to one that failed inside the daemon."""
-        return self._callers.build_refusal(status, headers)
+        reply = self._callers.build_refusal(status, headers)
+        account = find_first_value(headers, ACCOUNT_HEADER)
+        if account is None or status == http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            return reply
+        # Nothing was sent, so the request has spent what it had before.
+        return reply._replace(headers=[*reply.headers, (ACCOUNT_HEADER, account)])
 
     def on_connection_opened(self, connection: CallerConnection) -> None:
         """Add a new connection."""
--- a/src/coltsfootstair/gateway/_relay.py
+++ b/src/coltsfootstair/gateway/_relay.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from coltsfootstair.gateway._attempts import AttemptAccount, decode_account, encode_account
 from coltsfootstair.gateway._headers import (
+    ACCOUNT_HEADER,
     LEAVING_HEADER,
     REQUEST_ID_HEADER,
     RESULT_HEADER,
@@ -34,6 +36,9 @@
 MAX_HELPERS_ASKED = 3
 """Number of daemons that one request is sent to until one takes it."""
 
+MAX_KNOWN_HELPERS = 1000
+"""Most daemons of which it is known that they keep accounts."""
+
 CONNECT_TIMEOUT_S = 0.2
 """Time limit for opening a connection to another daemon, in seconds."""
 
@@ -67,6 +72,10 @@
 
     :param answer: its answer, also a refusal of its own that may be passed on
     :param server_name: backend server that has answered, if one has
+    :param account: what the request has spent with it; ``None`` if the other daemon does not
+        say so, as one of an earlier version
+    :param keeps_account: whether a daemon that gave no answer had an account in its last one,
+        and so makes one attempt at most
     """
 
     outcome: Outcome
@@ -74,6 +83,8 @@
     reason: str = ''
     server_name: str | None = None
     is_server_leaving: bool = False
+    account: AttemptAccount | None = None
+    keeps_account: bool = False
 
 
 class RelayClient:
@@ -96,12 +107,24 @@
         self._clock = clock
         self._random = random_source
         self._get_helpers = get_helpers
+        # Daemons whose last answer had an account.
+        self._accounting: set[Address] = set()
+
+    def choose_helper(self, request: RequestState) -> Address | None:
+        """Return a daemon that a request may be sent to, or ``None``.
 
-    def choose_helper(self, tried: set[Address]) -> Address | None:
-        """Return a daemon that has not been asked yet, or ``None``."""
+        A daemon of an earlier version would count attempts from zero, so only a request that
+        has spent none may be sent to one that may be of such a version.
+        """
+        tried = request.tried_helpers
         if len(tried) >= MAX_HELPERS_ASKED:
             return None
-        untried = [address for address in self._get_helpers() if address not in tried]
+        untried = [
+            address
+            for address in self._get_helpers()
+            if address not in tried
+            and (address in self._accounting or not request.attempt_count)
+        ]
         return self._random.choice(untried) if untried else None
 
     async def send(self, request: RequestState, helper: Address) -> RelayResult:
@@ -128,6 +151,11 @@
         headers = self._dialect.build_relay_headers(
             select_callers_headers(incoming.headers), left_s
         )
+        headers += [
+            (ACCOUNT_HEADER, encode_account(AttemptAccount.of(request))),
+            # So that daemons that do not know the header do not forward it.
+            (b'Connection', ACCOUNT_HEADER),
+        ]
         if request.workspace is not None:
             headers.append((WORKSPACE_HEADER, request.workspace.name.encode()))
         if incoming.body or find_first_value(incoming.headers, b'content-length') is not None:
@@ -144,8 +172,15 @@
             if not error.sent:
                 request.may_have_run = may_have_run_before
                 return RelayResult(Outcome.NOT_SENT, None, str(error))
-            return RelayResult(Outcome.UNKNOWN, None, str(error))
+            keeps_account = helper in self._accounting
+            return RelayResult(Outcome.UNKNOWN, None, str(error), keeps_account=keeps_account)
         result = classify_relayed(answer)
+        if result.account is None:
+            self._accounting.discard(helper)
+        else:
+            if len(self._accounting) >= MAX_KNOWN_HELPERS:
+                self._accounting.clear()
+            self._accounting.add(helper)
         if result.outcome is Outcome.NOT_RUN:
             request.may_have_run = may_have_run_before
             connection.record_refusal()
@@ -155,16 +190,19 @@
 
 def classify_relayed(answer: Answer) -> RelayResult:
     """Classify another daemon's answer to a relayed request."""
+    account = decode_account(find_first_value(answer.headers, ACCOUNT_HEADER))
     server_name = find_first_value(answer.headers, SERVED_BY_HEADER)
     if server_name is not None:
         is_leaving = find_first_value(answer.headers, LEAVING_HEADER) is not None
         name = server_name.decode('latin-1')
-        return RelayResult(Outcome.ANSWERED, answer, '', name, is_leaving)
+        has_failed = account is not None and account.outcome is Outcome.FAILED
+        outcome = Outcome.FAILED if has_failed else Outcome.ANSWERED
+        reason = f'status {answer.status}' if has_failed else ''
+        return RelayResult(outcome, answer, reason, name, is_leaving, account)
     result_code = find_first_value(answer.headers, RESULT_HEADER)
     if result_code is not None and answer.status in REFUSALS_NOT_RUN:
         # What it refuses of the request itself may rest on an older configuration.
         refusal = answer if answer.status == SERVICE_UNAVAILABLE else None
-        return RelayResult(
-            Outcome.NOT_RUN, refusal, f'refused {result_code.decode("latin-1")}'
-        )
-    return RelayResult(Outcome.UNKNOWN, None, f'status {answer.status}')
+        reason = f'refused {result_code.decode("latin-1")}'
+        return RelayResult(Outcome.NOT_RUN, refusal, reason, account=account)
+    return RelayResult(Outcome.UNKNOWN, None, f'status {answer.status}', account=account)
--- a/src/coltsfootstair/gateway/_sender.py
+++ b/src/coltsfootstair/gateway/_sender.py
@@ -114,13 +114,18 @@
     """State of one request while it is handled.
 
     :ivar tried_servers: names of the backend servers that it has been sent to
-    :ivar attempt_count: number of attempts for which a connection was idle or could be opened
+    :ivar attempt_count: number of times that it was sent to a backend server, or was given to
+        another daemon that may have sent it
+    :ivar attempt_limit: number of times after which it is not sent again, if its route allows
+        more
+    :ivar last_outcome: of the last time that it was sent to a backend server
     :ivar ended_exchange_count: number of attempts in which the server closed the connection
     :ivar failed_connect_count: number of attempts for which no connection could be opened
     :ivar may_have_run: whether a backend server may have run it
     :ivar abandoned: whether its caller has left
     :ivar is_relayed: whether another daemon has sent it for its caller
-    :ivar tried_helpers: other daemons that it has been sent to
+    :ivar relay_count: number of times that it was given to another daemon
+    :ivar tried_helpers: other daemons that are not asked again for it
     :ivar is_trial: whether it is tried alone, since several servers ended under it
     :ivar permit: allows the next attempt if its server has named a limit
     :ivar workspace: to which it belongs, if it has one
@@ -135,17 +140,20 @@
         '_fingerprints',
         'abandoned',
         'attempt_count',
+        'attempt_limit',
         'ended_exchange_count',
         'failed_connect_count',
         'incoming',
         'is_relayed',
         'is_trial',
         'key',
+        'last_outcome',
         'may_have_run',
         'permit',
         'policy',
         'priority',
         'queue_limit',
+        'relay_count',
         'request_id',
         'route',
         'route_table',
@@ -167,12 +175,15 @@
         self.key: int | None = None
         self.tried_servers: set[str] = set()
         self.attempt_count = 0
+        self.attempt_limit: int | None = None
+        self.last_outcome: Outcome | None = None
         self.failed_connect_count = 0
         self.may_have_run = False
         self.abandoned = False
         self.ended_exchange_count = 0
         self.is_trial = False
         self.is_relayed = False
+        self.relay_count = 0
         self.tried_helpers: set[Address] = set()
         self.permit: Permit | None = None
         self.workspace: Workspace | None = None
@@ -243,9 +254,12 @@
         """Send a request to ``server`` and return the outcome."""
         counted_in = self._fleet.record_sent(server)
         try:
-            return await self._exchange(request, server, counted_in)
+            result = await self._exchange(request, server, counted_in)
         finally:
             self._fleet.record_ended(server, counted_in)
+        if result.outcome is not Outcome.NOT_SENT:
+            request.last_outcome = result.outcome
+        return result
 
     async def _exchange(
         self, request: RequestState, server: BackendServer, counted_in: Pause | None
@@ -323,6 +337,7 @@
             self._paths.record_failure(server.incarnation, 'connection ended')
             if not error.sent:
                 request.may_have_run = may_have_run_before
+                request.attempt_count -= 1
                 return AttemptResult(Outcome.NOT_SENT, None, str(error))
             if error.closed_by_server:
                 request.ended_exchange_count += 1
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from coltsfootstair.crashes import Verdict
+from coltsfootstair.gateway._attempts import AttemptAccount, decode_account, encode_account
 from coltsfootstair.gateway._relay import classify_relayed
 from coltsfootstair.gateway._sender import Outcome
 from coltsfootstair.http1 import Address, Answer, BrokenExchangeError, Connection
@@ -331,3 +333,231 @@
 
     answered = run_with_time_limit(work())
     assert (answered.status, answered.headers['coltsfootstair-request-id']) == (200, 'r7')
+
+
+async def _lose_answer(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+    """Run a request, and reset the connection in place of an answer."""
+    await asyncio.sleep(0.01)
+    return False
+
+
+async def _fail(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+    request_id = request.headers['x-request-id']
+    writer.write(encode_answer(500, b'', X_Request_Id=request_id, X_Upstream_Signature='s'))
+    return True
+
+
+async def _shed(request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+    headers = {'X_Request_Id': request.headers['x-request-id'], 'X_Not_Executed': '1'}
+    writer.write(encode_answer(503, b'', X_Upstream_Load='4,4,4,100', **headers))
+    return True
+
+
+async def _cut_off_and_settle(
+    gateways: list[RunningGateway], servers: Servers, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Cut the first daemon off from all servers, until it sends through others."""
+    everyone = [server for _, server in servers.list_all()]
+    _cut_off(gateways[0].gateway, everyone, 'refuse', monkeypatch)
+    for _ in range(8):
+        await _count_served(gateways[0], 1)
+        await asyncio.sleep(0.1)
+
+
+def _list_reached(servers: list[ServerStandin], request_id: str) -> list[str]:
+    return [
+        server.name
+        for server in servers
+        for request in server.received
+        if request.headers['x-request-id'] == request_id
+    ]
+
+
+def _make_many_servers() -> Servers:
+    """Return enough servers of a kind that no helper is left without an untried one."""
+    return _make_servers()._replace(
+        calendar=[ServerStandin(f'c{number}') for number in range(8)]
+    )
+
+
+@pytest.mark.parametrize('behaviour', [_lose_answer, _fail, _shed])
+def test_a_relayed_request_reaches_no_more_servers_than_its_route_allows(
+    behaviour: Behaviour, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against helpers that each count the attempts of one request from zero."""
+    servers = _make_many_servers()
+
+    async def work() -> list[list[str]]:
+        async with run_gateways(5, *servers.list_all()) as gateways:
+            await _warm_up(gateways)
+            await _cut_off_and_settle(gateways, servers, monkeypatch)
+            for server in servers.calendar:
+                server.behaviour = behaviour
+            ids = [f'o{number}' for number in range(10)]
+            for request_id in ids:
+                await gateways[0].call('lookups', X_Request_Id=request_id)
+            return [_list_reached(servers.calendar, request_id) for request_id in ids]
+
+    reached = run_with_time_limit(work())
+    assert max(map(len, reached)) == 2
+    assert all(len(names) == len(set(names)) for names in reached)
+
+
+class _LosingHelper:
+    """A daemon that takes relayed requests, and ends the connection in place of an answer."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        self.count += 1
+        writer.close()
+
+
+@pytest.mark.parametrize(('is_known', 'reached_count'), [(True, 1), (False, 0)])
+def test_a_daemon_whose_answer_is_lost_may_have_made_its_attempt(
+    is_known: bool, reached_count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against counting only the attempts of helpers that live to report them."""
+    servers = _make_many_servers()
+
+    async def work() -> tuple[int, list[str]]:
+        async with run_gateways(3, *servers.list_all()) as gateways:
+            await _warm_up(gateways)
+            await _cut_off_and_settle(gateways, servers, monkeypatch)
+            losing = _LosingHelper()
+            listener = await asyncio.start_server(losing.serve, '127.0.0.1', 0)
+            lost = Address(*listener.sockets[0].getsockname()[:2])
+            client = gateways[0].gateway._dispatcher._relay_client
+            others = [_get_helper_address(other.gateway) for other in gateways[1:]]
+            helpers = iter([[lost]])
+            monkeypatch.setattr(client, '_get_helpers', lambda: next(helpers, others))
+            if is_known:
+                client._accounting.add(lost)
+            for server in servers.calendar:
+                server.behaviour = _lose_answer
+            await gateways[0].call('lookups', X_Request_Id='lost')
+            listener.close()
+            return losing.count, _list_reached(servers.calendar, 'lost')
+
+    lost_count, reached = run_with_time_limit(work())
+    assert lost_count == 1
+    assert len(reached) == reached_count
+
+
+class _EarlierHelper:
+    """A daemon of a version without accounts, which refuses what it may have tried."""
+
+    def __init__(self) -> None:
+        self.heads: list[bytes] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.heads.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(encode_answer(503, b'', Coltsfootstair_Result='203', Retry_After='0.2'))
+        await reader.read(1)
+        writer.close()
+
+
+def test_after_a_daemon_of_an_earlier_version_no_other_is_asked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against attempts of an earlier version that nobody counts, in an upgrade."""
+    servers = _make_many_servers()
+
+    async def work() -> tuple[ReceivedAnswer, list[bytes], list[str]]:
+        async with run_gateways(3, *servers.list_all()) as gateways:
+            await _warm_up(gateways)
+            await _cut_off_and_settle(gateways, servers, monkeypatch)
+            earlier = _EarlierHelper()
+            listener = await asyncio.start_server(earlier.serve, '127.0.0.1', 0)
+            address = Address(*listener.sockets[0].getsockname()[:2])
+            client = gateways[0].gateway._dispatcher._relay_client
+            others = [_get_helper_address(other.gateway) for other in gateways[1:]]
+            helpers = iter([[address]])
+            monkeypatch.setattr(client, '_get_helpers', lambda: next(helpers, others))
+            answer = await gateways[0].call('lookups', X_Request_Id='mixed')
+            listener.close()
+            return answer, earlier.heads, _list_reached(servers.calendar, 'mixed')
+
+    answer, heads, reached = run_with_time_limit(work())
+    assert (answer.status, len(heads), reached) == (503, 1, [])
+    # What it does not know is a header of the connection, so that it forwards it to nobody.
+    assert b'connection: coltsfootstair-attempts' in heads[0].lower()
+
+
+@pytest.mark.parametrize('behaviour', [_lose_answer, _shed])
+def test_a_daemon_of_an_earlier_version_takes_a_spent_attempt_for_final(
+    behaviour: Behaviour, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an earlier version that sends on what a helper has tried."""
+    servers = _make_many_servers()
+
+    async def work() -> tuple[ReceivedAnswer, list[str]]:
+        async with run_gateways(1, *servers.list_all()) as gateways:
+            await _warm_up(gateways)
+            for server in servers.calendar:
+                server.behaviour = behaviour
+            as_daemon = gateways[0]._replace(address=_get_helper_address(gateways[0].gateway))
+            answer = await as_daemon.call('lookups', X_Request_Id='earlier')
+            return answer, _list_reached(servers.calendar, 'earlier')
+
+    answer, reached = run_with_time_limit(work())
+    # One attempt of the two may have been its own.
+    assert len(reached) == 1
+    # An answer that names a server is final to it.
+    assert answer.headers['coltsfootstair-served-by'] in reached
+    assert 'coltsfootstair-attempts' not in answer.headers
+
+
+def test_a_trial_that_is_granted_where_a_request_arrived_is_made_by_a_helper() -> None:
+    """Guards against a second trial of one request, which the keeper would refuse."""
+    servers = _make_many_servers()
+
+    async def work() -> int:
+        async with run_gateways(1, *servers.list_all()) as gateways:
+            await _warm_up(gateways)
+            gateway = gateways[0].gateway
+            monkeypatch = pytest.MonkeyPatch()
+            monkeypatch.setattr(gateway._fleet.suspects, 'judge', lambda _: Verdict.HELD)
+            monkeypatch.setattr(
+                type(gateway._fleet.suspects), 'is_empty', property(lambda _: False)
+            )
+            monkeypatch.setattr(gateway._fleet.trials, '_send_request', lambda _: False)
+            try:
+                as_daemon = gateways[0]._replace(address=_get_helper_address(gateway))
+                answer = await as_daemon.call(
+                    'lookups',
+                    X_Request_Id='tried',
+                    Coltsfootstair_Attempts='attempts=0&ended=0&trial=1',
+                )
+            finally:
+                monkeypatch.undo()
+            return answer.status
+
+    assert run_with_time_limit(work()) == 200
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        None,
+        b'',
+        b'attempts',
+        b'attempts=1',
+        b'attempts=x&ended=0&trial=0',
+        b'attempts=-1&ended=0&trial=0',
+        b'attempts=1&ended=0&trial=0&outcome=none',
+        b'attempts=1&ended=0&trial=0&tried=%ff',
+        b'attempts=1&ended=0&trial=0\xff',
+        b'attempts=' + b'1' * 9000 + b'&ended=0&trial=0',
+    ],
+)
+def test_a_malformed_account_counts_as_none(value: bytes | None) -> None:
+    assert decode_account(value) is None
+
+
+def test_an_account_survives_the_way_to_another_daemon() -> None:
+    account = AttemptAccount(2, 1, frozenset({'s&1', 's 2', 'ß=3'}), True, Outcome.FAILED)
+    assert decode_account(encode_account(account)) == account
+    assert decode_account(encode_account(AttemptAccount(0))) == AttemptAccount(0)
