Keep what is known of requests that end servers in the store

Cause: the crashes were known to daemons alone, in memory.

Change: the keeper keeps suspects and crashes in one object of the store, from the first crash on. A daemon reads it when it starts; the keeper reads it again when it becomes keeper, when another has written, and in a new era, and writes what it lacks.

--- a/src/coltsfootstair/crashes/__init__.py
+++ b/src/coltsfootstair/crashes/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from coltsfootstair.crashes._archive import SuspectArchive
 from coltsfootstair.crashes._evidence import CrashEvidence, EndedExchange
 from coltsfootstair.crashes._fingerprint import compute_fingerprints
 from coltsfootstair.crashes._suspects import HOLD_CRASH_COUNT, SuspectRequests, Verdict
@@ -12,6 +13,7 @@
     'TRIAL_INTERVAL_S',
     'CrashEvidence',
     'EndedExchange',
+    'SuspectArchive',
     'SuspectRequests',
     'TrialClient',
     'TrialScheduler',
--- a/src/coltsfootstair/crashes/_suspects.py
+++ b/src/coltsfootstair/crashes/_suspects.py
@@ -147,6 +147,7 @@
         self._count = count
         self._suspect_by_fingerprint: dict[bytes, _Suspect] = {}
         self._on_change: list[Callable[[], None]] = []
+        self._on_crashes_changed: list[Callable[[], None]] = []
         self._turn = 0
         # Number of reports that have told of a change.
         self._told_count_by_fingerprint: dict[bytes, int] = {}
@@ -173,6 +174,10 @@
         """Call ``on_change`` when this daemon has seen a crash, or a run of a suspect."""
         self._on_change.append(on_change)
 
+    def subscribe_crashes(self, on_crashes_changed: Callable[[], None]) -> None:
+        """Call ``on_crashes_changed`` when the known crashes change, whoever has seen them."""
+        self._on_crashes_changed.append(on_crashes_changed)
+
     def judge(self, fingerprints: Iterable[bytes]) -> Verdict:
         """Return what may be done with a request; the strictest verdict counts."""
         verdict = Verdict.FREE
@@ -279,6 +284,22 @@
         self._turn += 1
         return [self._state(fingerprint) for fingerprint in dict.fromkeys(chosen)]
 
+    def list_crashes(self, max_count: int) -> list[SuspectStatement]:
+        """Return suspects with their crashes: those with the most, then the newest ones."""
+        self._forget_old()
+        most_first = sorted(
+            (
+                fingerprint
+                for fingerprint, suspect in self._suspect_by_fingerprint.items()
+                if suspect.crash_by_incarnation
+            ),
+            key=lambda fingerprint: (
+                -self._count_known_crashes(fingerprint),
+                -self._suspect_by_fingerprint[fingerprint].last_crash_at,
+            ),
+        )
+        return [self._state(fingerprint) for fingerprint in most_first[:max_count]]
+
     def tell_again(self) -> None:
         """Tell a new keeper, which may know nothing, of repeated suspects and new ones."""
         now = self._clock.monotonic()
@@ -332,6 +353,8 @@
         else:
             self._repeated.pop(fingerprint, None)
         self._update_verdict(fingerprint, suspect)
+        for on_crashes_changed in self._on_crashes_changed:
+            on_crashes_changed()
 
     def _update_verdict(self, fingerprint: bytes, suspect: _Suspect) -> None:
         if suspect.count_crashes() < HOLD_CRASH_COUNT:
--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -12,6 +12,7 @@
 
 import structlog
 
+from coltsfootstair.crashes import SuspectArchive
 from coltsfootstair.gateway._dispatcher import Dispatcher
 from coltsfootstair.gateway._fleet import Fleet
 from coltsfootstair.gateway._grace_time import GraceTime
@@ -217,6 +218,9 @@
         self._keeper = Keeper(
             settings.name, settings.inner, self._build_keeper_dependencies(random_source)
         )
+        self._suspect_archive = SuspectArchive(
+            ports.store, self._fleet.suspects, clock, lambda: self._keeper.is_keeper
+        )
         self._followers = self._make_followers(random_source)
         for follower in self._followers:
             follower.publish_to(self._keeper.publish)
@@ -248,6 +252,7 @@
             self._describe_evidence,
             lambda: self._servers_follower.evidence_age_s,
             self._grace_time,
+            self._suspect_archive.wait_for_first_read,
         )
         self._path_prober = PathProber(self._registry, self._fleet.paths, self._pool)
 
@@ -405,6 +410,9 @@
         logger.info('stopped', requests_cut=self._requests_in_progress)
 
     def _start_tasks(self) -> None:
+        self._supervisor.start(
+            'archive of crashes', self._suspect_archive.run, is_essential=False
+        )
         for follower in self._followers:
             self._supervisor.start(
                 f'follower of {follower.kind}',
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -46,7 +46,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from coltsfootstair.clock import Clock
     from coltsfootstair.gateway._fleet import Fleet
@@ -111,6 +111,8 @@
     :param get_servers_age_s: returns the time since the known entries of backend servers were
         known to be complete, in seconds
     :param grace_time: decides what is begun while the daemon stops; by default it does not
+    :param wait_for_suspects: waits until requests that end servers are known from the store,
+        or could not be read there; not for long
     """
 
     def __init__(
@@ -134,7 +136,9 @@
         describe_evidence: Callable[[], str] = str,
         get_servers_age_s: Callable[[], float] = lambda: 0.0,
         grace_time: GraceTime | None = None,
+        wait_for_suspects: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
+        self._wait_for_suspects = wait_for_suspects
         self._dialect = dialect
         self._get_route_table = get_route_table
         self._registry = registry
@@ -563,6 +567,8 @@
 
         It is tried alone, when the keeper allows it, before it is refused for long.
         """
+        if self._wait_for_suspects is not None:
+            await self._wait_for_suspects()
         suspects = self._fleet.suspects
         if suspects.is_empty or request.is_trial:
             return None
--- a/tests/crashes/test_model.py
+++ b/tests/crashes/test_model.py
@@ -3,24 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import pytest
 from tests import virtual_time
-from tests.keyspace.model import World
+from tests.keyspace.model import Daemon, ModelStore, World
 
 from coltsfootstair.clock import ManualClock
 from coltsfootstair.crashes import (
     TRIAL_INTERVAL_S,
+    SuspectArchive,
     SuspectRequests,
     TrialScheduler,
     Verdict,
 )
 
-if TYPE_CHECKING:
-    from tests.keyspace.model import Daemon
-
 CRASHING = (b'crashing', b'crashing caller')
 POPULAR = (b'popular', b'popular caller')
 RUN_S = 0.1
@@ -28,13 +26,38 @@
 MAX_LATER_SENDS = 3
 
 
+class ArchivingDaemon(Daemon):
+    """A daemon with the archive of crashes."""
+
+    def __init__(self, world: World, name: str) -> None:
+        super().__init__(world, name)
+        clock = world.clock_by_daemon[name]
+        self.archive = SuspectArchive(
+            world.make_store(name), self.suspects, clock, lambda: self.keeper.is_keeper
+        )
+        self.archive_task = asyncio.create_task(self.archive.run())
+
+
+class ArchivingWorld(World):
+    """Daemons with the archive of crashes."""
+
+    daemon_by_name: dict[str, ArchivingDaemon]  # type: ignore[assignment]
+
+    def make_daemon(self, name: str) -> Daemon:
+        return ArchivingDaemon(self, name)
+
+    def restart_daemon(self, name: str) -> None:
+        self.daemon_by_name[name].archive_task.cancel()
+        super().restart_daemon(name)
+
+
 class Load:
     """A request that ends its servers comes again, beside a popular one.
 
     Each crash also ends the popular request at the same server.
     """
 
-    def __init__(self, world: World, repeat_s: float) -> None:
+    def __init__(self, world: ArchivingWorld, repeat_s: float) -> None:
         self.world = world
         self.repeat_s = repeat_s
         self.crashes_at: list[float] = []
@@ -53,7 +76,7 @@
                 await self._crash(daemon, is_trial)
             await asyncio.sleep(self.world.random.uniform(0.5, 1.5) * self.repeat_s)
 
-    async def _crash(self, daemon: Daemon, is_trial: bool) -> None:
+    async def _crash(self, daemon: ArchivingDaemon, is_trial: bool) -> None:
         sent_at = self.world.now
         bystander = self._choose_daemon()
         bystander_is_trial = await self._judge(bystander, POPULAR)
@@ -79,8 +102,11 @@
             await asyncio.sleep(RUN_S)
             daemon.suspects.record_run(POPULAR)
 
-    async def _judge(self, daemon: Daemon, request: tuple[bytes, bytes]) -> bool | None:
+    async def _judge(
+        self, daemon: ArchivingDaemon, request: tuple[bytes, bytes]
+    ) -> bool | None:
         """Return whether a request is a trial; ``None`` if it is not sent."""
+        await daemon.archive.wait_for_first_read()
         match daemon.suspects.judge(request):
             case Verdict.FREE:
                 return False
@@ -88,7 +114,7 @@
                 return True
         return None
 
-    def _choose_daemon(self) -> Daemon:
+    def _choose_daemon(self) -> ArchivingDaemon:
         return self.world.random.choice(list(self.world.daemon_by_name.values()))
 
     def count_later_sends(self) -> int:
@@ -125,7 +151,7 @@
 async def _play(
     seed: int, daemon_count: int, repeat_s: float, faults: dict[float, Fault]
 ) -> Load:
-    world = World(seed, daemon_count, server_count=1)
+    world = ArchivingWorld(seed, daemon_count, server_count=1)
     await asyncio.sleep(8.0)
     load = Load(world, repeat_s)
     for at, fault in faults.items():
@@ -149,6 +175,45 @@
         assert load.popular_refused_count <= 0.1 * load.popular_count, seed
 
 
+def _restart_all(world: World) -> None:
+    for name in list(world.daemon_by_name):
+        world.restart_daemon(name)
+
+
+async def _play_drawn_kills(seed: int) -> Load:
+    """Kill all daemons at one to three drawn moments, before and after each crash."""
+    draws = random.Random(seed)
+    kill_times = [draws.uniform(0.2, 8.0) for _ in range(draws.randint(1, 3))]
+    repeat_s = draws.choice([0.5, 1.0, 2.0])
+    return await _play(seed, 6, repeat_s, dict.fromkeys(kill_times, _restart_all))
+
+
+def test_what_is_known_of_a_request_outlives_all_daemons() -> None:
+    """Guards against crashes that are counted from zero after a loss of all processes."""
+    later_sends = {}
+    refused = {}
+    for seed in range(60):
+        load = virtual_time.run(_play_drawn_kills(seed))
+        assert len(load.crashes_at) >= 3
+        later_sends[seed] = load.count_later_sends()
+        refused[seed] = load.popular_refused_count / load.popular_count
+    assert max(later_sends.values()) <= MAX_LATER_SENDS, later_sends
+    assert max(refused.values()) <= 0.1, refused
+
+
+def test_the_model_catches_daemons_that_do_not_read_the_archive(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def read_nothing(*_: object) -> None:
+        return None
+
+    monkeypatch.setattr(ModelStore, 'get', read_nothing)
+    later_sends = [
+        virtual_time.run(_play_drawn_kills(seed)).count_later_sends() for seed in range(20)
+    ]
+    assert max(later_sends) > MAX_LATER_SENDS
+
+
 def test_the_model_catches_daemons_that_do_not_tell_each_other(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from coltsfootstair.crashes import compute_fingerprints
 from tests.coltsfootstair_platform.standin import ReceivedRequest, ServerStandin, StoreStandin
 from tests.gateway.harness import RunningGateway, run_gateways, run_with_time_limit
 
@@ -106,3 +107,47 @@
     # A popular request in flight at each server that ended is no suspect for long.
     served_share = bystander_statuses[-40:].count(200) / 40
     assert served_share >= 0.9
+
+
+@pytest.mark.parametrize('crash_count', [1, 4])
+def test_what_is_known_of_a_request_outlives_all_daemons(crash_count: int) -> None:
+    """Guards against crashes that are counted from zero after a loss of all processes."""
+    servers = [ServerStandin(f's{n}') for n in range(SERVER_COUNT)]
+    store = StoreStandin()
+
+    async def play_first_life() -> None:
+        async with run_gateways(2, *(('desk', server) for server in servers), store=store) as (
+            first,
+            second,
+        ):
+            while not any(each.gateway._keeper.is_keeper for each in (first, second)):
+                await asyncio.sleep(0.05)
+            now = time.monotonic()
+            fingerprints = compute_fingerprints(
+                b'bookings.example', b'GET', CRASHING_PATH.encode(), None, b'', '127.0.0.1'
+            )
+            for number in range(crash_count):
+                at = now - 10.0 + number
+                first.gateway._fleet.suspects.record_crash(
+                    fingerprints, (f'c{number}', 1), at, at, is_trial=number == 3
+                )
+            # The keeper writes at once what it is told.
+            await asyncio.sleep(0.3)
+
+    async def play_second_life() -> tuple[int, int]:
+        async with run_gateways(
+            1, *(('desk', server) for server in servers), store=store
+        ) as gateways:
+            status = (await gateways[0].call('bookings', CRASHING_PATH)).status
+            crashes = gateways[0].gateway._fleet.suspects.list_crashes(10)
+            return status, len(crashes[0].crashes) if crashes else 0
+
+    async def play() -> tuple[int, int]:
+        await play_first_life()
+        return await play_second_life()
+
+    status, known_count = run_with_time_limit(play())
+    assert status == (503 if crash_count == 4 else 200)
+    # A run to its end clears it.
+    assert known_count == (4 if crash_count == 4 else 0)
+    assert any(server.received for server in servers) == (crash_count == 1)
