Believe no answer that ends while its request is on its way

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body, ended its side of the connection and reset it some milliseconds later.

Cause: an orderly end of the connection was taken for the end of such an answer, whatever became of the request. A process that ends closes its sockets in order where nothing is unread, and resets them on the bytes that follow.

Change: such an answer fails unless the server's TCP has acknowledged the whole request, or it is a 4xx or 5xx, which may refuse an upload that is not read. The same in the client of the product's own interface.

--- a/src/coltsfootstair/backend/_client.py
+++ b/src/coltsfootstair/backend/_client.py
@@ -13,7 +13,11 @@
 
 from coltsfootstair.backend._types import BackendAnswer, GrantReply, Health
 from coltsfootstair.errors import CallFailedError
-from coltsfootstair.sockets import finish_on_close, reset_on_close
+from coltsfootstair.sockets import (
+    count_unacknowledged_bytes,
+    finish_on_close,
+    reset_on_close,
+)
 
 if TYPE_CHECKING:
     from coltsfootstair.backend._types import AnswerSink, BackendRequest, Grant
@@ -29,6 +33,7 @@
 
 STATUS_OK = 200
 STATUS_CONFLICT = 409
+MIN_ERROR_STATUS = 400
 
 
 class HttpBackendServer:
@@ -55,8 +60,10 @@
         connection.sock.settimeout(request.deadline_s)
         try:
             _send(connection, request)
-            response = connection.getresponse()
-            _forward_answer(response, sink)
+            # The client closes its socket when it has read an answer that ends by a close.
+            with connection.sock.dup() as sent_on:
+                response = connection.getresponse()
+                _forward_answer(response, sink, sent_on)
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise CallFailedError(
@@ -203,7 +210,16 @@
     return b'%x\r\n%b\r\n' % (len(chunk), chunk)
 
 
-def _forward_answer(response: http.client.HTTPResponse, sink: AnswerSink) -> None:
+def _forward_answer(
+    response: http.client.HTTPResponse, sink: AnswerSink, sent_on: socket.socket
+) -> None:
+    """Pass an answer on while it arrives.
+
+    One other than an error that ends with its connection is complete only if the server has
+    the request.
+
+    :param sent_on: the connection that the request was sent on
+    """
     length = response.length if response.length is not None else -1
     sink.start(BackendAnswer(response.status, response.getheaders(), length))
     # -1 if the length is not known.
@@ -217,6 +233,12 @@
         remaining = remaining - len(chunk) if remaining > 0 else remaining
         sink.write(chunk, last=remaining == 0)
     response.read()
+    if remaining < 0 and not response.chunked and response.status < MIN_ERROR_STATUS:
+        unacknowledged_bytes = count_unacknowledged_bytes(sent_on)
+        if unacknowledged_bytes:
+            raise http.client.HTTPException(
+                f'the answer ended before the server had {unacknowledged_bytes} bytes'
+            )
     if remaining != 0 or length == 0:
         sink.write(b'', last=True)
 
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -4,11 +4,8 @@
 
 import asyncio
 import contextlib
-import fcntl
 import select
 import socket
-import sys
-import termios
 from typing import TYPE_CHECKING, NamedTuple
 
 import httptools
@@ -16,7 +13,11 @@
 from coltsfootstair.errors import ColtsfootstairError
 from coltsfootstair.http1._answer_limiter import AnswerLimiter, CutOffReason
 from coltsfootstair.http1._headers import Headers, find_first_value, render_head
-from coltsfootstair.sockets import finish_on_close, reset_on_close
+from coltsfootstair.sockets import (
+    count_unacknowledged_bytes,
+    finish_on_close,
+    reset_on_close,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -60,6 +61,7 @@
 
 FIRST_FINAL_STATUS = 200
 NOT_MODIFIED_STATUS = 304
+MIN_ERROR_STATUS = 400
 
 
 class Answer(NamedTuple):
@@ -114,7 +116,9 @@
 
     A connection that ends during an exchange is reset, also if the process is killed, so that
     bytes of the request that are held up on their way are not delivered later. One that is
-    answered before all of the request is written is closed, and the rest is not sent.
+    answered before all of the request is written is closed, and the rest is not sent. An
+    answer other than an error that ends with its connection counts only if the server has the
+    request.
 
     :param id_header: name in lower case of the header in which servers return the id of a
         request; empty for servers that return none, whose answers count without
@@ -296,6 +300,10 @@
             self._transport is not None and self._transport.get_write_buffer_size() > 0
         )
 
+    def _is_request_on_its_way(self) -> bool:
+        """Whether the server's TCP does not have all of the last request."""
+        return self._has_unwritten_bytes or bool(self.count_unacknowledged_bytes())
+
     def record_refusal(self) -> None:
         """Record that the last request was refused, see ``has_refused``."""
         if self._expected_id:
@@ -323,12 +331,7 @@
         if self._transport is None:
             return None
         raw_socket = self._transport.get_extra_info('socket')
-        count = bytearray(4)
-        try:
-            fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, count)
-        except OSError:
-            return None
-        return int.from_bytes(count, sys.byteorder)
+        return None if raw_socket is None else count_unacknowledged_bytes(raw_socket)
 
     def close(self) -> None:
         """Close the connection at once; reset it if an exchange is in progress."""
@@ -417,7 +420,14 @@
             and self._pending_answer is not None
         ):
             self.is_reusable = False
-            self._complete_answer()
+            if self._status < MIN_ERROR_STATUS and self._is_request_on_its_way():
+                # It may be about to reset the connection: what it has sent proves nothing.
+                self._fail(
+                    f'{self.address} ended its answer before it had the request',
+                    closed_by_server=True,
+                )
+            else:
+                self._complete_answer()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -544,7 +554,7 @@
         if self.exchange_count == 1 or (self._id_header and self._proves is None):
             return True
         assert self._transport is not None
-        return not (self._has_unwritten_bytes or self.count_unacknowledged_bytes())
+        return not self._is_request_on_its_way()
 
     def _update_idle_limit(self) -> None:
         """Read the idle limit that the server announces in ``Keep-Alive``."""
--- a/src/coltsfootstair/sockets/__init__.py
+++ b/src/coltsfootstair/sockets/__init__.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
-from coltsfootstair.sockets._closing import finish_on_close, reset_on_close
+from coltsfootstair.sockets._closing import (
+    count_unacknowledged_bytes,
+    finish_on_close,
+    reset_on_close,
+)
 
-__all__ = ['finish_on_close', 'reset_on_close']
+__all__ = ['count_unacknowledged_bytes', 'finish_on_close', 'reset_on_close']
--- a/tests/backend/test_client.py
+++ b/tests/backend/test_client.py
@@ -74,3 +74,61 @@
         with pytest.raises(CallFailedError, match='over 65536 bytes'):
             client.probe(5.0)
         assert taken_bytes.result() < ENDLESS_BYTES
+
+
+class _Recorder:
+    """Keeps an answer, and whether it was complete."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b''
+        self.is_complete = False
+
+    def start(self, answer: BackendAnswer) -> None:
+        self.status = answer.status
+
+    def write(self, data: bytes, *, last: bool) -> None:
+        self.body += data
+        self.is_complete = last
+
+
+def _serve_early_answer(listener: socket.socket, status: int, reads_all: bool) -> None:
+    """Answer one call with a body that ends with the connection.
+
+    :param reads_all: whether the request is read before
+    """
+    server_side, _ = listener.accept()
+    with server_side, contextlib.suppress(OSError):
+        received = server_side.recv(1024)
+        while reads_all and not received.endswith(b'end'):
+            received += server_side.recv(65536)
+        server_side.sendall(f'HTTP/1.1 {status} Any\r\n\r\npart'.encode())
+        server_side.shutdown(socket.SHUT_WR)
+        # Nothing more is read: what follows stays in the kernel of the client.
+        time.sleep(2 * REQUEST_TIMEOUT_S)
+
+
+@pytest.mark.parametrize(
+    ('status', 'reads_all', 'is_complete'),
+    [(200, False, False), (302, False, False), (413, False, True), (200, True, True)],
+)
+def test_an_answer_that_ends_by_a_close_in_the_middle_of_a_request_is_not_whole(
+    status: int, reads_all: bool, is_complete: bool
+) -> None:
+    """Guards against passing on the part of a body that came before a reset."""
+    with (
+        contextlib.closing(listen_with_small_buffer()) as listener,
+        concurrent.futures.ThreadPoolExecutor() as executor,
+    ):
+        served = executor.submit(_serve_early_answer, listener, status, reads_all)
+        client = HttpBackendServer('{}:{}'.format(*listener.getsockname()))
+        body = b'u' * 60_000 + b'end'
+        request = BackendRequest('POST', '/book', [], iter([body]), len(body), 5.0)
+        recorder = _Recorder()
+        if is_complete:
+            client.exchange(request, recorder)
+        else:
+            with pytest.raises(CallFailedError):
+                client.exchange(request, recorder)
+        served.result()
+        assert (recorder.status, recorder.is_complete) == (status, is_complete)
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -25,6 +25,8 @@
 RESET = struct.pack('ii', 1, 0)
 BODY = b'0123456789ab'
 SIGNATURE = 'X-Upstream-Signature: s'
+UPLOAD_BYTES = 8 * 1024 * 1024
+UPLOAD_COUNT = 5
 
 
 def _build_answers(request_id: str) -> dict[str, bytes]:
@@ -116,6 +118,64 @@
     assert statuses.count(502) == received_count
 
 
+class EarlyServer(ServerStandin):
+    """Answers uploads at once, ends its side, and resets the connection a moment later."""
+
+    def __init__(self, status: int, reset_after_s: float) -> None:
+        super().__init__('s1')
+        self._status = status
+        self._reset_after_s = reset_after_s
+        self.answered_count = 0
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            head = (await reader.readuntil(b'\r\n\r\n')).decode()
+            request_id = head.lower().partition('x-request-id: ')[2].split('\r\n')[0]
+            lines = [f'X-Request-Id: {request_id}', SIGNATURE, 'Connection: close']
+            first = f'HTTP/1.1 {self._status} Any'
+            writer.write('\r\n'.join([first, *lines]).encode() + b'\r\n\r\n' + BODY)
+            writer.write_eof()
+            self.answered_count += 1
+            await asyncio.sleep(self._reset_after_s)
+            await _end(writer, resets=True)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return  # A connection that only shows whether the server lives.
+
+
+@pytest.mark.parametrize(
+    ('status', 'reset_after_s', 'passed_on'), [(200, 0.005, 502), (413, 0.2, 413)]
+)
+@pytest.mark.parametrize('is_relayed', [False, True])
+def test_a_caller_gets_no_whole_answer_of_a_server_that_stopped_within_an_upload(
+    status: int, reset_after_s: float, passed_on: int, is_relayed: bool
+) -> None:
+    """Guards against passing on the part of a body that came before a reset."""
+
+    async def work() -> tuple[list[int], int]:
+        server = EarlyServer(status, reset_after_s)
+        limits = {'max-body-bytes': 2 * UPLOAD_BYTES}
+        async with run_gateway(('desk', server), **limits) as running:
+            if is_relayed:
+                assert running.gateway.helper_address is not None
+                running = running._replace(address=running.gateway.helper_address)
+            statuses = []
+            for number in range(UPLOAD_COUNT):
+                answer = await running.call(
+                    'uploads', '/x/a', b'u' * UPLOAD_BYTES, X_Request_Id=f'r{number}'
+                )
+                statuses.append(answer.status)
+                fleet = running.gateway._fleet
+                fleet._estimate_by_incarnation.clear()
+                fleet._mean_by_service.clear()
+            return statuses, server.answered_count
+
+    statuses, answered_count = run_with_time_limit(work())
+    assert answered_count == UPLOAD_COUNT
+    assert set(statuses) == {passed_on}
+
+
 def _build_request() -> RequestState:
     headers = [(b'Host', b'a'), (b'X-Request-Id', b'r1')]
     incoming = IncomingRequest(b'GET', b'/x/a', b'/x/a', headers, b'', 0.0)
