Take no answer whose status HTTP does not have

Cause: the parser reads any three digits, and only a status of at least 200 was asked for. On the product's own interface 101 to 199 counted as final, too.

Change: statuses outside 100 to 599, and 101, end the exchange at once as malformed; on the own interface a final status is 200 to 599.

--- a/src/coltsfootstair/backend/_client.py
+++ b/src/coltsfootstair/backend/_client.py
@@ -34,6 +34,7 @@
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 MIN_ERROR_STATUS = 400
+FINAL_STATUSES = range(200, 600)
 
 
 class HttpBackendServer:
@@ -220,6 +221,8 @@
 
     :param sent_on: the connection that the request was sent on
     """
+    if response.status not in FINAL_STATUSES:
+        raise http.client.BadStatusLine(f'status {response.status}')
     length = response.length if response.length is not None else -1
     sink.start(BackendAnswer(response.status, response.getheaders(), length))
     # -1 if the length is not known.
--- a/src/coltsfootstair/http1/_client.py
+++ b/src/coltsfootstair/http1/_client.py
@@ -59,6 +59,10 @@
 
 _NO_BYTES = memoryview(b'')
 
+STATUSES = range(100, 600)
+"""Statuses that HTTP has. An answer with another one is none."""
+
+SWITCHING_PROTOCOLS_STATUS = 101
 FIRST_FINAL_STATUS = 200
 NOT_MODIFIED_STATUS = 304
 MIN_ERROR_STATUS = 400
@@ -461,6 +465,12 @@
     def on_headers_complete(self) -> None:
         """Determine how the end of the answer is recognised."""
         self._status = self._parser.get_status_code()
+        # No request asks for another protocol.
+        if self._status not in STATUSES or self._status == SWITCHING_PROTOCOLS_STATUS:
+            self._cut_off(
+                CutOffReason.MALFORMED, f'{self.address} sent the status {self._status:03}'
+            )
+            raise _CutOffError
         if self._on_head is not None:
             self._on_head(self._status, self._headers, self._is_own_answer())
         self._in_final_body = self._status >= FIRST_FINAL_STATUS
--- a/tests/backend/test_client.py
+++ b/tests/backend/test_client.py
@@ -132,3 +132,24 @@
                 client.exchange(request, recorder)
         served.result()
         assert (recorder.status, recorder.is_complete) == (status, is_complete)
+
+
+@pytest.mark.parametrize('status', ['101', '199', '600', '999', '000'])
+def test_an_answer_with_a_status_that_no_answer_has_is_none(status: str) -> None:
+    """Guards against passing on bytes that are no answer in the protocol."""
+
+    def serve() -> None:
+        server_side, _ = listener.accept()
+        with server_side:
+            server_side.recv(1024)
+            server_side.sendall(f'HTTP/1.1 {status} Any\r\nContent-Length: 0\r\n\r\n'.encode())
+
+    with (
+        socket.create_server(('127.0.0.1', 0)) as listener,
+        concurrent.futures.ThreadPoolExecutor() as executor,
+    ):
+        served = executor.submit(serve)
+        client = HttpBackendServer('{}:{}'.format(*listener.getsockname()))
+        with pytest.raises(CallFailedError):
+            client.exchange(BackendRequest('GET', '/x', [], iter([]), 0, 2.0), _Sink())
+        served.result()
--- a/tests/http1/test_cut_answers.py
+++ b/tests/http1/test_cut_answers.py
@@ -194,3 +194,35 @@
                 assert await _play(form, cut_at, end, 'GET', is_used=True, step=1000) is None
 
     asyncio.run(work())
+
+
+@pytest.mark.parametrize(
+    'status',
+    ['000', '001', '099', '101', '600', '999', '20', '0200', '2000', '-20', '2x0', ''],
+)
+@pytest.mark.parametrize('ending', ['Content-Length: 12', 'Connection: close'])
+def test_an_answer_with_a_status_that_no_answer_has_is_none(status: str, ending: str) -> None:
+    """Guards against passing on bytes that are no answer in the protocol."""
+
+    async def work() -> BaseException | None:
+        played = PlayedConnection()
+        exchange = await played.start('r1')
+        head = f'HTTP/1.1 {status} Any\r\n{IDENTIFIED}\r\n{SIGNED}\r\n{ending}\r\n\r\n'
+        played.receive(head.encode(), BODY)
+        await asyncio.wait({exchange}, timeout=0.1)
+        # It fails at once, not when the connection or the time of the request ends.
+        assert exchange.done()
+        return exchange.exception()
+
+    assert isinstance(asyncio.run(work()), BrokenExchangeError)
+
+
+@pytest.mark.parametrize('status', [200, 299, 404, 599])
+def test_an_answer_with_any_status_of_the_protocol_is_one(status: int) -> None:
+    async def work() -> int:
+        played = PlayedConnection()
+        exchange = await played.start('r1')
+        played.receive(encode(status, 'r1', BODY))
+        return (await exchange).status
+
+    assert asyncio.run(work()) == status
