Keep a relayed request at the part of its route that was chosen

What callers saw: a request of a split route that one part had no room for could be served by another part when it went through a second daemon (CONFIG: it may be rejected, not moved).

Test: six requests given to one part ran at both before, at that part now.

--- a/src/coltsfootstair/gateway/_attempts.py
+++ b/src/coltsfootstair/gateway/_attempts.py
@@ -26,6 +26,7 @@
     :param ended_exchange_count: number of servers that closed the connection on it
     :param tried_servers: names of the servers that it was sent to
     :param is_trial: whether it is tried alone, since several servers ended under it
+    :param service: part of its route that it was given to; empty if not known
     :param outcome: how the last of these times ended; only in answers
     """
 
@@ -33,6 +34,7 @@
     ended_exchange_count: int = 0
     tried_servers: frozenset[str] = frozenset()
     is_trial: bool = False
+    service: str = ''
     outcome: Outcome | None = None
 
     @classmethod
@@ -43,6 +45,7 @@
             request.ended_exchange_count,
             frozenset(request.tried_servers),
             request.is_trial,
+            request.service,
             request.last_outcome,
         )
 
@@ -54,6 +57,7 @@
         'ended': account.ended_exchange_count,
         'tried': sorted(account.tried_servers),
         'trial': int(account.is_trial),
+        'service': account.service,
         'outcome': [] if account.outcome is None else account.outcome.name,
     }
     return urllib.parse.urlencode(fields, doseq=True).encode()
@@ -71,6 +75,7 @@
             int(fields['ended'][0]),
             frozenset(fields.get('tried', ())),
             fields['trial'][0] == '1',
+            fields.get('service', [''])[0],
             None if names is None else Outcome[names[0]],
         )
     except (KeyError, ValueError):
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -216,7 +216,8 @@
         caller_timeout_s: float | None,
         account: AttemptAccount | None,
     ) -> Reply:
-        refusal = self._prepare(request, caller_timeout_s)
+        service = '' if account is None else account.service
+        refusal = self._prepare(request, caller_timeout_s, service)
         if refusal is not None:
             return self._refuse(request, refusal)
         if account is None:
@@ -303,11 +304,16 @@
             timeout.reschedule(now)
 
     def _prepare(
-        self, request: RequestState, caller_timeout_s: float | None
+        self,
+        request: RequestState,
+        caller_timeout_s: float | None,
+        chosen_service: str = '',
     ) -> Refusal | None:
         """Set the route, service, policy and timeout of a request.
 
         Returns the refusal of a request that has no route or lacks its key.
+
+        :param chosen_service: service that another daemon has chosen for it; empty if none has
         """
         route_table = self._get_route_table()
         if route_table is None:
@@ -319,7 +325,10 @@
             return self._deny(ResultCode.UNKNOWN_ROUTE, 'no route', route_table)
         request.route_table = route_table
         request.route = route
-        request.service = route_table.choose_service(route)
+        is_chosen = any(
+            weighted.service == chosen_service for weighted in route.weighted_services
+        )
+        request.service = chosen_service if is_chosen else route_table.choose_service(route)
         request.policy = route_table.configuration.policy_by_service[request.service]
         request.trace.route = route.name
         request.trace.service = request.service
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -17,6 +17,8 @@
     Behaviour,
     ReceivedRequest,
     ServerStandin,
+    build_configuration,
+    build_route,
     encode_answer,
 )
 from tests.gateway.harness import (
@@ -538,6 +540,39 @@
     assert run_with_time_limit(work()) == 200
 
 
+@pytest.mark.parametrize(
+    ('chosen', 'reached'), [('desk', {'desk'}), ('gone', {'calendar', 'desk'})]
+)
+def test_a_helper_keeps_to_the_part_of_a_split_route_that_was_chosen(
+    chosen: str, reached: set[str]
+) -> None:
+    """Guards against moving to another part what one part has no room for."""
+    servers = _make_servers()
+    configuration = build_configuration()
+    parts = [{'service': service, 'weight': 1} for service in ('calendar', 'desk')]
+    route = build_route('split', '', **{'weighted-backends': parts})
+    del route['spec']['service']
+    configuration['resources'].append(route)
+
+    async def work() -> list[int]:
+        async with run_gateways(1, *servers.list_all(), configuration=configuration) as (
+            running,
+        ):
+            as_daemon = running._replace(address=_get_helper_address(running.gateway))
+            account = f'attempts=0&ended=0&trial=0&service={chosen}'
+            return [
+                (
+                    await as_daemon.call(
+                        'split', X_Request_Id=f's{number}', Coltsfootstair_Attempts=account
+                    )
+                ).status
+                for number in range(6)
+            ]
+
+    assert run_with_time_limit(work()) == [200] * 6
+    assert {service for service, server in servers.list_all() if server.received} == reached
+
+
 @pytest.mark.parametrize(
     'value',
     [
@@ -558,6 +593,8 @@
 
 
 def test_an_account_survives_the_way_to_another_daemon() -> None:
-    account = AttemptAccount(2, 1, frozenset({'s&1', 's 2', 'ß=3'}), True, Outcome.FAILED)
+    account = AttemptAccount(
+        2, 1, frozenset({'s&1', 's 2', 'ß=3'}), True, 'a=b', Outcome.FAILED
+    )
     assert decode_account(encode_account(account)) == account
     assert decode_account(encode_account(AttemptAccount(0))) == AttemptAccount(0)
