Let operators lift the verdict on a request that ended its servers

Cause: since verdicts are kept in the store, a restart of all daemons no longer lifts a wrong one, and nothing else did for an hour.

Change: a mark in the entries of the archive. The keeper reads the archive every 5 s while there are verdicts, forgets what is marked, tells all daemons as it does of a run to the end, and writes the archive without it.

Tests: tests/crashes/test_archive.py; without verdicts the archive is not read again (0 calls in 60 s).

--- a/src/coltsfootstair/crashes/_archive.py
+++ b/src/coltsfootstair/crashes/_archive.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from datetime import UTC, datetime, timedelta
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -23,6 +24,7 @@
 __all__ = [
     'ARCHIVE_KIND',
     'ARCHIVE_NAME',
+    'Archive',
     'SuspectArchive',
     'decode_archive',
     'encode_archive',
@@ -46,6 +48,9 @@
 """Least time between two writes of the archive, and to the next call after one that failed,
 in seconds."""
 
+LIFT_CHECK_INTERVAL_S = 5.0
+"""Interval at which the keeper reads whether operators have lifted a verdict, in seconds."""
+
 FIRST_READ_WAIT_S = 0.5
 """How long requests of a daemon that has just started wait for its first read of the archive,
 in seconds."""
@@ -74,6 +79,17 @@
 class _StoredSuspect(msgspec.Struct, rename='kebab'):
     fingerprint: str
     crashes: list[_StoredCrash]
+    is_lifted: bool = False
+
+
+class Archive(NamedTuple):
+    """What the stored object contains.
+
+    :param lifted: fingerprints of suspects whose verdict operators have lifted
+    """
+
+    statements: list[SuspectStatement]
+    lifted: list[bytes]
 
 
 class _ReadArchive(NamedTuple):
@@ -107,7 +123,7 @@
     return {'written-at': now.isoformat(), 'suspects': msgspec.to_builtins(suspects)}
 
 
-def decode_archive(value: Any, now: datetime) -> list[SuspectStatement]:
+def decode_archive(value: Any, now: datetime) -> Archive:
     """Return what a stored object contains; entries that can't be read are left out.
 
     Ages go on from the time at which it was written, as far as the calendar clocks of both
@@ -116,24 +132,29 @@
     if isinstance(value, UnreadableValue) or not isinstance(value, dict):
         reason = value.reason if isinstance(value, UnreadableValue) else 'not a table'
         logger.warning('archive of crashes ignored', reason=reason)
-        return []
+        return Archive([], [])
     passed_s = _compute_passed_s(value.get('written-at'), now)
     entries = value.get('suspects')
     if not isinstance(entries, list):
         logger.warning('archive of crashes ignored', reason='its suspects are not a list')
-        return []
+        return Archive([], [])
     statements = []
+    lifted = []
     refused_reasons = []
     for entry in entries:
         try:
-            statements.append(_decode_suspect(entry, passed_s))
+            stored = msgspec.convert(entry, _StoredSuspect)
+            statements.append(_read_suspect(stored, passed_s))
         except (msgspec.ValidationError, ValueError, RecursionError, OverflowError) as error:
             refused_reasons.append(str(error))
+            continue
+        if stored.is_lifted:
+            lifted.append(statements[-1].fingerprint)
     if refused_reasons:
         logger.warning(
             'archived suspects ignored', count=len(refused_reasons), reason=refused_reasons[0]
         )
-    return statements
+    return Archive(statements, lifted)
 
 
 def _compute_passed_s(written_at: Any, now: datetime) -> float:
@@ -144,13 +165,12 @@
     return max(timedelta(), passed).total_seconds()
 
 
-def _decode_suspect(entry: Any, passed_s: float) -> SuspectStatement:
-    """Decode one suspect.
+def _read_suspect(stored: _StoredSuspect, passed_s: float) -> SuspectStatement:
+    """Return what one entry says.
 
     :param passed_s: time since it was written, in seconds
-    :raises ValueError: it is malformed
+    :raises ValueError: it says what can't be
     """
-    stored = msgspec.convert(entry, _StoredSuspect)
     fingerprint = bytes.fromhex(stored.fingerprint)
     if not 0 < len(fingerprint) <= MAX_FINGERPRINT_BYTES:
         raise ValueError(f'a fingerprint must have 1 to {MAX_FINGERPRINT_BYTES} bytes')
@@ -179,7 +199,8 @@
 
     The keeper writes each crash and each clearing as soon as it knows of it. It reads before
     its first write, and after another daemon has written or the store has come back from an
-    older copy, and adds what it knows.
+    older copy, and adds what it knows. While there are verdicts it reads it every few seconds,
+    since operators lift one by a mark in its entry.
 
     :param is_keeper: returns whether this daemon is the keeper
     """
@@ -200,6 +221,7 @@
         # The archive as this daemon last read or wrote it; ``None`` if it must be read.
         self._known: _ReadArchive | None = None
         self._known_era = 0
+        self._read_at = -math.inf
         suspects.subscribe_crashes(self._changed.set)
 
     async def wait_for_first_read(self) -> None:
@@ -223,10 +245,15 @@
             if not is_keeper or not was_keeper or self._store.era != self._known_era:
                 # Another daemon may have written it since.
                 self._known = None
+            elif self._suspects.has_verdicts and self._is_lift_check_due():
+                self._known = None
             was_keeper = is_keeper
             if is_keeper and not await self._bring_up_to_date():
                 await asyncio.sleep(MIN_WRITE_INTERVAL_S)
 
+    def _is_lift_check_due(self) -> bool:
+        return self._clock.monotonic() - self._read_at >= LIFT_CHECK_INTERVAL_S
+
     async def _wait_for_change(self) -> None:
         try:
             async with asyncio.timeout(CHECK_INTERVAL_S):
@@ -256,9 +283,13 @@
             return False
         finally:
             self._first_read_ended.set()
-        statements = [] if item is None else decode_archive(item.value, self._clock.now())
-        self._suspects.apply(statements)
-        self._set_known(item, _get_content(statements))
+        archive = Archive([], [])
+        if item is not None:
+            archive = decode_archive(item.value, self._clock.now())
+        self._suspects.apply(archive.statements)
+        self._suspects.lift(archive.lifted)
+        self._set_known(item, _get_content(archive.statements))
+        self._read_at = self._clock.monotonic()
         return True
 
     async def _write(
--- a/src/coltsfootstair/crashes/_suspects.py
+++ b/src/coltsfootstair/crashes/_suspects.py
@@ -170,6 +170,11 @@
             for fingerprint in self._verdict_by_fingerprint
         )
 
+    @property
+    def has_verdicts(self) -> bool:
+        """Whether any request may not be sent as others are."""
+        return bool(self._verdict_by_fingerprint)
+
     def subscribe(self, on_change: Callable[[], None]) -> None:
         """Call ``on_change`` when this daemon has seen a crash, or a run of a suspect."""
         self._on_change.append(on_change)
@@ -226,6 +231,13 @@
 
     def record_run(self, fingerprints: Iterable[bytes]) -> None:
         """Record that a server has run a request to its end."""
+        self._clear(fingerprints, 'cleared')
+
+    def lift(self, fingerprints: Iterable[bytes]) -> None:
+        """Forget the crashes of requests whose verdict operators have lifted."""
+        self._clear(fingerprints, 'lifted')
+
+    def _clear(self, fingerprints: Iterable[bytes], outcome: str) -> None:
         is_changed = False
         for fingerprint in fingerprints:
             suspect = self._suspect_by_fingerprint.get(fingerprint)
@@ -234,7 +246,7 @@
                 self._told_count_by_fingerprint[fingerprint] = 0
                 is_changed = True
         if is_changed:
-            self._count('cleared')
+            self._count(outcome)
             self._notify()
 
     def apply(self, statements: Iterable[SuspectStatement]) -> None:
--- a/tests/crashes/test_archive.py
+++ b/tests/crashes/test_archive.py
@@ -14,6 +14,7 @@
 from coltsfootstair.crashes import SuspectArchive, SuspectRequests, Verdict
 from coltsfootstair.crashes._archive import (
     FIRST_READ_WAIT_S,
+    LIFT_CHECK_INTERVAL_S,
     MAX_ARCHIVED,
     decode_archive,
     encode_archive,
@@ -106,7 +107,7 @@
 def _count_archived(store: OneObjectStore) -> list[int]:
     """Return the number of crashes of each archived suspect."""
     assert store.item is not None
-    statements = decode_archive(store.item.value, NOW)
+    statements = decode_archive(store.item.value, NOW).statements
     return [len(statement.crashes) for statement in statements]
 
 
@@ -267,6 +268,54 @@
     assert verdict is Verdict.CONVICTED
 
 
+@pytest.mark.parametrize('lifted_count', [1, 2])
+def test_operators_lift_a_verdict_by_a_mark_in_its_entries(lifted_count: int) -> None:
+    """Guards against a wrong verdict that outlives all daemons and all patience."""
+
+    async def play() -> tuple[list[int], Verdict, Verdict]:
+        store = OneObjectStore()
+        keeper = Daemon(store, is_keeper=True)
+        await keeper.convict()
+        await asyncio.sleep(1.0)
+        assert store.item is not None
+        for entry in store.item.value['suspects'][:lifted_count]:
+            entry['is-lifted'] = True
+        await asyncio.sleep(LIFT_CHECK_INTERVAL_S + 1.0)
+        after = Daemon(store)
+        await after.archive.wait_for_first_read()
+        return (
+            _count_archived(store),
+            keeper.suspects.judge(REQUEST),
+            after.suspects.judge(REQUEST),
+        )
+
+    # A request has an entry for its content, and one with its caller.
+    archived, *verdicts = virtual_time.run(play())
+    assert archived == [4] * (2 - lifted_count)
+    assert set(verdicts) == {Verdict.FREE if lifted_count == 2 else Verdict.CONVICTED}
+
+
+def test_the_archive_is_read_again_only_while_there_are_verdicts() -> None:
+    async def play() -> list[int]:
+        store = OneObjectStore()
+        keeper = Daemon(store, is_keeper=True)
+        counts = []
+        for convicts in (False, True):
+            if convicts:
+                await keeper.convict()
+            else:
+                await keeper.crash('s0')
+            await asyncio.sleep(5.0)
+            before = len(store.calls)
+            await asyncio.sleep(60.0)
+            counts.append(len(store.calls) - before)
+        return counts
+
+    without, with_verdicts = virtual_time.run(play())
+    assert without == 0
+    assert 10 <= with_verdicts <= 60.0 / LIFT_CHECK_INTERVAL_S + 1
+
+
 GOOD = {
     'fingerprint': 'aa',
     'crashes': [
@@ -301,7 +350,7 @@
 def test_an_odd_entry_of_the_archive_is_left_out_alone(odd: Any) -> None:
     """Guards against an entry of another version that keeps a daemon from starting."""
     value = {'written-at': NOW.isoformat(), 'suspects': [odd, GOOD], 'later': {}}
-    statements = decode_archive(value, NOW)
+    statements = decode_archive(value, NOW).statements
     assert [statement.fingerprint for statement in statements] == [b'\xaa']
 
 
@@ -309,12 +358,13 @@
     'value', [None, 7, [], {}, {'suspects': 7}, UnreadableValue('it is no JSON')]
 )
 def test_an_odd_archive_counts_as_empty(value: Any) -> None:
-    assert decode_archive(value, NOW) == []
+    assert decode_archive(value, NOW) == ([], [])
 
 
 @pytest.mark.parametrize('written_at', [None, 7, 'noon', '2026-01-02T00:00:00+00:00'])
 def test_an_archive_of_an_odd_time_is_as_old_as_it_says_itself(written_at: Any) -> None:
-    [statement] = decode_archive({'written-at': written_at, 'suspects': [GOOD]}, NOW)
+    archive = decode_archive({'written-at': written_at, 'suspects': [GOOD]}, NOW)
+    [statement] = archive.statements
     assert statement.crashes[0].ended_age_s == 1.0
 
 
@@ -326,6 +376,7 @@
         'suspects': [
             {
                 'fingerprint': 'aa',
+                'is-lifted': False,
                 'crashes': [
                     {
                         'server': 's1',
@@ -349,4 +400,4 @@
         clock.advance(0.1)
         suspects.record_crash(REQUEST, (f's{next(numbers)}', 1), at, clock.monotonic())
     statements = suspects.list_crashes(10)
-    assert decode_archive(encode_archive(statements, NOW), NOW) == statements
+    assert decode_archive(encode_archive(statements, NOW), NOW) == (statements, [])
