Let a relayed request have the headers between daemons in addition

What callers saw: nothing yet.

Change: the listener for daemons allows 768 bytes more. What charges a request and what is added to replies moved to the modules of relays and accounts.

Test: a request with as many headers as allowed is relayed; it failed without the change.

--- a/src/coltsfootstair/gateway/_attempts.py
+++ b/src/coltsfootstair/gateway/_attempts.py
@@ -5,12 +5,15 @@
 import urllib.parse
 from typing import TYPE_CHECKING, NamedTuple
 
+from coltsfootstair.gateway._headers import ACCOUNT_HEADER, SERVED_BY_HEADER
 from coltsfootstair.gateway._sender import Outcome
+from coltsfootstair.http1 import find_first_value
 
 if TYPE_CHECKING:
     from coltsfootstair.gateway._sender import RequestState
+    from coltsfootstair.http1 import Reply
 
-__all__ = ['AttemptAccount', 'decode_account', 'encode_account']
+__all__ = ['AttemptAccount', 'add_account', 'decode_account', 'encode_account']
 
 MAX_ACCOUNT_BYTES = 8192
 """Longest account that is read, in bytes."""
@@ -82,3 +85,19 @@
         return None
     counts = (account.attempt_count, account.ended_exchange_count)
     return account if all(0 <= count <= MAX_COUNT for count in counts) else None
+
+
+def add_account(reply: Reply, request: RequestState, *, is_asked_for: bool) -> Reply:
+    """Return a reply to another daemon with what the request has spent.
+
+    One of an earlier version would send a request on whose attempt has failed, so its reply
+    names the server, as an answer does, and is final.
+    """
+    if is_asked_for:
+        header = (ACCOUNT_HEADER, encode_account(AttemptAccount.of(request)))
+        return reply._replace(headers=[*reply.headers, header])
+    is_named = find_first_value(reply.headers, SERVED_BY_HEADER) is not None
+    if is_named or not request.attempt_count:
+        return reply
+    header = (SERVED_BY_HEADER, min(request.tried_servers).encode())
+    return reply._replace(headers=[*reply.headers, header])
--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -7,18 +7,22 @@
 from typing import TYPE_CHECKING
 
 from coltsfootstair.crashes import TRIAL_INTERVAL_S, Verdict
-from coltsfootstair.gateway._attempts import AttemptAccount, decode_account, encode_account
+from coltsfootstair.gateway._attempts import add_account, decode_account
 from coltsfootstair.gateway._grace_time import GraceTime
 from coltsfootstair.gateway._headers import (
     ACCOUNT_HEADER,
-    SERVED_BY_HEADER,
     WORKSPACE_HEADER,
     build_relayed_answer_headers,
     select_callers_headers,
 )
 from coltsfootstair.gateway._leaving import LeavingOwners
 from coltsfootstair.gateway._refusals import render_refusal
-from coltsfootstair.gateway._relay import HelperGate, RelayClient, RelayResult
+from coltsfootstair.gateway._relay import (
+    HelperGate,
+    RelayClient,
+    RelayResult,
+    charge_relayed,
+)
 from coltsfootstair.gateway._sender import (
     ANSWER_MARGIN_S,
     AttemptResult,
@@ -49,6 +53,7 @@
     from collections.abc import Awaitable, Callable
 
     from coltsfootstair.clock import Clock
+    from coltsfootstair.gateway._attempts import AttemptAccount
     from coltsfootstair.gateway._fleet import Fleet
     from coltsfootstair.gateway._types import CallerFacts, Dialect
     from coltsfootstair.gateway._workspace_admission import WorkspaceAdmission
@@ -138,7 +143,6 @@
         grace_time: GraceTime | None = None,
         wait_for_suspects: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
-        self._wait_for_suspects = wait_for_suspects
         self._dialect = dialect
         self._get_route_table = get_route_table
         self._registry = registry
@@ -170,6 +174,7 @@
         self._may_deny = may_deny
         self._describe_evidence = describe_evidence
         self._get_servers_age_s = get_servers_age_s
+        self._wait_for_suspects = wait_for_suspects
         self._urgency = UrgencyGate()
         self._admission = AdmissionGate(get_admitted_share_by_server, clock)
 
@@ -208,7 +213,7 @@
             request.workspace = Workspace(workspace_name.decode())
         account = decode_account(find_first_value(incoming.headers, ACCOUNT_HEADER))
         reply = await self._help(request, facts.timeout_s, account)
-        return _add_account(reply, request, is_asked_for=account is not None)
+        return add_account(reply, request, is_asked_for=account is not None)
 
     async def _help(
         self,
@@ -467,7 +472,7 @@
             request.trace.add_step('relayed', self._clock.monotonic(), helper=str(helper))
             result = await self._relay_client.send(request, helper)
             self._metrics.count_relay(result.outcome.value)
-            attempt = _charge_relayed(request, result)
+            attempt = charge_relayed(request, result)
             if result.outcome is Outcome.ANSWERED and result.answer is not None:
                 return self._finish_relayed(request, result, result.answer)
             request.trace.add_step(
@@ -864,48 +869,3 @@
             request.trace.route, f'refused {int(refusal.code)}', took_s
         )
         return render_refusal(refusal, request.request_id)
-
-
-def _charge_relayed(request: RequestState, result: RelayResult) -> AttemptResult | None:
-    """Charge a request with what another daemon spent.
-
-    Returns the outcome of the attempt that it made; ``None`` if it made none. Without an
-    account, it may have made all attempts that it was allowed to make. One of an earlier
-    version counts them from zero.
-    """
-    if result.outcome is Outcome.NOT_SENT:
-        return None
-    account = result.account
-    if account is None:
-        most = 1 if result.keeps_account else request.route.max_attempts
-        request.attempt_count = max(request.attempt_count + 1, most)
-        return AttemptResult(result.outcome, result.answer, result.reason)
-    has_spent = account.attempt_count > request.attempt_count
-    is_server_ended = account.ended_exchange_count > request.ended_exchange_count
-    request.attempt_count = max(request.attempt_count, account.attempt_count)
-    request.ended_exchange_count = max(
-        request.ended_exchange_count, account.ended_exchange_count
-    )
-    request.tried_servers.update(account.tried_servers)
-    if not has_spent:
-        return None
-    outcome: Outcome = result.outcome
-    if outcome is Outcome.NOT_RUN and account.outcome is not None:
-        outcome = account.outcome
-    return AttemptResult(outcome, result.answer, result.reason, is_server_ended)
-
-
-def _add_account(reply: Reply, request: RequestState, *, is_asked_for: bool) -> Reply:
-    """Return a reply to another daemon with what the request has spent.
-
-    One of an earlier version would send a request on whose attempt has failed, so its reply
-    names the server, as an answer does, and is final.
-    """
-    if is_asked_for:
-        header = (ACCOUNT_HEADER, encode_account(AttemptAccount.of(request)))
-        return reply._replace(headers=[*reply.headers, header])
-    is_named = find_first_value(reply.headers, SERVED_BY_HEADER) is not None
-    if is_named or not request.attempt_count:
-        return reply
-    header = (SERVED_BY_HEADER, min(request.tried_servers).encode())
-    return reply._replace(headers=[*reply.headers, header])
--- a/src/coltsfootstair/gateway/_helper.py
+++ b/src/coltsfootstair/gateway/_helper.py
@@ -22,6 +22,9 @@
 
 __all__ = ['RelayedRequestHandler']
 
+HEADERS_BETWEEN_DAEMONS_BYTES = 768
+"""Bytes of headers that a request may have in addition to those of its caller."""
+
 
 class RelayedRequestHandler:
     """Handles requests on connections of other daemons.
@@ -39,8 +42,11 @@
 
     @property
     def limits(self) -> CallerLimits:
-        """Limits that apply to callers now."""
-        return self._callers.limits
+        """Limits that apply to callers now, with room for the headers between daemons."""
+        limits = self._callers.limits
+        return limits._replace(
+            max_header_bytes=limits.max_header_bytes + HEADERS_BETWEEN_DAEMONS_BYTES
+        )
 
     @property
     def is_draining(self) -> bool:
--- a/src/coltsfootstair/gateway/_relay.py
+++ b/src/coltsfootstair/gateway/_relay.py
@@ -14,7 +14,7 @@
     WORKSPACE_HEADER,
     select_callers_headers,
 )
-from coltsfootstair.gateway._sender import Outcome
+from coltsfootstair.gateway._sender import AttemptResult, Outcome
 from coltsfootstair.http1 import Answer, BrokenExchangeError, find_first_value
 
 if TYPE_CHECKING:
@@ -30,6 +30,7 @@
     'HelperGate',
     'RelayClient',
     'RelayResult',
+    'charge_relayed',
     'classify_relayed',
 ]
 
@@ -206,3 +207,32 @@
         reason = f'refused {result_code.decode("latin-1")}'
         return RelayResult(Outcome.NOT_RUN, refusal, reason, account=account)
     return RelayResult(Outcome.UNKNOWN, None, f'status {answer.status}', account=account)
+
+
+def charge_relayed(request: RequestState, result: RelayResult) -> AttemptResult | None:
+    """Charge a request with what another daemon spent.
+
+    Returns the outcome of the attempt that it made; ``None`` if it made none. Without an
+    account, it may have made all attempts that it was allowed to make. One of an earlier
+    version counts them from zero.
+    """
+    if result.outcome is Outcome.NOT_SENT:
+        return None
+    account = result.account
+    if account is None:
+        most = 1 if result.keeps_account else request.route.max_attempts
+        request.attempt_count = max(request.attempt_count + 1, most)
+        return AttemptResult(result.outcome, result.answer, result.reason)
+    has_spent = account.attempt_count > request.attempt_count
+    is_server_ended = account.ended_exchange_count > request.ended_exchange_count
+    request.attempt_count = max(request.attempt_count, account.attempt_count)
+    request.ended_exchange_count = max(
+        request.ended_exchange_count, account.ended_exchange_count
+    )
+    request.tried_servers.update(account.tried_servers)
+    if not has_spent:
+        return None
+    outcome: Outcome = result.outcome
+    if outcome is Outcome.NOT_RUN and account.outcome is not None:
+        outcome = account.outcome
+    return AttemptResult(outcome, result.answer, result.reason, is_server_ended)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -540,6 +540,29 @@
     assert run_with_time_limit(work()) == 200
 
 
+def test_a_request_with_as_many_headers_as_allowed_is_relayed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against helpers that count the headers between daemons as the caller's."""
+    servers = _make_servers()
+
+    async def work() -> list[int]:
+        async with run_gateways(3, *servers.list_all()) as gateways:
+            await _warm_up(gateways)
+            most = 4096
+            while (await gateways[0].call('lookups', A='x' * most)).status == 431:
+                most -= 8
+            await _cut_off_and_settle(gateways, servers, monkeypatch)
+            return [
+                (
+                    await gateways[0].call('lookups', X_Request_Id=f'r{number}', A='x' * most)
+                ).status
+                for number in range(4)
+            ]
+
+    assert run_with_time_limit(work()) == [200] * 4
+
+
 @pytest.mark.parametrize(
     ('chosen', 'reached'), [('desk', {'desk'}), ('gone', {'calendar', 'desk'})]
 )
