Wait for the archive in the test of a loss of all daemons

Cause: the test let a daemon record crashes as soon as either one was keeper, and gave the keeper 0.3 s to write them. A daemon that does not know the keeper yet tells it with its next report, 0.3 s later.

Change: both know the keeper first, and the test waits up to 1 s for all crashes in the store.

--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -11,6 +11,7 @@
 import pytest
 
 from coltsfootstair.crashes import compute_fingerprints
+from coltsfootstair.crashes._archive import ARCHIVE_KIND, ARCHIVE_NAME
 from tests.coltsfootstair_platform.standin import ReceivedRequest, ServerStandin, StoreStandin
 from tests.gateway.harness import RunningGateway, run_gateways, run_with_time_limit
 
@@ -23,6 +24,7 @@
 
 MAX_LATER_SENDS = 3
 LOAD_S = 12.0
+ARCHIVED_AFTER_S = 1.0
 
 
 class CrashingServer(ServerStandin):
@@ -115,12 +117,16 @@
     servers = [ServerStandin(f's{n}') for n in range(SERVER_COUNT)]
     store = StoreStandin()
 
+    def count_archived() -> int:
+        archive = store.get(ARCHIVE_KIND, ARCHIVE_NAME) or {'suspects': []}
+        return min((len(one['crashes']) for one in archive['suspects']), default=0)
+
     async def play_first_life() -> None:
         async with run_gateways(2, *(('desk', server) for server in servers), store=store) as (
             first,
             second,
         ):
-            while not any(each.gateway._keeper.is_keeper for each in (first, second)):
+            while None in (first.gateway._ownership.lease, second.gateway._ownership.lease):
                 await asyncio.sleep(0.05)
             now = time.monotonic()
             fingerprints = compute_fingerprints(
@@ -131,8 +137,10 @@
                 first.gateway._fleet.suspects.record_crash(
                     fingerprints, (f'c{number}', 1), at, at, is_trial=number == 3
                 )
-            # The keeper writes at once what it is told.
-            await asyncio.sleep(0.3)
+            # The keeper is told at once, and writes at once what it is told.
+            async with asyncio.timeout(ARCHIVED_AFTER_S):
+                while count_archived() < crash_count:
+                    await asyncio.sleep(0.01)
 
     async def play_second_life() -> tuple[int, int]:
         async with run_gateways(
