--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -52,6 +52,10 @@
 CALL_TIMEOUT_S = 8.0
 """Time after which a client gives up, in seconds."""
 
+ETHERNET_SEGMENT_BYTES = 1448
+"""Segments of a client with a narrow link; loopback's are 64 KiB, so that the kernel would
+keep megabytes for each connection."""
+
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 SETTINGS = """
@@ -748,6 +752,7 @@
         raw.setblocking(False)
         if receive_buffer_bytes is not None:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT_BYTES)
         loop = asyncio.get_running_loop()
         await loop.sock_connect(raw, (self._daemon.ip, self._daemon.front))
         self.reader, self.writer = await asyncio.open_connection(sock=raw, limit=2**14)
