--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -56,6 +56,9 @@
 """Segments of a client with a narrow link; loopback's are 64 KiB, so that the kernel would
 keep megabytes for each connection."""
 
+READ_LIMIT_BYTES = 64 * 1024
+"""Bytes that a stand-in reads ahead."""
+
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 SETTINGS = """
@@ -189,10 +192,15 @@
 
     async def start(self) -> None:
         """Listen at a free port, or at the one that it had."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # As between machines: with loopback's segments the kernel would hold whole bodies.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT_BYTES)
+        listener.bind(('127.0.0.1', self.port))
         self._server = await asyncio.start_server(
-            self._on_connection, '127.0.0.1', self.port, limit=2**22
+            self._on_connection, sock=listener, limit=READ_LIMIT_BYTES
         )
-        self.port = self._server.sockets[0].getsockname()[1]
+        self.port = listener.getsockname()[1]
 
     def stop(self) -> None:
         """Stop listening and reset all connections."""
@@ -402,6 +410,7 @@
         self._work_by_key: dict[int, int] = {}
         self._born = int(time.time() * 1000)
         self._beat: asyncio.Task[None] | None = None
+        self._state = 'ready'
 
     async def join(self, store: Store) -> None:
         """Listen, and write the entry into the store now and with each heartbeat."""
@@ -409,6 +418,11 @@
         await self._write_entry(store)
         self._beat = asyncio.create_task(self._write_regularly(store))
 
+    async def drain(self, store: Store) -> None:
+        """Say in the entry that it leaves, and go on serving."""
+        self._state = 'draining'
+        await self._write_entry(store)
+
     def stop(self) -> None:
         """End at once, as in a crash."""
         if self._beat is not None:
@@ -428,7 +442,7 @@
             'zone': 'erie-shore',
             'version': 'v1',
             'slots': self._slots,
-            'state': 'ready',
+            'state': self._state,
             'warmup-left-ms': 0,
             'sequence': 1,
             'born': self._born,
@@ -673,6 +687,11 @@
         """Whether the process lives."""
         return self._process is not None and self._process.returncode is None
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        if self._process is not None:
+            self._process.send_signal(number)
+
     async def end(self, number: signal.Signals) -> None:
         """Send a signal and wait for the end of the process."""
         if self._process is None:
