--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,9 +1,10 @@
-"""The store comes back from a copy that is older than the first keeper of a first start."""
+"""A daemon is stopped while clients that pipeline read their answers over a slow link."""
 
 from __future__ import annotations
 
 import asyncio
-import random
+import contextlib
+import signal
 import sys
 from pathlib import Path
 
@@ -11,112 +12,180 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins_3 import (  # noqa: E402
-    KEY_COUNT,
     Client,
     Daemon,
     Record,
+    Request,
     Store,
     Upstream,
     build_config,
-    find_double_holds,
     run_case,
     run_daemons,
 )
 
-DAEMON_COUNT = 9
-
-UPSTREAM_COUNT = 3
-
-LAST_JOINS_AFTER_S = 2.0
-"""Time from the first grant until the last upstream has started, in seconds."""
-
-DRILL_AFTER_S = 4.0
-"""Time from the first grant to the drill, in seconds: the copy is 'some seconds old'."""
-
-AWAY_S = 2.0
-"""Time for which the store is away, in seconds: 'for a moment'."""
-
-WATCHED_S = 8.0
-"""Time after the drill for which holds are recorded, in seconds."""
-
-MAX_COMMON_S = 0.5
-"""Longest time for which two upstreams may hold a key, in seconds (OWNER: 'for over half a
-second')."""
-
-REQUEST_INTERVAL_S = 0.02
-
-
-async def _send_requests(daemons: list[Daemon], record: Record) -> None:
-    """Send lookups with random keys through all daemons, until cancelled."""
-    source = random.Random(1)
-    calls: set[asyncio.Task[None]] = set()
-
-    async def call(daemon: Daemon) -> None:
-        try:
-            client = await Client(daemon).open()
-        except OSError:
-            return
-        key = source.randrange(KEY_COUNT)
-        sent = client.send('GET', 'lookups', f'/x/{key}', X_Shard_Key=str(key))
-        answer = await client.read()
-        record.write(f'{sent} with key {key} at {daemon.name}: {answer.status}')
+CLIENT_COUNT = 12
+
+OUTSTANDING_COUNT = 6
+"""Requests that a client has sent and that are not answered; it sends one for each answer."""
+
+ANSWER_BYTES = 90_000
+"""Average size of a download at the site."""
+
+READ_BYTES_PER_S = 300_000
+"""Rate at which a client reads, in bytes a second."""
+
+READ_INTERVAL_S = 0.02
+
+RECEIVE_BUFFER_BYTES = 16_384
+
+DEADLINE_MS = 2905
+"""Deadline of a download at the site, in milliseconds."""
+
+TIMEOUT_MS = 2500
+"""Timeout of its route, in milliseconds."""
+
+UPSTREAM_COUNT = 4
+
+STOPPED_AFTER_S = 4.0
+"""Time from the first request to SIGTERM, in seconds."""
+
+GRACE_S = 6.0
+"""Time from SIGTERM to SIGKILL, in seconds (``grace-s``)."""
+
+REPLY = bytes(ANSWER_BYTES)
+
+
+async def _run_download(
+    upstream: Upstream,
+    request: Request,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> bool:
+    await asyncio.sleep(0.02)
+    writer.write(upstream.build_answer(request, REPLY))
+    await writer.drain()
+    return True
+
+
+class _SlowClient:
+    """A client on one kept connection, which it uses until it is told to close.
+
+    :ivar lost: requests without a complete answer at the end of the connection, with the
+        time since they were sent, in seconds
+    """
+
+    def __init__(self, name: str, record: Record) -> None:
+        self.lost: list[tuple[str, float]] = []
+        self.answered_count = 0
+        self._name = name
+        self._record = record
+        self._outstanding: list[tuple[str, float]] = []
+
+    async def run(self, daemon: Daemon) -> None:
+        """Send requests and read the answers, until the connection ends."""
+        client = await Client(daemon).open(RECEIVE_BUFFER_BYTES)
+        for _ in range(OUTSTANDING_COUNT):
+            self._send(client)
+        buffer = b''
+        is_closing = False
+        while self._outstanding and not is_closing:
+            piece = b''
+            with contextlib.suppress(ConnectionError):
+                piece = await client.reader.read(int(READ_BYTES_PER_S * READ_INTERVAL_S))
+            if not piece:
+                break
+            buffer += piece
+            while (end := self._find_end(buffer)) is not None:
+                is_closing = is_closing or b'\r\nConnection: close' in buffer[:end]
+                buffer = buffer[end:]
+                sent, _ = self._outstanding.pop(0)
+                self.answered_count += 1
+                self._record.write(f'{self._name}: {sent} answered')
+                if is_closing:
+                    break
+                with contextlib.suppress(ConnectionError):
+                    self._send(client)
+            await asyncio.sleep(READ_INTERVAL_S)
+        now = self._record.now()
+        if not is_closing:
+            self.lost = [(sent, now - sent_at) for sent, sent_at in self._outstanding]
+        self._record.write(
+            f'{self._name}: the connection ends {"as announced" if is_closing else "cut"},'
+            f' with {len(buffer)} bytes of the next answer'
+        )
         client.close()
 
-    while True:
-        await asyncio.sleep(REQUEST_INTERVAL_S)
-        task = asyncio.create_task(call(source.choice(daemons)))
-        calls.add(task)
-        task.add_done_callback(calls.discard)
+    def _send(self, client: Client) -> None:
+        sent = client.send('GET', 'reports', '/x/usage', deadline_ms=DEADLINE_MS)
+        self._outstanding.append((sent, self._record.now()))
+        self._record.write(f'{self._name}: {sent} sent')
+
+    @staticmethod
+    def _find_end(buffer: bytes) -> int | None:
+        """Return where the first answer in ``buffer`` ends, if it is complete."""
+        head, mark, _ = buffer.partition(b'\r\n\r\n')
+        if not mark:
+            return None
+        lines = [line for line in head.lower().split(b'\r\n') if line.startswith(b'content-l')]
+        end = len(head) + 4 + int(lines[0].partition(b':')[2])
+        return end if len(buffer) >= end else None
 
 
 async def _play(record: Record, is_troubled: bool) -> list[str]:
     store = Store()
     await store.start()
-    route = {'name': 'lookups', 'service': 'slotview', 'is-sharded': True}
+    route = {
+        'name': 'reports',
+        'service': 'partner-portal',
+        'kind': 'download',
+        'timeout-ms': TIMEOUT_MS,
+        'target-latency-ms': 2324,
+    }
     await store.put('config', 'main', build_config(1, [route]))
     upstreams = [
-        Upstream(f'i-{number}', 'slotview', record, is_sharded=True)
-        for number in range(1, UPSTREAM_COUNT + 1)
+        Upstream(f'i-{number}', 'partner-portal', record, slots=32, run=_run_download)
+        for number in range(UPSTREAM_COUNT)
     ]
-    for upstream in upstreams[:-1]:
-        await upstream.join(store)
-    taken = store.take_copy()
-    record.write('the copy is taken')
-    sending = None
+    clients = [_SlowClient(f'client {number}', record) for number in range(CLIENT_COUNT)]
     try:
-        async with run_daemons(DAEMON_COUNT, store, record) as daemons:
-            sending = asyncio.create_task(_send_requests(daemons, record))
-            while not all(upstream.holds for upstream in upstreams[:-1]):
-                await asyncio.sleep(0.05)
-            await asyncio.sleep(LAST_JOINS_AFTER_S)
-            await upstreams[-1].join(store)
-            record.write(f'{upstreams[-1].name} has started')
-            await asyncio.sleep(DRILL_AFTER_S - LAST_JOINS_AFTER_S)
+        for upstream in upstreams:
+            await upstream.join(store)
+        async with run_daemons(2, store, record) as daemons:
+            tasks = [asyncio.create_task(client.run(daemons[0])) for client in clients]
+            await asyncio.sleep(STOPPED_AFTER_S)
             if is_troubled:
-                record.write(
-                    f'the store is away; keeper {store.get("coltsfootstair-keys", "keeper")}'
-                )
-                store.is_away = True
-                await asyncio.sleep(AWAY_S)
-                await store.come_back_from(taken)
-                record.write('the store is back from the copy')
-            await asyncio.sleep(WATCHED_S)
-            record.write(f'keeper {store.get("coltsfootstair-keys", "keeper")}')
+                record.write(f'SIGTERM to {daemons[0].name}')
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(GRACE_S):
+                        await daemons[0].end(signal.SIGTERM)
+                record.write(f'{daemons[0].name} has ended')
+            else:
+                await asyncio.sleep(GRACE_S)
+                for task in tasks:
+                    task.cancel()
+            await asyncio.wait(tasks)
     finally:
-        if sending is not None:
-            sending.cancel()
         for upstream in upstreams:
             upstream.stop()
         store.stop()
-    breaks = []
-    for one, other in find_double_holds(upstreams, MAX_COMMON_S):
-        common_s = min(one.ends_at, other.ends_at) - max(one.begins_at, other.begins_at)
-        breaks.append(
-            f'OWNER broken: {one.upstream} (fence {one.fence}) and {other.upstream} (fence'
-            f' {other.fence}) both hold keys {max(one.first, other.first)} to'
-            f' {min(one.last, other.last)} for {common_s:.2f} s'
-        )
-    return breaks
+    ran_ids = {each for upstream in upstreams for each in upstream.ran_ids}
+    lost = [
+        (sent, age_s)
+        for client in clients
+        for sent, age_s in client.lost
+        if sent in ran_ids and age_s < TIMEOUT_MS / 1000
+    ]
+    answered_count = sum(client.answered_count for client in clients)
+    record.write(f'{answered_count} answered, {len(lost)} run and not answered')
+    if not lost:
+        return []
+    oldest_s = max(age_s for _, age_s in lost)
+    text = (
+        f'LOST broken: {len(lost)} requests were read, passed on and run around the SIGTERM,'
+        f' and their connections ended without a complete answer, {oldest_s:.1f} s after'
+        ' they were sent at most'
+    )
+    return [text]
 
 
 if __name__ == '__main__':
