Let case 11 show its record and its switch, and end with its script

Cause: the folder did not show who writes record.txt and who reads TROUBLE, and a script ended by SIGTERM left the rule for its daemons to the operating system. Tried: SIGTERM to the script after 3 s: it exits with 2, and no daemon is left.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import sys
 from pathlib import Path
@@ -189,4 +190,5 @@
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(FOLDER, _play))
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(run_case(FOLDER / 'record.txt', is_troubled, _play))
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -818,23 +818,32 @@
 
 
 def run_case(
-    folder: Path, play: Callable[[Record, bool], Awaitable[list[str]]], limit_s: float = 110.0
+    record_path: Path,
+    is_troubled: bool,
+    play: Callable[[Record, bool], Awaitable[list[str]]],
+    limit_s: float = 100.0,
 ) -> int:
     """Play a case, and return its exit status.
 
-    :param play: plays it, with the disruption or without; returns how the rule was broken
+    :param record_path: file for what was sent, answered and run
+    :param is_troubled: whether to play it with the disruption
+    :param play: plays it; returns how the rule was broken
+    :param limit_s: time after which it is given up, in seconds
     """
-    record = Record(folder / 'record.txt')
-    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    record = Record(record_path)
     record.write('with the disruption' if is_troubled else 'without the disruption')
 
     async def work() -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        # So that all processes are ended, too, if the script is.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_s):
             return await play(record, is_troubled)
 
     try:
         breaks = asyncio.run(work())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f'the case could not run: {error!r}')
         print(f'could not run: {error!r}')
         return EXIT_NOT_RUN
