Refuse no request a second time by the header timeout

Cause: a refusal that waits behind answers leaves the header timer of its request running. When that timer fired, the request was refused once more, with 408: counted twice, and written after the end of the connection. Callers did not see it, since the first refusal ends the connection.

Change: a connection that takes no further requests has no header timeout.

Before: tests/http1/test_closing.py failed, refusals 400 and 408. Now: 400 alone.

--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -478,6 +478,8 @@
         self._timer = asyncio.get_running_loop().call_later(delay_s, self._on_timer)
 
     def _on_timer(self) -> None:
+        if self._is_closing:
+            return
         if self._message_started_at is not None and not self._in_body:
             self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
         elif self.is_idle and self._transport is not None:
