--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -407,7 +407,11 @@
         self._pool.close()
         self.metrics.close()
         self._request_log.flush()
-        logger.info('stopped', requests_cut=self._requests_in_progress)
+        logger.info(
+            'stopped',
+            requests_cut=self._requests_in_progress,
+            bytes_cut=sum(connection.undelivered_bytes for connection in self._connections),
+        )
 
     def _start_tasks(self) -> None:
         self._supervisor.start(
@@ -644,7 +648,7 @@
                 if (
                     lease_release_task.done()
                     and not self._requests_in_progress
-                    and not self._connections
+                    and not any(connection.is_awaited for connection in self._connections)
                 ):
                     return
             await asyncio.sleep(DRAIN_POLL_S)
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -13,7 +13,9 @@
 import httptools
 import structlog
 
+from coltsfootstair.http1._delivery import Delivery
 from coltsfootstair.http1._headers import Headers, find_first_value, render_head
+from coltsfootstair.sockets import count_unacknowledged_bytes
 
 if TYPE_CHECKING:
     from coltsfootstair.clock import Clock
@@ -35,16 +37,17 @@
 MAX_UNSENT_BYTES = 256 * 1024
 """Unsent answer bytes of one connection above which reading from it pauses."""
 
-LINGER_S = 1.0
-"""How long a connection is still read after its last answer: closing it with unread bytes
-would reset it, perhaps before the answer has arrived."""
+DELIVERY_CHECK_INTERVAL_S = 0.1
+"""Interval at which an ended connection is checked for progress, in seconds; also the time
+after an answer at which it is expected to be delivered."""
 
 
 class CallerLimits(NamedTuple):
     """Limits on the size of a caller's request, and on the time that the caller takes.
 
     :param header_timeout_s: time from the first byte of a request to the end of its headers
-    :param idle_timeout_s: time without a request after which its connection is closed
+    :param idle_timeout_s: time without a request after which its connection is closed, and the
+        longest pause of a caller that reads its last answer
     """
 
     max_header_bytes: int = 16 * 1024
@@ -141,6 +144,11 @@
 
     Pipelined requests run at the same time and are answered in the order in which they were
     sent. No request is read after one whose answer closes the connection.
+
+    A connection is always ended in the same way: its sending side after the last answer, the
+    rest when the caller has ended its side too. Until then what the caller sends is read and
+    dropped, since unread bytes would reset the connection and drop what the caller has not
+    received yet. ``Delivery`` limits that time.
     """
 
     def __init__(self, handler: CallerHandler) -> None:
@@ -153,13 +161,33 @@
         self._is_writing_paused = False
         self._message_started_at: float | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._delivery = Delivery(0, 0.0, 0.0)
+        self._ended_at: float | None = None
         self._reset_message()
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
+        """Whether no request is being read or answered; answers may still be delivered."""
         return not self._pending_replies and self._message_started_at is None
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether closing the connection now could cost the caller an answer."""
+        if self._transport is None:
+            return False
+        if self._ended_at is None:
+            return True
+        self._measure_delivery()
+        return self._delivery.is_awaited(self._handler.clock.monotonic())
+
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes that the caller's TCP has not acknowledged."""
+        if self._transport is None:
+            return 0
+        self._measure_delivery()
+        return self._delivery.undelivered_bytes
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the new connection."""
         assert isinstance(transport, asyncio.Transport)
@@ -171,7 +199,9 @@
         if raw_socket is not None:
             raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._handler.on_connection_opened(self)
-        self._set_timer(self._handler.limits.idle_timeout_s)
+        now = self._handler.clock.monotonic()
+        self._delivery = Delivery(0, now, now)
+        self._set_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of the caller, except those that must still complete."""
@@ -190,7 +220,15 @@
         self._handler.on_connection_closed(self)
 
     def eof_received(self) -> bool:
-        """Treat a half-closed connection as closed by the caller."""
+        """Treat a half-closed connection as closed by the caller.
+
+        The transport delivers what was sent before it closes.
+        """
+        if self._ended_at is None:
+            # The rest of an unfinished request can't come.
+            self._release_body_memory()
+            self._reset_message()
+            self._set_idle_timer()
         return False
 
     def pause_writing(self) -> None:
@@ -206,6 +244,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
         if self._is_closing:
+            self._delivery = self._delivery.receive(self._handler.clock.monotonic())
             return
         if self._message_started_at is None:
             self._start_message()
@@ -261,14 +300,9 @@
             self._pending_replies[-1].keep_alive = False
 
     def close_if_idle(self) -> None:
-        """Close the connection if no request is pending."""
-        if self.is_idle and self._transport is not None:
-            self._transport.close()
-
-    def abort(self) -> None:
-        """Close the connection at once."""
-        if self._transport is not None:
-            self._transport.abort()
+        """End the connection behind the answers that were sent, if no request is pending."""
+        if self.is_idle:
+            self._end()
 
     # Callbacks of the parser.
 
@@ -317,7 +351,7 @@
             and self._transport
             and not self._pending_replies
         ):
-            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self._write(self._transport, b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_body(self, chunk: bytes) -> None:
         """Add a chunk of the body."""
@@ -375,12 +409,12 @@
             self._send_ready_replies()
         except Exception:
             logger.exception('request failed inside the daemon')
-            self.abort()
+            self._end()
         return reply
 
     def _send_ready_replies(self) -> None:
         transport = self._transport
-        if transport is None:
+        if transport is None or self._ended_at is not None:
             return
         while self._pending_replies and self._pending_replies[0].reply is not None:
             pending = self._pending_replies.popleft()
@@ -392,13 +426,13 @@
             ):
                 closes_connection = True
             assert pending.reply is not None
-            transport.write(self._render(pending.reply, pending.request, closes_connection))
+            rendered = self._render(pending.reply, pending.request, closes_connection)
+            self._write(transport, rendered)
             if closes_connection:
-                self._is_closing = True
-                self._close_after_answer()
+                self._end()
                 return
-        if not self._pending_replies and self._message_started_at is None:
-            self._set_timer(self._handler.limits.idle_timeout_s)
+        if self.is_idle:
+            self._set_idle_timer()
         self._adjust_reading()
 
     def _render(
@@ -414,17 +448,40 @@
             )
             return _render_reply(refusal, closes_connection)
 
-    def _close_after_answer(self) -> None:
+    def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+        transport.write(data)
+        self._delivery = self._delivery.send(len(data), self._handler.clock.monotonic())
+
+    def _end(self) -> None:
+        """End the sending side after what was sent, and drop what the caller still sends."""
         transport = self._transport
-        if transport is None:
+        if transport is None or self._ended_at is not None:
             return
-        if transport.can_write_eof():
+        self._is_closing = True
+        self._ended_at = self._handler.clock.monotonic()
+        try:
             transport.write_eof()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(LINGER_S, transport.close)
+        except OSError as error:
+            # The caller has reset the connection, and the event loop has not noticed yet.
+            logger.debug('connection reset by its caller', reason=str(error))
+            transport.abort()
+            return
         if self._is_reading_paused:
             self._is_reading_paused = False
             transport.resume_reading()
+        self._set_timer(DELIVERY_CHECK_INTERVAL_S)
+
+    def _measure_delivery(self) -> None:
+        if self._transport is None:
+            return
+        raw_socket = self._transport.get_extra_info('socket')
+        # A connection that the caller has reset has no number of unacknowledged bytes.
+        unacknowledged = None if raw_socket is None else count_unacknowledged_bytes(raw_socket)
+        left = self._transport.get_write_buffer_size() + (unacknowledged or 0)
+        if self._ended_at is not None:
+            # The kernel counts the end of the sending side as one byte.
+            left = max(0, left - 1)
+        self._delivery = self._delivery.measure(left, self._handler.clock.monotonic())
 
     def _refuse(self, status: int) -> None:
         """Refuse a request after the pending answers, and close the connection."""
@@ -472,19 +529,57 @@
         self._body = bytearray()
 
     def _set_timer(self, delay_s: float) -> None:
-        """Restart the timer that bounds reading headers and being idle."""
+        """Restart the timer that bounds reading headers, being idle, and being ended."""
         if self._timer is not None:
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(delay_s, self._on_timer)
 
+    def _set_idle_timer(self) -> None:
+        self._set_timer(min(DELIVERY_CHECK_INTERVAL_S, self._handler.limits.idle_timeout_s))
+
     def _on_timer(self) -> None:
-        if self._is_closing:
+        if self._ended_at is not None:
+            self._check_ended(self._ended_at)
+        elif self._is_closing:
             return
-        if self._message_started_at is not None and not self._in_body:
+        elif self._message_started_at is not None and not self._in_body:
             self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
-        elif self.is_idle and self._transport is not None:
+        elif self.is_idle:
+            self._check_idle()
+
+    def _check_idle(self) -> None:
+        """End the connection if nothing was sent within the idle timeout."""
+        self._measure_delivery()
+        limit_s = self._handler.limits.idle_timeout_s
+        left_s = self._delivery.progress_at + limit_s - self._handler.clock.monotonic()
+        if left_s > 0:
+            self._set_timer(left_s)
+        else:
+            self._end()
+
+    def _check_ended(self, ended_at: float) -> None:
+        """Close a connection whose caller does not end it; see ``Delivery``."""
+        self._measure_delivery()
+        now = self._handler.clock.monotonic()
+        max_pause_s = self._handler.limits.idle_timeout_s
+        if not self._delivery.may_close(ended_at, max_pause_s, now):
+            self._set_timer(DELIVERY_CHECK_INTERVAL_S)
+        elif self._delivery.undelivered_bytes:
+            self._abort()
+        elif self._transport is not None:
             self._transport.close()
 
+    def _abort(self) -> None:
+        """Close the connection of a caller that does not read, and drop what is unsent."""
+        logger.info(
+            'answers not delivered',
+            caller=self._caller,
+            bytes=self._delivery.undelivered_bytes,
+            pause_s=round(self._handler.clock.monotonic() - self._delivery.delivered_at, 3),
+        )
+        if self._transport is not None:
+            self._transport.abort()
+
     def _adjust_reading(self) -> None:
         if self._transport is None or self._is_closing:
             return
--- a/tests/slow_callers.py
+++ b/tests/slow_callers.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import socket
+import struct
 from typing import NamedTuple
 
 __all__ = ['ReadAnswer', 'SlowCaller']
@@ -54,6 +55,11 @@
         """Close the connection."""
         self._socket.close()
 
+    def reset(self) -> None:
+        """Close the connection with a reset."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+        self._socket.close()
+
     def end_sending(self) -> None:
         """End the sending side of the connection."""
         self._socket.shutdown(socket.SHUT_WR)
