Let a connection be idle only once its caller has the answers

A caller that read an answer for longer than the idle timeout and sent its next request meanwhile had its connection reset in the middle of the answer, with no stop or other event. Callers that never read were kept without end.

Cause: the idle timeout began when an answer was handed to the transport, and answers on their way did not count. The close then stopped reading, so that the next request was unread when the socket was closed.

Evidence: before, test_the_idle_timeout_cuts_no_answer_that_is_being_read[True] failed on (the answer was cut), [False] passed.

Change: the timeout begins when the caller's TCP has acknowledged the last answer; a caller that acknowledges nothing for as long is cut off. Idle connections are ended as all others.

Why it works: while bytes are acknowledged the connection is not idle, so its next request is read and answered.

Now: both tests pass, and a caller on an open connection that never reads is cut off after the idle timeout.

--- a/src/coltsfootstair/http1/_delivery.py
+++ b/src/coltsfootstair/http1/_delivery.py
@@ -49,6 +49,14 @@
         """Whether closing an ended connection could cost its caller an answer."""
         return self.undelivered_bytes > 0 or now - self.progress_at < LINGER_S
 
+    def is_stalled(self, max_pause_s: float, now: float) -> bool:
+        """Whether the caller does not read.
+
+        :param max_pause_s: longest time without a delivered byte, in seconds
+        """
+        pause_s = now - self.delivered_at
+        return self.undelivered_bytes > 0 and pause_s >= max(LINGER_S, max_pause_s)
+
     def may_close(self, ended_at: float, max_pause_s: float, now: float) -> bool:
         """Whether an ended connection is no longer worth keeping.
 
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -41,13 +41,16 @@
 """Interval at which an ended connection is checked for progress, in seconds; also the time
 after an answer at which it is expected to be delivered."""
 
+DELIVERY_CHECKS_PER_IDLE_TIMEOUT = 4
+"""Checks within the idle timeout of whether a caller still reads its answers."""
+
 
 class CallerLimits(NamedTuple):
     """Limits on the size of a caller's request, and on the time that the caller takes.
 
     :param header_timeout_s: time from the first byte of a request to the end of its headers
-    :param idle_timeout_s: time without a request after which its connection is closed, and the
-        longest pause of a caller that reads its last answer
+    :param idle_timeout_s: time after which a connection is closed on which nothing is sent or
+        received; also the longest pause of a caller that reads an answer
     """
 
     max_header_bytes: int = 16 * 1024
@@ -548,11 +551,15 @@
             self._check_idle()
 
     def _check_idle(self) -> None:
-        """End the connection if nothing was sent within the idle timeout."""
-        self._measure_delivery()
+        """End the connection if nothing was sent or received within the idle timeout."""
         limit_s = self._handler.limits.idle_timeout_s
-        left_s = self._delivery.progress_at + limit_s - self._handler.clock.monotonic()
-        if left_s > 0:
+        self._measure_delivery()
+        now = self._handler.clock.monotonic()
+        if self._delivery.is_stalled(limit_s, now):
+            self._abort()
+        elif self._delivery.undelivered_bytes:
+            self._set_timer(limit_s / DELIVERY_CHECKS_PER_IDLE_TIMEOUT)
+        elif (left_s := self._delivery.progress_at + limit_s - now) > 0:
             self._set_timer(left_s)
         else:
             self._end()
--- a/tests/coltsfootstair_platform/test_slow_callers.py
+++ b/tests/coltsfootstair_platform/test_slow_callers.py
@@ -135,6 +135,30 @@
     _play(tmp_path, play)
 
 
+@pytest.mark.parametrize('sends_more', [True, False])
+def test_the_idle_timeout_cuts_no_answer_that_is_being_read(
+    sends_more: bool, tmp_path: Path
+) -> None:
+    """A connection was taken for idle while its caller still read the answer."""
+
+    async def play(system: _System) -> None:
+        async def call(caller: SlowCaller) -> None:
+            await caller.send('/x/1500000')
+            reading = asyncio.create_task(caller.read_answer())
+            if sends_more:
+                await asyncio.sleep(1.3 * IDLE_TIMEOUT_MS / 1000)
+                await caller.send('/x/10')
+            answer = await reading
+            assert answer is not None
+            assert answer.body_bytes == 1_500_000
+            if sends_more:
+                assert await caller.read_answer() is not None
+
+        assert await _play_callers(system, 400_000, call) == []
+
+    _play(tmp_path, play)
+
+
 @pytest.mark.parametrize('bytes_per_s', [60_000, 300_000])
 @pytest.mark.parametrize('last', ['malformed', 'too large', 'close'])
 def test_a_refusal_cuts_no_answers_before_it(
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -33,7 +33,7 @@
             caller.close()
 
 
-@pytest.mark.parametrize('is_last', [True])
+@pytest.mark.parametrize('is_last', [True, False])
 def test_a_caller_that_never_reads_is_cut_off_after_the_idle_timeout(is_last: bool) -> None:
     """Guards against answers that are kept without end for callers that do not read them."""
     clock = ManualClock()
--- a/tests/http1/test_delivery.py
+++ b/tests/http1/test_delivery.py
@@ -48,3 +48,11 @@
     delivery = Delivery(0, 0.0, 0.0).send(100, 1.0).measure(60, 2.0)
     for now, is_over in ((1.9 + expected_s, False), (2.0 + expected_s, True)):
         assert delivery.may_close(1.0, idle_s, now) is is_over
+        assert delivery.is_stalled(idle_s, now) is is_over
+
+
+def test_more_sent_bytes_do_not_count_as_progress_of_a_caller_that_does_not_read() -> None:
+    delivery = Delivery(0, 0.0, 0.0).send(100, 1.0)
+    for second in range(2, 20):
+        delivery = delivery.send(100, float(second)).measure(100 * second, float(second))
+    assert delivery.is_stalled(IDLE_S, 19.0)
