Serve status and metrics on the connections that callers have

Cause: the server of status pages closed its connections in a way of its own: without reading on, and by the exit in the middle of a page.

Change: StatusServer, a handler for CallerConnection, replaces serve_status. Its connections end like those of callers, and a stop lets pages be read within the grace time.

--- a/src/coltsfootstair/gateway/_application.py
+++ b/src/coltsfootstair/gateway/_application.py
@@ -33,7 +33,7 @@
     CallerConnection,
     CallerLimits,
     ConnectionPool,
-    serve_status,
+    StatusServer,
 )
 from coltsfootstair.keyspace import Keeper, KeeperDependencies, OwnershipView
 from coltsfootstair.metrics import GatewayMetrics
@@ -254,6 +254,8 @@
             self._grace_time,
             self._suspect_archive.wait_for_first_read,
         )
+        self._status_server = StatusServer(self._handle_status_request, clock)
+        self._metrics_server = StatusServer(self._handle_status_request, clock)
         self._path_prober = PathProber(self._registry, self._fleet.paths, self._pool)
 
     # Methods of http1.Service, which the connections of callers use.
@@ -360,20 +362,10 @@
         ]
         self.callers_address = Address(*listeners[0].sockets[0].getsockname()[:2])
         if settings.ready is not None:
-            listeners.append(
-                await serve_status(
-                    settings.ready.host, settings.ready.port, self._handle_status_request
-                )
-            )
+            await self._status_server.open(settings.ready.host, settings.ready.port)
         if settings.metrics is not None:
             try:
-                listeners.append(
-                    await serve_status(
-                        settings.metrics.host,
-                        settings.metrics.port,
-                        self._handle_status_request,
-                    )
-                )
+                await self._metrics_server.open(settings.metrics.host, settings.metrics.port)
             except OSError as error:
                 # Serving callers without metrics is better than not serving them.
                 logger.warning(
@@ -400,6 +392,7 @@
         )
         await self._stop_requested.wait()
         await self._finish_requests(listeners[0])
+        await self._finish_status_answers()
         self._supervisor.cancel()
         for listener in listeners:
             listener.close()
@@ -656,6 +649,14 @@
         self._dispatcher.time_out_all()
         await asyncio.sleep(FINAL_ANSWER_TIME_S)
 
+    async def _finish_status_answers(self) -> None:
+        """Deliver answers about this daemon that are being read, within the grace time."""
+        servers = (self._status_server, self._metrics_server)
+        for server in servers:
+            server.close()
+        while any(server.is_answering for server in servers) and not self._grace_time.is_over:
+            await asyncio.sleep(DRAIN_POLL_S)
+
     async def _remove_expired_servers(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/src/coltsfootstair/http1/__init__.py
+++ b/src/coltsfootstair/http1/__init__.py
@@ -12,8 +12,8 @@
     CallerLimits,
     IncomingRequest,
     Reply,
-    serve_status,
 )
+from coltsfootstair.http1._status import StatusServer
 
 __all__ = [
     'Address',
@@ -29,7 +29,7 @@
     'Headers',
     'IncomingRequest',
     'Reply',
+    'StatusServer',
     'find_first_value',
     'select_end_to_end',
-    'serve_status',
 ]
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -6,7 +6,6 @@
 import http
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 from urllib.parse import urlsplit
 
@@ -26,7 +25,6 @@
     'CallerLimits',
     'IncomingRequest',
     'Reply',
-    'serve_status',
 ]
 
 logger = structlog.get_logger()
@@ -617,41 +615,3 @@
     if closes_connection:
         headers.append((b'Connection', b'close'))
     return render_head(b'HTTP/1.1 %d %s' % (reply.status, phrase), headers) + reply.body
-
-
-async def serve_status(
-    host: str, port: int, answer: Callable[[bytes], Awaitable[tuple[int, bytes]]]
-) -> asyncio.Server:
-    """Serve short answers by path, for load balancers and collectors of metrics.
-
-    A connection may send several requests, one after the other.
-
-    :param answer: returns the status and the body for a path
-    """
-
-    async def on_connection(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while head := await reader.readuntil(b'\r\n\r\n'):
-                path = head.split(b' ', 2)[1]
-                try:
-                    status, body = await answer(path)
-                except Exception:
-                    logger.exception('request failed inside the daemon', path=repr(path))
-                    status, body = http.HTTPStatus.INTERNAL_SERVER_ERROR, b''
-                phrase = http.HTTPStatus(status).phrase.encode()
-                length = (b'Content-Length', str(len(body)).encode())
-                writer.write(
-                    render_head(b'HTTP/1.1 %d %s' % (status, phrase), [length]) + body
-                )
-                await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, IndexError):
-            pass  # The connection was closed or the request is malformed; no answer is sent.
-        except asyncio.CancelledError:
-            # The process is stopping; asyncio would print a traceback of a cancelled handler.
-            return
-        finally:
-            writer.close()
-
-    return await asyncio.start_server(on_connection, host, port)
--- a/tests/coltsfootstair_platform/test_program.py
+++ b/tests/coltsfootstair_platform/test_program.py
@@ -12,8 +12,9 @@
 
 import pytest
 
+from coltsfootstair.clock import SystemClock
 from coltsfootstair.gateway import Gateway
-from coltsfootstair.http1 import serve_status
+from coltsfootstair.http1 import StatusServer
 from coltsfootstair_platform import _program
 from tests.coltsfootstair_platform.standin import (
     StoreStandin,
@@ -129,8 +130,9 @@
     async def work() -> None:
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda _, context: loop_errors.append(context))
-        server = await serve_status('127.0.0.1', 0, answer_status)
-        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        server = StatusServer(answer_status, SystemClock())
+        await server.open('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection(*server.address)
         writer.write(b'GET / HTTP/1.1\r\n\r\n')
         await reader.readuntil(b'\r\n\r\n')
         server.close()
