--- a/tests/coltsfootstair_platform/test_slow_callers.py
+++ b/tests/coltsfootstair_platform/test_slow_callers.py
@@ -24,6 +24,9 @@
 
 CALLER_COUNT = 6
 
+BUSY_CALLER_COUNT = 8
+"""Callers that send one request after the other, each on a new connection."""
+
 IDLE_TIMEOUT_MS = 1500
 
 AHEAD_COUNT = 4
@@ -135,6 +138,34 @@
     _play(tmp_path, play)
 
 
+def test_a_stop_of_a_busy_daemon_cuts_no_answers_of_callers_that_read_slowly(
+    tmp_path: Path,
+) -> None:
+    """Guards against answers that are cut since others take the daemon's time."""
+
+    async def play(system: _System) -> None:
+        async def make_load() -> None:
+            while True:
+                await system.program.call('lookups.example', '/x/10')
+
+        async def call(caller: SlowCaller) -> None:
+            await caller.call_until_closed('/x/90000', 6)
+
+        async def stop() -> None:
+            await asyncio.sleep(1.0)
+            await system.program.end(signal.SIGTERM)
+
+        load = [asyncio.create_task(make_load()) for _ in range(BUSY_CALLER_COUNT)]
+        async with asyncio.TaskGroup() as group:
+            group.create_task(stop())
+            lost = await _play_callers(system, 300_000, call)
+        for task in load:
+            task.cancel()
+        assert lost == []
+
+    _play(tmp_path, play)
+
+
 @pytest.mark.parametrize('sends_more', [True, False])
 def test_the_idle_timeout_cuts_no_answer_that_is_being_read(
     sends_more: bool, tmp_path: Path
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -6,7 +6,7 @@
 import contextlib
 import socket
 from collections.abc import AsyncIterator, Coroutine
-from typing import Any, NamedTuple, TypeVar
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
 
 from coltsfootstair.clock import SystemClock
 from coltsfootstair.gateway import (
@@ -17,7 +17,7 @@
     StoreSettings,
     WorkspaceSettings,
 )
-from coltsfootstair.http1 import Address
+from coltsfootstair.http1 import Address, BrokenExchangeError, Connection
 from coltsfootstair.supervision import RestartPolicy
 from coltsfootstair_platform import (
     KINDS,
@@ -33,10 +33,14 @@
     run_listeners,
 )
 
+if TYPE_CHECKING:
+    import pytest
+
 __all__ = [
     'Caller',
     'ReceivedAnswer',
     'RunningGateway',
+    'cut_off_gateway',
     'run_gateway',
     'run_gateways',
     'run_with_time_limit',
@@ -122,6 +126,36 @@
         return Caller(*await asyncio.open_connection(self.address.host, self.address.port))
 
 
+def cut_off_gateway(
+    gateway: Gateway, servers: list[ServerStandin], way: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Cut a gateway off from servers; other daemons and the store still reach it.
+
+    :param way: what becomes of connections: ``refuse`` and ``hang`` are about new ones, with
+        idle ones closed; with ``live`` idle ones can still be used and new ones are refused
+    """
+    ports = {server.port for server in servers}
+    pool, grant_pool = gateway._pool, gateway._ports.grant_client._pool  # type: ignore[attr-defined]
+    for cut_pool in (pool, grant_pool):
+        open_connection = cut_pool.open
+
+        async def open_cut(
+            address: Address,
+            timeout_s: float,
+            open_connection: object = open_connection,
+        ) -> Connection:
+            if address.port not in ports:
+                return await open_connection(address, timeout_s)  # type: ignore[operator,no-any-return]
+            if way == 'hang':
+                await asyncio.sleep(timeout_s)
+            raise BrokenExchangeError('cut off', sent=False, refused=way == 'refuse')
+
+        monkeypatch.setattr(cut_pool, 'open', open_cut)
+        if way != 'live':
+            for port in ports:
+                cut_pool.close_idle(Address('127.0.0.1', port))
+
+
 def _find_free_udp_port() -> int:
     with socket.socket(type=socket.SOCK_DGRAM) as probe:
         probe.bind(('127.0.0.1', 0))
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -12,7 +12,7 @@
 from coltsfootstair.gateway._attempts import AttemptAccount, decode_account, encode_account
 from coltsfootstair.gateway._relay import classify_relayed
 from coltsfootstair.gateway._sender import Outcome
-from coltsfootstair.http1 import Address, Answer, BrokenExchangeError, Connection
+from coltsfootstair.http1 import Address, Answer
 from tests.coltsfootstair_platform.standin import (
     Behaviour,
     ReceivedRequest,
@@ -24,6 +24,7 @@
 from tests.gateway.harness import (
     ReceivedAnswer,
     RunningGateway,
+    cut_off_gateway,
     run_gateway,
     run_gateways,
     run_with_time_limit,
@@ -62,36 +63,6 @@
     )
 
 
-def _cut_off(
-    gateway: Gateway, servers: list[ServerStandin], way: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Cut a gateway off from servers; other daemons and the store still reach it.
-
-    :param way: what becomes of connections: ``refuse`` and ``hang`` are about new ones, with
-        idle ones closed; with ``live`` idle ones can still be used and new ones are refused
-    """
-    ports = {server.port for server in servers}
-    pool, grant_pool = gateway._pool, gateway._ports.grant_client._pool  # type: ignore[attr-defined]
-    for cut_pool in (pool, grant_pool):
-        open_connection = cut_pool.open
-
-        async def open_cut(
-            address: Address,
-            timeout_s: float,
-            open_connection: object = open_connection,
-        ) -> Connection:
-            if address.port not in ports:
-                return await open_connection(address, timeout_s)  # type: ignore[operator,no-any-return]
-            if way == 'hang':
-                await asyncio.sleep(timeout_s)
-            raise BrokenExchangeError('cut off', sent=False, refused=way == 'refuse')
-
-        monkeypatch.setattr(cut_pool, 'open', open_cut)
-        if way != 'live':
-            for port in ports:
-                cut_pool.close_idle(Address('127.0.0.1', port))
-
-
 async def _count_served(running: RunningGateway, count: int) -> int:
     """Return how many of three kinds of requests are served, each tried once."""
     calls = []
@@ -129,7 +100,7 @@
             await _warm_up(gateways)
             everyone = [server for _, server in servers.list_all()]
             for running in gateways[:2]:
-                _cut_off(running.gateway, everyone, way, monkeypatch)
+                cut_off_gateway(running.gateway, everyone, way, monkeypatch)
             settled_at = asyncio.get_running_loop().time() + SETTLING_S
             while asyncio.get_running_loop().time() < settled_at:
                 await asyncio.gather(*(_count_served(running, 2) for running in gateways))
@@ -157,7 +128,7 @@
         async with run_gateways(3, *servers.list_all()) as gateways:
             await _warm_up(gateways)
             everyone = [server for _, server in servers.list_all()]
-            _cut_off(gateways[0].gateway, everyone, 'refuse', monkeypatch)
+            cut_off_gateway(gateways[0].gateway, everyone, 'refuse', monkeypatch)
             for _ in range(8):
                 await _count_served(gateways[0], 1)
                 await asyncio.sleep(0.1)
@@ -221,7 +192,7 @@
         async with run_gateways(3, *servers.list_all()) as gateways:
             await _warm_up(gateways)
             everyone = [server for _, server in servers.list_all()]
-            _cut_off(gateways[0].gateway, everyone, 'refuse', monkeypatch)
+            cut_off_gateway(gateways[0].gateway, everyone, 'refuse', monkeypatch)
             for _ in range(8):
                 await _count_served(gateways[0], 1)
                 await asyncio.sleep(0.1)
@@ -262,7 +233,7 @@
         async with run_gateways(3, *servers.list_all()) as gateways:
             await _warm_up(gateways)
             everyone = [server for _, server in servers.list_all()]
-            _cut_off(gateways[0].gateway, everyone, 'refuse', monkeypatch)
+            cut_off_gateway(gateways[0].gateway, everyone, 'refuse', monkeypatch)
             for _ in range(8):
                 await _count_served(gateways[0], 1)
                 await asyncio.sleep(0.1)
@@ -360,7 +331,7 @@
 ) -> None:
     """Cut the first daemon off from all servers, until it sends through others."""
     everyone = [server for _, server in servers.list_all()]
-    _cut_off(gateways[0].gateway, everyone, 'refuse', monkeypatch)
+    cut_off_gateway(gateways[0].gateway, everyone, 'refuse', monkeypatch)
     for _ in range(8):
         await _count_served(gateways[0], 1)
         await asyncio.sleep(0.1)
--- a/tests/slow_callers.py
+++ b/tests/slow_callers.py
@@ -34,11 +34,12 @@
 
     :param bytes_per_s: rate at which it reads
     :ivar outstanding: ids of requests without a complete answer, in the order of sending
+    :ivar is_finishing: whether it sends no further requests
     """
 
     def __init__(self, bytes_per_s: float) -> None:
         self.outstanding: list[str] = []
-        self.has_ended = False
+        self.is_finishing = False
         self._bytes_per_s = bytes_per_s
         self._unread = b''
         self._socket = socket.socket()
@@ -95,14 +96,13 @@
                     self._socket, int(self._bytes_per_s * READ_INTERVAL_S)
                 )
             if not piece:
-                self.has_ended = True
                 return None
             self._unread += piece
             await asyncio.sleep(READ_INTERVAL_S)
         return answer
 
     async def call_until_closed(self, path: str, ahead_count: int) -> None:
-        """Keep requests under way until the daemon announces or sends the end."""
+        """Keep requests under way until the daemon ends the connection, or it finishes."""
         for _ in range(ahead_count):
             await self.send(path)
         while (answer := await self.read_answer()) is not None:
@@ -110,7 +110,10 @@
                 # What was sent behind it counts as not read.
                 self.outstanding.clear()
                 return
-            await self.send(path)
+            if not self.is_finishing:
+                await self.send(path)
+            elif not self.outstanding:
+                return
 
     def _take_answer(self) -> ReadAnswer | None:
         head, mark, rest = self._unread.partition(b'\r\n\r\n')
