Deliver answers of the caller server before it closes a connection

Callers of the product's own interface lost the refusal of an upload that they had sent for more than two seconds, and the end of an answer when requests stood behind the one with Connection: close.

The library closes the socket when the last answer is written, or two seconds after it refused an upload; unread bytes then reset the connection.

Change: connections are handed to a LingeringCloser, one thread that ends the sending side and drops what comes until the caller ends, within the bounds of Delivery, which moves from http1 to sockets. A stop waits up to 30 s for what is not acknowledged.

--- a/src/coltsfootstair/entry/_server.py
+++ b/src/coltsfootstair/entry/_server.py
@@ -17,10 +17,12 @@
 
 import structlog
 from cheroot import wsgi
+from cheroot.server import HTTPConnection
 
 from coltsfootstair.entry._body import BODY_KEY, CallerBody, CallerGateway
 from coltsfootstair.entry._types import AnswerTruncatedError, CallerRequest
 from coltsfootstair.results import Ran, Refusal, ResultCode, http_status, title
+from coltsfootstair.sockets import LingeringCloser
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -43,6 +45,9 @@
 DEFAULT_TIMEOUT_MS = 10_000
 DEFAULT_UPLOAD_TIMEOUT_MS = 900_000
 MAX_TIMEOUT_MS = 3_600_000
+MAX_DELIVERY_S = 30.0
+"""How long a stop waits for callers that read their last answers, in seconds."""
+
 MAX_ID_LENGTH = 512
 """Upper bound of a key or operation id, in characters."""
 
@@ -72,6 +77,17 @@
 Environ = dict[str, Any]
 
 
+class _LingeringConnection(HTTPConnection):
+    """Connection that is closed once its answers are delivered."""
+
+    def __init__(self, closer: LingeringCloser, *args: Any) -> None:
+        super().__init__(*args)
+        self._closer = closer
+
+    def _close_kernel_socket(self) -> None:
+        self._closer.end(self.socket)
+
+
 class CallerServer:
     """Converts HTTP requests into relayed ones, and their outcomes into HTTP answers.
 
@@ -108,6 +124,8 @@
             timeout=IDLE_TIMEOUT_S,
         )
         self._server.gateway = CallerGateway
+        self._closer = LingeringCloser(clock)
+        self._server.ConnectionClass = partial(_LingeringConnection, self._closer)
         self._thread = threading.Thread(target=self._serve, name='callers', daemon=True)
 
     @property
@@ -128,10 +146,14 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop serving; call this only when no request is active."""
+        """Stop serving; call this only when no request is active.
+
+        Returns when callers have received their answers, or do not read them.
+        """
         self._server.stop()
         if self._thread.is_alive():
             self._thread.join()
+        self._closer.wait_until_delivered(MAX_DELIVERY_S)
 
     def count_active(self) -> int:
         """Return the number of callers' requests in progress."""
--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -12,9 +12,8 @@
 import httptools
 import structlog
 
-from coltsfootstair.http1._delivery import Delivery
 from coltsfootstair.http1._headers import Headers, find_first_value, render_head
-from coltsfootstair.sockets import count_unacknowledged_bytes
+from coltsfootstair.sockets import Delivery, count_unacknowledged_bytes
 
 if TYPE_CHECKING:
     from coltsfootstair.clock import Clock
--- a/src/coltsfootstair/sockets/__init__.py
+++ b/src/coltsfootstair/sockets/__init__.py
@@ -1,4 +1,4 @@
-"""Options of TCP sockets that all clients share."""
+"""TCP sockets: what becomes of bytes on their way when a connection ends."""
 
 from __future__ import annotations
 
@@ -7,5 +7,13 @@
     finish_on_close,
     reset_on_close,
 )
+from coltsfootstair.sockets._delivery import Delivery
+from coltsfootstair.sockets._lingering import LingeringCloser
 
-__all__ = ['count_unacknowledged_bytes', 'finish_on_close', 'reset_on_close']
+__all__ = [
+    'Delivery',
+    'LingeringCloser',
+    'count_unacknowledged_bytes',
+    'finish_on_close',
+    'reset_on_close',
+]
--- a/tests/http1/test_closing.py
+++ b/tests/http1/test_closing.py
@@ -11,7 +11,7 @@
 
 from coltsfootstair.clock import ManualClock
 from coltsfootstair.http1 import CallerLimits, Headers, IncomingRequest, Reply
-from coltsfootstair.http1._delivery import LINGER_S, MAX_LINGER_S
+from coltsfootstair.sockets._delivery import LINGER_S, MAX_LINGER_S
 from tests.gateway.harness import run_with_time_limit
 from tests.http1.harness import RecordingHandler, serve_callers
 from tests.slow_callers import SlowCaller
--- /dev/null
+++ b/tests/sockets/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of TCP sockets."""
+
+from __future__ import annotations
--- a/tests/http1/test_delivery.py
+++ b/tests/sockets/test_delivery.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from coltsfootstair.http1._delivery import LINGER_S, MAX_LINGER_S, Delivery
+from coltsfootstair.sockets._delivery import LINGER_S, MAX_LINGER_S, Delivery
 
 IDLE_S = 15.0
 
