--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -150,7 +150,7 @@
         self.inbound.add_handler(ReportRequest, self.reports.on_request)
         self.inbound.add_handler(ReportAnswer, self.reports.on_answer)
         self.operators = OperatorsServer(
-            settings.operators, OperatorsApp(adapter, self.metrics.render_page)
+            settings.operators, OperatorsApp(adapter, self.metrics.render_page), clock
         )
         self.state_recorder = StateRecorder(
             self.timeline,
