Let the time to join the operators' server cover both of its waits

Cause: a stop waits twice, until answers are handed to the kernel and until they are received, 5 s each; the join before gave up after 7 s in all. Found on reading the diff. A new connection has its state before it is announced.

--- a/src/coltsfootstair/http1/_server.py
+++ b/src/coltsfootstair/http1/_server.py
@@ -198,9 +198,9 @@
         raw_socket = transport.get_extra_info('socket')
         if raw_socket is not None:
             raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._handler.on_connection_opened(self)
         now = self._handler.clock.monotonic()
         self._delivery = Delivery(0, now, now)
+        self._handler.on_connection_opened(self)
         self._set_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/coltsfootstair/operators/_server.py
+++ b/src/coltsfootstair/operators/_server.py
@@ -30,9 +30,10 @@
 """Longest wait for socket events before the server checks whether to stop."""
 
 FINISH_TIMEOUT_S = 5.0
-"""How long a stop waits for operators that read their answers, in seconds."""
+"""How long a stop waits until answers are handed to the kernel, in seconds, and once more as
+long until operators have received them."""
 
-JOIN_TIMEOUT_S = FINISH_TIMEOUT_S + 2.0
+JOIN_TIMEOUT_S = 2 * FINISH_TIMEOUT_S + 2.0
 """Longest wait for the end of the server thread, in seconds."""
 
 
