Deliver messages between daemons before a stop closes their streams

Callers of the product's own interface whose request was relayed by a daemon that stops could lose the rest of their answer.

A stop closed its streams at once: what was queued in the process was dropped, and what the peer sent meanwhile reset the connection, so that the kernel dropped what it still had.

Change: a stop hands what is queued to the kernel, for 5 s at most, and the sockets to the LingeringCloser, for 5 s more.

--- a/src/coltsfootstair/daemon/_application.py
+++ b/src/coltsfootstair/daemon/_application.py
@@ -99,7 +99,7 @@
         own_hello = Hello(
             PROTOCOL_VERSION, settings.name, settings.data_centre, self.incarnation
         )
-        self.hub = Hub(own_hello, settings.inner, self.inbound, self.timeline)
+        self.hub = Hub(own_hello, settings.inner, self.inbound, self.timeline, clock)
         identity = StoreIdentity(settings.name, settings.data_centre, self.hub.address)
         self.store = HttpStore(settings.store_url, identity)
         self.peers = PeerDirectory(self.store, clock)
--- a/src/coltsfootstair/inner/_hub.py
+++ b/src/coltsfootstair/inner/_hub.py
@@ -10,12 +10,15 @@
 
 import structlog
 
+from coltsfootstair.clock import SystemClock
 from coltsfootstair.errors import ProtocolError
 from coltsfootstair.inner._codec import Decoder, UnpackerPool, encode
 from coltsfootstair.inner._messages import PROTOCOL_VERSION, Hello, StampReported
+from coltsfootstair.sockets import LingeringCloser
 from coltsfootstair.timeline import HybridTime
 
 if TYPE_CHECKING:
+    from coltsfootstair.clock import Clock
     from coltsfootstair.inner._messages import Message
 
 __all__ = ['Hub', 'HubListener', 'Stream']
@@ -28,6 +31,13 @@
 LISTEN_BACKLOG_COUNT = 256
 CONNECT_TIMEOUT_S = 1.0
 
+FINISH_TIMEOUT_S = 5.0
+"""How long a stop waits until messages are handed to the kernel, in seconds, and once more as
+long until peers have received them."""
+
+FINISH_POLL_S = 0.1
+"""Longest wait for socket events while the hub stops, in seconds."""
+
 
 class EventClock(Protocol):
     """Hybrid clock that orders the events of all daemons; safe for threads."""
@@ -121,6 +131,11 @@
             self._flush()
             return bool(self._outgoing)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether messages wait for the socket to accept them."""
+        return bool(self._outgoing)
+
     def read(self) -> list[Message] | None:
         """Return the messages that have arrived, or ``None`` at the end of the stream.
 
@@ -151,6 +166,10 @@
         """Whether the peer's ``Hello`` has arrived."""
         return self._is_hello_received
 
+    def end(self, closer: LingeringCloser) -> None:
+        """End the sending side; ``closer`` lets the peer receive what was sent."""
+        closer.end(self._socket)
+
     def close_socket(self) -> None:
         """Mark the stream as closed and close its socket; only the hub calls this."""
         with self._lock:
@@ -167,6 +186,7 @@
     :param hello: the first message that is sent on each stream
     :param listen: ``IP:PORT`` to listen on
     :param event_clock: clock whose stamps are exchanged with peers; ``None`` to send no stamps
+    :param clock: measures how long a stop takes; by default that of the system
     """
 
     def __init__(
@@ -175,7 +195,10 @@
         listen: str,
         listener: HubListener,
         event_clock: EventClock | None = None,
+        clock: Clock | None = None,
     ) -> None:
+        self._clock = clock or SystemClock()
+        self._closer = LingeringCloser(self._clock)
         self.unpackers = UnpackerPool()
         self._hello = hello
         self._event_clock = event_clock
@@ -204,11 +227,11 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Close all streams and stop the task."""
+        """Deliver what was sent, for a limited time, close all streams and stop the task."""
         self._stopping = True
         self._wake_up()
         if self._thread.is_alive():
-            self._thread.join(timeout=CONNECT_TIMEOUT_S)
+            self._thread.join(timeout=2 * FINISH_TIMEOUT_S + CONNECT_TIMEOUT_S)
 
     def get_or_connect(self, peer: str, address: str) -> Stream | None:
         """Return an open stream to ``peer``, and connect if there is none.
@@ -283,7 +306,23 @@
             for key, events in self._selector.select():
                 self._serve(key.fileobj, events)
             self._handle_stream_requests()
+        self._finish_sending()
         self._close_all()
+        self._closer.wait_until_delivered(FINISH_TIMEOUT_S)
+
+    def _finish_sending(self) -> None:
+        """Hand what is still unsent to the kernel; what peers send is still handled."""
+        ends_at = self._clock.monotonic() + FINISH_TIMEOUT_S
+        while self._clock.monotonic() < ends_at and any(
+            stream.has_unsent for stream in self._list_streams()
+        ):
+            for key, events in self._selector.select(FINISH_POLL_S):
+                self._serve(key.fileobj, events)
+            self._handle_stream_requests()
+
+    def _list_streams(self) -> list[Stream]:
+        registered = [key.fileobj for key in self._selector.get_map().values()]
+        return [source for source in registered if isinstance(source, Stream)]
 
     def _serve(self, source: object, events: int) -> None:
         if source is self._server:
@@ -384,9 +423,9 @@
         self._listener.on_stream_closed(stream)
 
     def _close_all(self) -> None:
-        for key in list(self._selector.get_map().values()):
-            if isinstance(key.fileobj, Stream):
-                self._close(key.fileobj)
+        for stream in self._list_streams():
+            stream.end(self._closer)
+            self._close(stream)
         self._selector.close()
         self._server.close()
         self._wakeup_receiver.close()
--- a/tests/inner/test_hub.py
+++ b/tests/inner/test_hub.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import queue
+import threading
 from typing import TYPE_CHECKING
 
 import pytest
+from tests.blocking_callers import connect_slowly, read_slowly
 
 from coltsfootstair.inner import BodyChunk, CancelRequest, Hello, Hub
+from coltsfootstair.inner._codec import Decoder, UnpackerPool, encode
+from coltsfootstair.inner._hub import RECEIVE_BYTES
 from coltsfootstair.inner._messages import PROTOCOL_VERSION
 
 if TYPE_CHECKING:
@@ -19,6 +24,9 @@
 CHUNK_COUNT = 200
 """Chunks of 60 kB; together more than a socket accepts at once, so that some are queued."""
 
+SLOW_CHUNK_COUNT = 50
+"""The same for a peer with a slow link."""
+
 
 class Recorder:
     """Listener that records messages and closed streams."""
@@ -88,3 +96,35 @@
     address = second.hub.address
     second.hub.stop()
     assert first.hub.get_or_connect('b', address) is None
+
+
+def test_a_stop_delivers_what_was_sent_to_a_slow_peer_that_sends_on() -> None:
+    """The rest of an answer was dropped, or lost by a reset, when its daemon had stopped."""
+    answering = RecordedHub('b')
+    with connect_slowly(answering.hub.address) as peer:
+        peer.sendall(encode(Hello(PROTOCOL_VERSION, 'a', 'north', 'i')))
+        request = encode(BodyChunk('r', b'x', False))
+        peer.sendall(request)
+        stream, _ = answering.recorder.messages.get(timeout=TIMEOUT_S)
+        chunks = [BodyChunk('r', bytes(60_000), False) for _ in range(SLOW_CHUNK_COUNT)]
+        assert all(stream.send(chunk) for chunk in chunks)
+        has_ended = threading.Event()
+
+        def send_on() -> None:
+            with contextlib.suppress(ConnectionError):
+                while not has_ended.wait(0.001):
+                    peer.sendall(request)
+
+        threads = [threading.Thread(target=target) for target in (send_on, answering.hub.stop)]
+        for thread in threads:
+            thread.start()
+        received = read_slowly(peer, 1.5e6)
+        has_ended.set()
+        for thread in threads:
+            thread.join()
+    decoder = Decoder(UnpackerPool())
+    pieces = [
+        received[at : at + RECEIVE_BYTES] for at in range(0, len(received), RECEIVE_BYTES)
+    ]
+    messages = [message for piece in pieces for message in decoder.feed(piece)]
+    assert [each for each in messages if isinstance(each, BodyChunk)] == chunks
