Do not fail at the end of the grace time on a request that times out then

Callers whose requests were left at the end of the grace time could lose their connections without the final answer, and the process ended with an error.

Cause: time_out_all moves the time-out of each request to now, which raises RuntimeError for one that has passed in the same turn of the event loop.

Before, the new test of test_late_in_grace.py failed with the same error.

Change: time-outs that have passed are left alone; their requests get the final answer anyway. Now the test passes.

--- a/src/coltsfootstair/gateway/_dispatcher.py
+++ b/src/coltsfootstair/gateway/_dispatcher.py
@@ -306,7 +306,9 @@
         """Time out all requests in progress; each gets its final reply."""
         now = asyncio.get_running_loop().time()
         for timeout in list(self._timeouts):
-            timeout.reschedule(now)
+            # One that has expired, and whose request does not know yet, can't be changed.
+            if not timeout.expired():
+                timeout.reschedule(now)
 
     def _prepare(
         self,
--- a/tests/gateway/test_late_in_grace.py
+++ b/tests/gateway/test_late_in_grace.py
@@ -111,3 +111,37 @@
             return (await running.call('bookings', body=b'x', X_Request_Id='late')).status
 
     assert run_with_time_limit(work()) == 200
+
+
+def test_a_request_that_times_out_as_the_grace_time_ends_does_not_end_the_stop() -> None:
+    """The daemon ended with an error, and cut all final answers (seed 67207 of the soak)."""
+    server = _build_server(10.0)
+
+    async def work() -> list[int]:
+        async with run_gateways(
+            1, ('desk', server), configuration=_build_slow_configuration()
+        ) as (running,):
+            callers = [await running.connect() for _ in range(2)]
+            for number, caller in enumerate(callers):
+                caller.send('bookings', body=b'x', X_Request_Id=f'r{number}')
+            while len(server.received) < len(callers):
+                await asyncio.sleep(0.01)
+            loop = asyncio.get_running_loop()
+            dispatcher = running.gateway._dispatcher
+            # The time-out of one request has passed, and its task has not run since.
+            next(iter(dispatcher._timeouts)).reschedule(loop.time())
+            ended: asyncio.Future[None] = loop.create_future()
+
+            def time_out_all() -> None:
+                try:
+                    dispatcher.time_out_all()
+                except RuntimeError as error:
+                    ended.set_exception(error)
+                else:
+                    ended.set_result(None)
+
+            loop.call_soon(time_out_all)
+            await ended
+            return [(await caller.read_answer()).status for caller in callers]
+
+    assert run_with_time_limit(work()) == [504, 504]
